--- /dev/null
+++ b/src/main/java/io/quartzgw/app/Leader.java
@@ -0,0 +1,243 @@
+package io.quartzgw.app;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.quartzgw.fleet.CloudClient;
+import io.quartzgw.fleet.Fleet;
+import io.quartzgw.fleet.MachineRecords;
+import io.quartzgw.fleet.MachineTypes;
+import io.quartzgw.http.Json;
+import io.quartzgw.leadership.Leadership;
+import io.quartzgw.leadership.Peers;
+import io.quartzgw.loop.Kernel;
+import io.quartzgw.placement.Booking;
+import io.quartzgw.placement.Cluster;
+import io.quartzgw.placement.Job;
+import io.quartzgw.placement.Machine;
+import io.quartzgw.placement.Scheduler;
+import io.quartzgw.placement.Starter;
+import io.quartzgw.placement.Team;
+import io.quartzgw.progress.Progress;
+import io.quartzgw.recovery.Holds;
+import io.quartzgw.recovery.Recovery;
+import io.quartzgw.store.Change;
+import io.quartzgw.store.StoreClient;
+import io.quartzgw.submission.FinalPhase;
+import io.quartzgw.submission.JobKeys;
+import io.quartzgw.submission.JobStore;
+import io.quartzgw.submission.OpenJob;
+import io.quartzgw.worker.Workers;
+import java.util.List;
+
+/** All that this node does as the leader of one term; a later term starts with a new one. */
+final class Leader {
+    private static final double CHECK_REPORTS = 0.2;
+
+    private final Kernel kernel;
+    private final Settings settings;
+    private final Leadership leadership;
+    private final StoreClient store;
+    private final JobStore jobs;
+    private final long term;
+    private final Cluster cluster;
+    private final Workers workers;
+    private final Progress progress;
+    private final Recovery recovery;
+    private final Scheduler scheduler;
+    private final MachineRecords records;
+    private final Fleet fleet;
+    private boolean fleetStarted;
+
+    Leader(Kernel kernel, Settings settings, Leadership leadership, Peers peers, StoreClient store, JobStore jobs,
+            MachineTypes types, CloudClient cloud, long formerAnswersUntil) {
+        this.kernel = kernel;
+        this.settings = settings;
+        this.leadership = leadership;
+        this.store = store;
+        this.jobs = jobs;
+        this.term = leadership.term();
+        long reportMs = settings.workers().reportMs();
+        Holds holds = Holds.of(settings.workers());
+        this.cluster = new Cluster(kernel, term);
+        this.workers = new Workers(kernel, leadership, cluster, types, settings.workers(), new FromWorkers());
+        this.progress = new Progress(kernel, store, leadership, leadership.termRevision(), reportMs,
+                new FromProgress());
+        this.scheduler = new Scheduler(kernel, cluster, settings.teams(), reportMs, new ToWorkers());
+        this.records = new MachineRecords(kernel, store, leadership, cluster, leadership.termRevision(),
+                workers::startsDue);
+        this.fleet = new Fleet(kernel, cloud, settings.cloudLimits(), leadership, cluster, types, records,
+                keptCpus(settings), holds.silentMs(), workers::forget);
+        this.recovery = new Recovery(kernel, store, leadership, peers, types, cluster, workers, progress, holds,
+                reportMs, formerAnswersUntil, new OpenJobs());
+    }
+
+    // Where the guarantee is an aim, its room is there before the work comes.
+    private static double keptCpus(Settings settings) {
+        return settings.aimsAt("guarantee") ? settings.teams().values().stream().mapToDouble(Team::cpus).sum() : 0;
+    }
+
+    void start() {
+        recovery.start();
+        tick();
+    }
+
+    private boolean current() {
+        return leadership.leading() && leadership.term() == term;
+    }
+
+    private void tick() {
+        if (current()) {
+            kernel.after((long) (CHECK_REPORTS * settings.workers().reportMs()), this::tick);
+            cluster.touch();
+        }
+    }
+
+    /** Answers a worker's report. */
+    ObjectNode report(JsonNode body) {
+        return workers.report(body);
+    }
+
+    /** Decides on all that the batch has changed. */
+    void afterBatch() {
+        if (!current()) {
+            return;
+        }
+        recovery.check();
+        if (recovery.placing()) {
+            if (!fleetStarted) {
+                fleetStarted = true;
+                fleet.start();
+            }
+            if (leadership.confirmed() && cluster.takeChanged()) {
+                scheduler.run();
+                fleet.adjust(scheduler.unplaced());
+            }
+            records.flush();
+        }
+        workers.flush();
+    }
+
+    // ---- jobs
+
+    void accepted(OpenJob open) {
+        if (recovery.placing() && jobs.cached(open.spec().id()) == null) {
+            cluster.add(open);
+        }
+    }
+
+    void withdrawn(String id) {
+        over(id);
+    }
+
+    private void over(String id) {
+        Job job = cluster.job(id);
+        if (job == null || job.over()) {
+            return;
+        }
+        cluster.end(job);
+        for (Booking booking : job.bookingsCopy()) {
+            workers.stop(booking, 0);
+        }
+        workers.recorded(job);
+        progress.dropped(id);
+    }
+
+    /** Counts for display, of every open job that has any. */
+    ObjectNode counts() {
+        ObjectNode counts = Json.object();
+        for (Job job : cluster.jobs()) {
+            int running = job.runningCount();
+            if (running > 0 || job.doneCount() > 0) {
+                ArrayNode pair = counts.putArray(job.id());
+                pair.add(job.doneCount()).add(running);
+            }
+        }
+        return counts;
+    }
+
+    private final class OpenJobs implements StoreClient.Follower {
+        @Override
+        public boolean wanted() {
+            return current();
+        }
+
+        @Override
+        public void changed(List<Change> changes) {
+            for (Change change : changes) {
+                if (change.value() == null) {
+                    over(change.key().substring(JobKeys.OPEN.length()));
+                } else {
+                    OpenJob open = OpenJob.fromRecord(change.value(), change.revision());
+                    if (jobs.cached(open.spec().id()) == null) {
+                        cluster.add(open);
+                    }
+                }
+            }
+        }
+
+        @Override
+        public void outdated() {
+            store.list(JobKeys.OPEN, listing -> {
+                if (!current()) {
+                    return;
+                }
+                if (listing == null) {
+                    kernel.after(settings.workers().reportMs(), this::outdated);
+                    return;
+                }
+                List<OpenJob> open = listing.entries().stream()
+                        .map(entry -> OpenJob.fromRecord(entry.value(), entry.revision())).toList();
+                List<String> ids = open.stream().map(job -> job.spec().id()).toList();
+                cluster.jobs().stream().filter(job -> !job.over() && !ids.contains(job.id())
+                        && job.open().revision() <= listing.revision()).map(Job::id).toList().forEach(Leader.this::over);
+                open.stream().filter(job -> jobs.cached(job.spec().id()) == null).forEach(cluster::add);
+                store.follow(JobKeys.OPEN, listing.revision(), this);
+            });
+        }
+    }
+
+    // ---- between the slices
+
+    private final class ToWorkers implements Starter {
+        @Override
+        public void start(Booking booking) {
+            workers.start(booking);
+        }
+
+        @Override
+        public void stop(Booking booking, double graceS) {
+            workers.stop(booking, graceS);
+        }
+    }
+
+    private final class FromWorkers implements Workers.Listener {
+        @Override
+        public void finished(Job job, int index) {
+            progress.finished(job, index);
+        }
+
+        @Override
+        public void needsRecord(Machine machine) {
+            records.mark(machine);
+        }
+    }
+
+    private final class FromProgress implements Progress.Listener {
+        @Override
+        public void recorded(Job job) {
+            workers.recorded(job);
+        }
+
+        @Override
+        public void ended(Job job, FinalPhase phase) {
+            jobs.over(job.id(), phase);
+            over(job.id());
+        }
+
+        @Override
+        public void endedOtherwise(Job job) {
+            over(job.id());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/quartzgw/app/Main.java
@@ -0,0 +1,74 @@
+package io.quartzgw.app;
+
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** The command line. */
+@Command(name = "quartzgw", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
+        description = "Runs one controller of a quartzgw cluster until it is killed.",
+        footer = {"", "The variable LOG_LEVEL (error, info, debug) says how much is logged to standard error."})
+public final class Main implements Callable<Integer> {
+    private static final int UNUSABLE = 2;
+
+    @Option(names = "--config", paramLabel = "FILE", required = true, description = "the settings file (TOML)")
+    private Path config;
+
+    @Option(names = "--check-config", description = "check the settings, say what is wrong with them, and exit")
+    private boolean checkOnly;
+
+    public static void main(String[] args) {
+        // Before the first logger is made.
+        String level = System.getenv().getOrDefault("LOG_LEVEL", "info");
+        System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", level);
+        System.setProperty("org.slf4j.simpleLogger.log.io.undertow", level.equals("debug") ? "info" : "error");
+        System.setProperty("org.slf4j.simpleLogger.log.org.xnio", "error");
+        System.setProperty("org.slf4j.simpleLogger.log.org.jboss", "error");
+        System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
+        System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
+        System.setProperty("org.jboss.logging.provider", "slf4j");
+        System.exit(new CommandLine(new Main()).execute(args));
+    }
+
+    @Override
+    public Integer call() throws Exception {
+        Settings settings;
+        try {
+            settings = SettingsReader.read(config);
+        } catch (InvalidSettings e) {
+            System.err.println("quartzgw: " + e.getMessage());
+            return UNUSABLE;
+        }
+        if (checkOnly) {
+            System.out.println("settings of " + settings.member() + " are usable");
+            return 0;
+        }
+        Logger log = LoggerFactory.getLogger(Main.class);
+        Service service = new Service(settings, processNumber(settings.member()));
+        service.start();
+        log.info("{} serves users and workers on {}, controllers on {}", settings.member(),
+                settings.clientListen(), settings.peerListen());
+        service.join();
+        return 0;
+    }
+
+    // Unlike any other process of the member, and a seed: members that start in the same instant have to
+    // draw different numbers.
+    private static long processNumber(String member) {
+        long mixed = System.currentTimeMillis() * 1_000_003 + ProcessHandle.current().pid();
+        return (mixed * 31 + member.hashCode()) & Long.MAX_VALUE;
+    }
+
+    /** The version from the jar's manifest. */
+    static final class Version implements CommandLine.IVersionProvider {
+        @Override
+        public String[] getVersion() {
+            String version = Main.class.getPackage().getImplementationVersion();
+            return new String[] {"quartzgw " + (version == null ? "(not from a jar)" : version)};
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/quartzgw/app/Node.java
@@ -0,0 +1,207 @@
+package io.quartzgw.app;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.quartzgw.fleet.CloudClient;
+import io.quartzgw.fleet.MachineTypes;
+import io.quartzgw.http.Door;
+import io.quartzgw.http.Json;
+import io.quartzgw.http.Request;
+import io.quartzgw.http.Response;
+import io.quartzgw.leadership.Leadership;
+import io.quartzgw.leadership.LeadershipTimes;
+import io.quartzgw.leadership.Peers;
+import io.quartzgw.loop.Kernel;
+import io.quartzgw.store.StoreClient;
+import io.quartzgw.submission.Admission;
+import io.quartzgw.submission.JobStore;
+import io.quartzgw.submission.OpenJob;
+import io.quartzgw.submission.Submissions;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Supplier;
+
+/** The deterministic core of one controller: all slices, wired around one kernel. */
+public final class Node {
+    private static final String READY = "/ready";
+    private static final String HELLO = "/hello";
+    private static final String METRICS = "/metrics";
+
+    private final Kernel kernel;
+    private final Settings settings;
+    private final StoreClient store;
+    private final CloudClient cloud;
+    private final LeadershipTimes times;
+    private final Leadership leadership;
+    private final Peers peers;
+    private final MachineTypes types;
+    private final JobStore jobs;
+    private final Submissions submissions;
+    private final Supplier<JsonNode> metrics;
+    private Leader leader;
+
+    /**
+     * @param process names this process, unlike any other of the member
+     * @param metrics what the peer listener shows under {@code /metrics}
+     */
+    public Node(Kernel kernel, Settings settings, long process, Supplier<JsonNode> metrics) {
+        this.kernel = kernel;
+        this.settings = settings;
+        this.metrics = metrics;
+        this.store = new StoreClient(kernel, settings.state(), settings.storeLimits().share(settings.size()));
+        this.cloud = new CloudClient(kernel, settings.cloud(), settings.cloudLimits());
+        this.times = LeadershipTimes.of(settings.workers().reportMs() / 1000.0,
+                settings.workers().leaseMs() / 1000.0, settings.cancelS());
+        this.leadership = new Leadership(kernel, store, times, settings.member(), process);
+        this.peers = new Peers(kernel, leadership, store, times, settings.member(), process, settings.peers());
+        this.types = new MachineTypes(kernel, store, cloud, leadership::leading);
+        this.jobs = new JobStore(store);
+        this.submissions = new Submissions(kernel, store, jobs, types, new Admission(settings.teams()),
+                new JobNews());
+    }
+
+    /** Starts all slices; to be called inside the first batch. */
+    public void start() {
+        kernel.route(this::route);
+        kernel.afterEachBatch(() -> {
+            if (leader != null) {
+                leader.afterBatch();
+            }
+        });
+        types.start();
+        leadership.start(new Elections());
+        peers.start(() -> leader == null ? null : leader.counts(), this::takeCounts, this::takeNotice);
+    }
+
+    public boolean leading() {
+        return leadership.leading();
+    }
+
+    public long term() {
+        return leadership.term();
+    }
+
+    // ---- requests
+
+    private void route(Request request) {
+        String path = request.path();
+        if (request.door() == Door.PEER) {
+            servePeer(request);
+        } else if (path.equals(Submissions.PATH) || path.startsWith(Submissions.PATH + "/")) {
+            submissions.serve(request);
+        } else if (path.equals(HELLO)) {
+            onlyFor("POST", request, () -> hello(request));
+        } else if (path.equals(READY)) {
+            onlyFor("GET", request, () -> ready(request));
+        } else {
+            kernel.answer(request.exchange(), Response.error(404, "no such path"));
+        }
+    }
+
+    private void servePeer(Request request) {
+        if (request.path().equals(Peers.PATH)) {
+            onlyFor("POST", request, () -> peers.serve(request));
+        } else if (request.path().equals(METRICS)) {
+            onlyFor("GET", request, () -> kernel.answer(request.exchange(), Response.json(200, metrics.get())));
+        } else {
+            kernel.answer(request.exchange(), Response.error(404, "no such path"));
+        }
+    }
+
+    private void onlyFor(String method, Request request, Runnable serve) {
+        if (request.method().equals(method)) {
+            serve.run();
+        } else {
+            kernel.answer(request.exchange(), Response.error(405, "method not allowed"));
+        }
+    }
+
+    private void hello(Request request) {
+        JsonNode body = Json.readOrNull(request.body());
+        if (body == null || !body.isObject()) {
+            kernel.answer(request.exchange(), Response.error(400, "not a report"));
+            return;
+        }
+        leadership.sawTerm(body.path("baton").asLong());
+        if (leader != null && leadership.answering()) {
+            kernel.answer(request.exchange(), Response.json(200, leader.report(body)));
+            return;
+        }
+        String home = leadership.leaderMember();
+        if (home == null || home.equals(settings.member())) {
+            kernel.answer(request.exchange(), Response.unavailable("no leader", 1));
+        } else {
+            kernel.answer(request.exchange(), Response.json(421, Json.object().put("home_controller", home)));
+        }
+    }
+
+    // True to what users get: without the state service nothing is accepted or told. But when no node
+    // reaches it, leaving the balancer would only reset everybody's connections.
+    private void ready(Request request) {
+        boolean able = leadership.knowsStore() && types.known()
+                && (store.answeredWithin(settings.workers().reportMs() * 2) || !peers.anotherReachesStore());
+        kernel.answer(request.exchange(), able ? Response.json(200, Json.object().put("ready", true))
+                : Response.unavailable("not ready", 1));
+    }
+
+    // ---- leadership
+
+    private final class Elections implements Leadership.Listener {
+        @Override
+        public void elected(long term, long termRevision) {
+            // The former leader's hold had ended: it was confirmed at the latest one hold time ago, and
+            // answers for its grace from then.
+            long formerAnswersUntil = kernel.now() + times.graceMs() - times.holdMs();
+            leader = new Leader(kernel, settings, leadership, peers, store, jobs, types, cloud, formerAnswersUntil);
+            leader.start();
+            peers.beat();
+        }
+
+        @Override
+        public void deposed() {
+            leader = null;
+        }
+    }
+
+    // ---- peers
+
+    private void takeCounts(JsonNode told) {
+        Map<String, Submissions.Counts> counts = new HashMap<>();
+        told.properties().forEach(entry -> counts.put(entry.getKey(),
+                new Submissions.Counts(entry.getValue().path(0).asInt(), entry.getValue().path(1).asInt())));
+        submissions.counts(counts);
+    }
+
+    private void takeNotice(JsonNode notice) {
+        if (leader == null) {
+            return;
+        }
+        if (notice.has("accepted")) {
+            leader.accepted(OpenJob.fromRecord(notice.path("accepted"), notice.path("revision").asLong()));
+        } else if (notice.has("withdrawn")) {
+            leader.withdrawn(notice.path("withdrawn").asText());
+        }
+    }
+
+    private final class JobNews implements Submissions.Listener {
+        @Override
+        public void accepted(OpenJob job) {
+            if (leader != null) {
+                leader.accepted(job);
+            } else {
+                ObjectNode notice = Json.object().put("revision", job.revision());
+                notice.set("accepted", OpenJob.record(job.spec(), job.acceptedAt()));
+                peers.notifyLeader(notice);
+            }
+        }
+
+        @Override
+        public void withdrawn(String id) {
+            if (leader != null) {
+                leader.withdrawn(id);
+            } else {
+                peers.notifyLeader(Json.object().put("withdrawn", id));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/quartzgw/app/Service.java
@@ -0,0 +1,102 @@
+package io.quartzgw.app;
+
+import io.quartzgw.http.Door;
+import io.quartzgw.http.HttpClient;
+import io.quartzgw.http.HttpServer;
+import io.quartzgw.http.Request;
+import io.quartzgw.loop.Command;
+import io.quartzgw.loop.Effect;
+import io.quartzgw.loop.Kernel;
+import io.quartzgw.loop.OwnerThread;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** A running controller: the core on its owner thread, and one I/O thread for all sockets. */
+final class Service {
+    private static final int BUFFER_BYTES = 8 * 1024;
+    private static final int POOLED_BUFFERS = 128;
+    /** How many requests may wait for the owner thread. */
+    private static final int WAITING_REQUESTS = 128;
+    /** The client listener's part of the sockets; the rest is for peers, the store, and workers. */
+    private static final double CLIENT_SOCKETS = 0.6;
+    private static final long STACK_BYTES = 256 * 1024;
+
+    private final Metrics metrics = new Metrics();
+    private final Map<Long, Long> begun = new ConcurrentHashMap<>();
+    private final Kernel kernel;
+    private final Node node;
+    private final OwnerThread owner;
+    private final XnioWorker worker;
+    private final HttpServer server;
+    private final HttpClient client;
+    private final Thread thread;
+
+    Service(Settings settings, long process) throws IOException {
+        this.kernel = new Kernel(process);
+        this.node = new Node(kernel, settings, process, metrics::snapshot);
+        this.owner = new OwnerThread(kernel, WAITING_REQUESTS, this::perform);
+        this.thread = new Thread(null, owner, "owner", STACK_BYTES);
+        this.worker = Xnio.getInstance().createWorker(OptionMap.builder()
+                .set(Options.WORKER_IO_THREADS, 1)
+                .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                .set(Options.STACK_SIZE, STACK_BYTES)
+                .set(Options.TCP_NODELAY, true)
+                .getMap());
+        ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, POOLED_BUFFERS, 4);
+        this.client = new HttpClient(worker, buffers);
+        this.server = new HttpServer(worker, buffers, settings.clientListen(), settings.peerListen(),
+                (int) (settings.sockets() * CLIENT_SOCKETS), this::take);
+    }
+
+    void start() {
+        kernel.handle(List.of(), OwnerThread.timeNow());
+        node.start();
+        server.start();
+        thread.start();
+    }
+
+    void join() throws InterruptedException {
+        thread.join();
+    }
+
+    void stop() {
+        owner.stop();
+        server.stop();
+        worker.shutdown();
+    }
+
+    int port(Door door) {
+        return server.port(door);
+    }
+
+    private boolean take(Request request) {
+        begun.put(request.exchange(), System.nanoTime());
+        if (owner.offer(new Command.Arrived(request))) {
+            return true;
+        }
+        begun.remove(request.exchange());
+        metrics.refused();
+        return false;
+    }
+
+    private void perform(Effect effect) {
+        if (effect instanceof Effect.Answer answer) {
+            Long since = begun.remove(answer.exchange());
+            if (since != null) {
+                metrics.served(answer.response().status(), System.nanoTime() - since);
+            }
+            server.answer(answer.exchange(), answer.response());
+        } else if (effect instanceof Effect.Send send) {
+            client.send(send.request(), reply -> owner.ended(new Command.CallEnded(send.call(), reply)));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/quartzgw/app/Settings.java
@@ -0,0 +1,29 @@
+package io.quartzgw.app;
+
+import io.quartzgw.fleet.CloudLimits;
+import io.quartzgw.http.Endpoint;
+import io.quartzgw.placement.Team;
+import io.quartzgw.store.StoreLimits;
+import io.quartzgw.worker.WorkerTimes;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What the platform hands over in the settings file, checked.
+ *
+ * @param peers the other controllers' peer addresses by member name
+ * @param objectives what is expected of each class of jobs
+ */
+public record Settings(String member, String site, Endpoint clientListen, Endpoint peerListen,
+        Map<String, Endpoint> peers, Endpoint cloud, Endpoint state, int size, List<String> zones,
+        double timeBoundMs, Map<String, Team> teams, List<Objective> objectives, WorkerTimes workers,
+        double cancelS, StoreLimits storeLimits, CloudLimits cloudLimits, int sockets) {
+
+    /** An aim that users state for a class of jobs; the class is empty where it holds for all. */
+    public record Objective(String kind, String workload, double withinS, double share) {}
+
+    /** Whether an aim of this kind is stated. */
+    public boolean aimsAt(String kind) {
+        return objectives.stream().anyMatch(objective -> objective.kind().equals(kind));
+    }
+}
--- /dev/null
+++ b/src/main/java/io/quartzgw/app/SettingsReader.java
@@ -0,0 +1,173 @@
+package io.quartzgw.app;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import io.quartzgw.fleet.CloudLimits;
+import io.quartzgw.http.Endpoint;
+import io.quartzgw.placement.Team;
+import io.quartzgw.store.StoreLimits;
+import io.quartzgw.worker.WorkerTimes;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Reads and checks the settings file; fields that it doesn't know are ignored. */
+public final class SettingsReader {
+    private static final int BYTES_PER_KB = 1024;
+
+    private SettingsReader() {}
+
+    public static Settings read(Path file) throws InvalidSettings {
+        try {
+            return read(Files.readString(file));
+        } catch (IOException e) {
+            throw new InvalidSettings("can't read " + file + ": " + e.getMessage());
+        }
+    }
+
+    static Settings read(String toml) throws InvalidSettings {
+        JsonNode root;
+        try {
+            root = new TomlMapper().readTree(toml);
+        } catch (JsonProcessingException e) {
+            throw new InvalidSettings("not TOML: " + e.getOriginalMessage());
+        }
+        JsonNode facts = root.path("facts");
+        if (!facts.isObject()) {
+            throw new InvalidSettings("facts: missing");
+        }
+        String member = text(root, "member", "member");
+        Map<String, Endpoint> peers = peers(root, member);
+        double report = positive(facts, "facts.workers.report_s");
+        double lease = positive(facts, "facts.workers.lease_s");
+        double cancel = positive(facts, "facts.workers.cancel_s");
+        if (lease <= report) {
+            throw new InvalidSettings("facts.workers.lease_s: has to be longer than report_s");
+        }
+        if (cancel <= lease) {
+            throw new InvalidSettings("facts.workers.cancel_s: has to be longer than lease_s");
+        }
+        return new Settings(member, text(root, "site", "site"),
+                endpoint(root, "client_listen", "client_listen"), endpoint(root, "peer_listen", "peer_listen"),
+                peers, endpoint(root.path("external"), "cloud", "external.cloud"),
+                endpoint(root.path("external"), "state", "external.state"), size(facts, peers),
+                zones(facts), facts.path("time_bound_ms").asDouble(0), teams(facts), objectives(facts),
+                new WorkerTimes(millis(report), millis(lease), millis(cancel)), cancel,
+                new StoreLimits(positive(facts, "facts.state.rps"), positive(facts, "facts.state.write_rps"),
+                        (int) (positive(facts, "facts.state.value_kb") * BYTES_PER_KB),
+                        (int) atLeast(facts, "facts.state.txn_ops", 2)),
+                new CloudLimits(positive(facts, "facts.cloud.rps"), millis(atLeast(facts, "facts.cloud.list_lag_s", 0))),
+                (int) atLeast(facts, "facts.limits.sockets", 16));
+    }
+
+    private static long millis(double seconds) {
+        return Math.round(seconds * 1000);
+    }
+
+    private static Map<String, Endpoint> peers(JsonNode root, String member) throws InvalidSettings {
+        Map<String, Endpoint> peers = new LinkedHashMap<>();
+        for (JsonNode node : root.path("known")) {
+            String name = text(node, "member", "known.member");
+            if (!name.equals(member)) {
+                peers.put(name, endpoint(node, "endpoint", "known.endpoint"));
+            }
+        }
+        return peers;
+    }
+
+    private static int size(JsonNode facts, Map<String, Endpoint> peers) throws InvalidSettings {
+        JsonNode size = facts.path("size");
+        if (size.isMissingNode()) {
+            return peers.size() + 1;
+        }
+        if (!size.isInt() || size.asInt() < 1) {
+            throw new InvalidSettings("facts.size: a whole number, 1 or more");
+        }
+        return size.asInt();
+    }
+
+    private static List<String> zones(JsonNode facts) throws InvalidSettings {
+        List<String> zones = new ArrayList<>();
+        for (JsonNode zone : facts.path("zones")) {
+            zones.add(zone.asText());
+        }
+        if (zones.isEmpty()) {
+            throw new InvalidSettings("facts.zones: names no zone");
+        }
+        return zones;
+    }
+
+    private static Map<String, Team> teams(JsonNode facts) throws InvalidSettings {
+        Map<String, Team> teams = new LinkedHashMap<>();
+        for (JsonNode node : facts.path("teams")) {
+            String name = text(node, "name", "facts.teams.name");
+            Team team = new Team(name, amount(node, "cpus"), amount(node, "cpus_max"), amount(node, "gpus"),
+                    amount(node, "gpus_max"));
+            teams.put(name, team);
+        }
+        if (teams.isEmpty()) {
+            throw new InvalidSettings("facts.teams: names no team");
+        }
+        return teams;
+    }
+
+    private static double amount(JsonNode team, String field) throws InvalidSettings {
+        JsonNode value = team.path(field);
+        if (value.isMissingNode()) {
+            return 0;
+        }
+        if (!value.isNumber() || !Double.isFinite(value.doubleValue()) || value.doubleValue() < 0) {
+            throw new InvalidSettings("facts.teams." + field + ": a number, 0 or more");
+        }
+        return value.doubleValue();
+    }
+
+    private static List<Settings.Objective> objectives(JsonNode facts) {
+        List<Settings.Objective> objectives = new ArrayList<>();
+        facts.path("objectives").forEach(node -> objectives.add(new Settings.Objective(node.path("kind").asText(),
+                node.path("class").asText(), node.path("within_s").asDouble(), node.path("share").asDouble())));
+        return objectives;
+    }
+
+    private static String text(JsonNode node, String field, String name) throws InvalidSettings {
+        JsonNode value = node.path(field);
+        if (!value.isTextual() || value.textValue().isBlank()) {
+            throw new InvalidSettings(name + ": missing");
+        }
+        return value.textValue();
+    }
+
+    private static Endpoint endpoint(JsonNode node, String field, String name) throws InvalidSettings {
+        try {
+            return Endpoint.parse(text(node, field, name));
+        } catch (IllegalArgumentException e) {
+            throw new InvalidSettings(name + ": " + e.getMessage());
+        }
+    }
+
+    private static double positive(JsonNode facts, String name) throws InvalidSettings {
+        double value = atLeast(facts, name, 0);
+        if (value == 0) {
+            throw new InvalidSettings(name + ": has to be more than 0");
+        }
+        return value;
+    }
+
+    /** @param name the field's full name, of the form {@code facts.table.field} */
+    private static double atLeast(JsonNode facts, String name, double least) throws InvalidSettings {
+        String[] parts = name.split("\\.");
+        JsonNode value = facts.path(parts[1]).path(parts[2]);
+        if (value.isMissingNode()) {
+            throw new InvalidSettings(name + ": missing");
+        }
+        if (!value.isNumber() || !Double.isFinite(value.doubleValue()) || value.doubleValue() < least) {
+            throw new InvalidSettings(name + ": a number, " + (least > 0 ? (int) least : 0) + " or more");
+        }
+        return value.doubleValue();
+    }
+}
--- /dev/null
+++ b/src/main/java/io/quartzgw/app/package-info.java
@@ -0,0 +1,2 @@
+/** The program: command line, settings, wiring, metrics. */
+package io.quartzgw.app;
--- /dev/null
+++ b/src/main/java/io/quartzgw/fleet/Offer.java
@@ -0,0 +1,22 @@
+package io.quartzgw.fleet;
+
+/** A kind of machine that can be rented: type, zone, and spot or ordinary. */
+public record Offer(MachineType type, String zone, boolean spot) {
+
+    @Override
+    public String toString() {
+        return type.name() + (spot ? " spot in " : " in ") + zone;
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        // Prices move: the same kind of machine at another price is the same offer.
+        return other instanceof Offer offer && type.name().equals(offer.type.name()) && zone.equals(offer.zone)
+                && spot == offer.spot;
+    }
+
+    @Override
+    public int hashCode() {
+        return type.name().hashCode() * 31 + zone.hashCode() * 2 + (spot ? 1 : 0);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/quartzgw/fleet/RentPlan.java
@@ -0,0 +1,159 @@
+package io.quartzgw.fleet;
+
+import io.quartzgw.placement.Job;
+import io.quartzgw.placement.Machine;
+import io.quartzgw.placement.Unplaced;
+import io.quartzgw.submission.Resources;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+
+/** Chooses what to rent: the cheapest room for the work that does not fit what is coming anyway. */
+final class RentPlan {
+    private final MachineTypes types;
+
+    RentPlan(MachineTypes types) {
+        this.types = types;
+    }
+
+    /** A machine that is coming or wanted, and what is still free on it. */
+    private static final class Bin {
+        private final MachineType type;
+        private final String zone;
+        private final boolean spot;
+        private Resources room;
+
+        Bin(MachineType type, String zone, boolean spot) {
+            this.type = type;
+            this.zone = zone;
+            this.spot = spot;
+            this.room = type.size();
+        }
+    }
+
+    /**
+     * @param coming machines that boot
+     * @param asked machines under way in rental requests
+     * @param missingCpus room to rent for, whatever the demand
+     */
+    Map<Offer, Integer> plan(List<Unplaced> unplaced, List<Machine> coming, List<Offer> asked,
+            Predicate<Offer> available, double missingCpus) {
+        List<Bin> bins = new ArrayList<>();
+        coming.forEach(machine -> bins.add(new Bin(machine.type(), machine.zone(), machine.spot())));
+        asked.forEach(offer -> bins.add(new Bin(offer.type(), offer.zone(), offer.spot())));
+        Map<Offer, Integer> wanted = new LinkedHashMap<>();
+        double missing = missingCpus;
+        for (Unplaced work : unplaced) {
+            missing -= pack(work, bins, wanted, available);
+        }
+        while (missing > 0) {
+            Offer cheapest = cheapestRoom(available);
+            if (cheapest == null) {
+                break;
+            }
+            wanted.merge(cheapest, 1, Integer::sum);
+            missing -= cheapest.type().size().cpus();
+        }
+        return wanted;
+    }
+
+    /** Returns the CPUs of the machines that were added for the work. */
+    private double pack(Unplaced work, List<Bin> bins, Map<Offer, Integer> wanted, Predicate<Offer> available) {
+        Job job = work.job();
+        double added = 0;
+        Map<String, Integer> perZone = new HashMap<>();
+        for (int left = work.count(); left > 0; left--) {
+            Bin bin = fitting(job, bins, perZone);
+            if (bin == null) {
+                Offer offer = cheapest(job, left, perZone, available);
+                if (offer == null) {
+                    return added;
+                }
+                wanted.merge(offer, 1, Integer::sum);
+                bin = new Bin(offer.type(), offer.zone(), offer.spot());
+                added += offer.type().size().cpus();
+                bins.add(bin);
+            }
+            bin.room = bin.room.minus(job.spec().demand());
+            perZone.merge(bin.zone, 1, Integer::sum);
+        }
+        return added;
+    }
+
+    private static Bin fitting(Job job, List<Bin> bins, Map<String, Integer> perZone) {
+        for (Bin bin : bins) {
+            if (job.spec().allows(bin.type.name(), bin.zone, bin.spot) && zoneAllowed(job, bin.zone, perZone)
+                    && job.spec().demand().fitsIn(bin.room)) {
+                return bin;
+            }
+        }
+        return null;
+    }
+
+    private static boolean zoneAllowed(Job job, String zone, Map<String, Integer> perZone) {
+        if (!job.zoneAllowed(zone)) {
+            return false;
+        }
+        if (job.spec().oneZone() && perZone.keySet().stream().anyMatch(other -> !other.equals(zone))) {
+            return false;
+        }
+        return !job.spec().spread()
+                || job.inZone(zone) + perZone.getOrDefault(zone, 0) < job.spec().tasksPerZone();
+    }
+
+    /** The offer with the lowest price per task of the work. */
+    private Offer cheapest(Job job, int count, Map<String, Integer> perZone, Predicate<Offer> available) {
+        Offer best = null;
+        double bestPrice = Double.MAX_VALUE;
+        for (Offer offer : offers()) {
+            if (!job.spec().allows(offer.type().name(), offer.zone(), offer.spot())
+                    || !zoneAllowed(job, offer.zone(), perZone) || !available.test(offer)) {
+                continue;
+            }
+            int fits = Math.min(count, fits(job.spec().demand(), offer.type().size()));
+            double price = fits == 0 ? Double.MAX_VALUE : offer.type().price(offer.spot()) / fits;
+            if (price < bestPrice) {
+                best = offer;
+                bestPrice = price;
+            }
+        }
+        return best;
+    }
+
+    private Offer cheapestRoom(Predicate<Offer> available) {
+        Offer best = null;
+        for (Offer offer : offers()) {
+            // Guaranteed room has to serve any work, so it is not rented on spot.
+            if (!offer.spot() && available.test(offer) && (best == null || perCpu(offer) < perCpu(best))) {
+                best = offer;
+            }
+        }
+        return best;
+    }
+
+    private static double perCpu(Offer offer) {
+        return offer.type().price(offer.spot()) / offer.type().size().cpus();
+    }
+
+    private List<Offer> offers() {
+        List<Offer> offers = new ArrayList<>();
+        for (MachineType type : types.all()) {
+            for (String zone : type.zones()) {
+                offers.add(new Offer(type, zone, true));
+                offers.add(new Offer(type, zone, false));
+            }
+        }
+        return offers;
+    }
+
+    private static int fits(Resources demand, Resources size) {
+        double times = Double.MAX_VALUE;
+        times = demand.cpus() > 0 ? Math.min(times, size.cpus() / demand.cpus()) : times;
+        times = demand.gpus() > 0 ? Math.min(times, size.gpus() / demand.gpus()) : times;
+        times = demand.memoryGb() > 0 ? Math.min(times, size.memoryGb() / demand.memoryGb()) : times;
+        return (int) Math.floor(times + 1e-6);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/quartzgw/http/Call.java
@@ -0,0 +1,28 @@
+package io.quartzgw.http;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * An outbound call.
+ *
+ * @param body the request body, or null for none
+ * @param timeoutMs when to give up, counted from now
+ */
+public record Call(Endpoint to, String method, String path, String type, byte[] body, long timeoutMs) {
+
+    public static Call get(Endpoint to, String path, long timeoutMs) {
+        return new Call(to, "GET", path, null, null, timeoutMs);
+    }
+
+    public static Call delete(Endpoint to, String path, long timeoutMs) {
+        return new Call(to, "DELETE", path, null, null, timeoutMs);
+    }
+
+    public static Call post(Endpoint to, String path, JsonNode body, long timeoutMs) {
+        return new Call(to, "POST", path, Response.JSON, Json.write(body), timeoutMs);
+    }
+
+    public static Call postCbor(Endpoint to, String path, JsonNode body, long timeoutMs) {
+        return new Call(to, "POST", path, Response.CBOR, Json.writeCbor(body), timeoutMs);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/quartzgw/http/Door.java
@@ -0,0 +1,7 @@
+package io.quartzgw.http;
+
+/** Which listener a request came through. */
+public enum Door {
+    CLIENT,
+    PEER
+}
--- /dev/null
+++ b/src/main/java/io/quartzgw/http/HttpClient.java
@@ -0,0 +1,216 @@
+package io.quartzgw.http;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.xnio.ChannelListeners;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
+
+/**
+ * Outbound calls over kept connections. All of it runs on one I/O thread; a call always ends in
+ * exactly one reply, at its time-out at the latest.
+ */
+public final class HttpClient {
+    private static final int READ_CHUNK = 8 * 1024;
+    private static final long IDLE_MS = 30_000;
+
+    private final XnioIoThread thread;
+    private final ByteBufferPool buffers;
+    private final Map<Endpoint, Deque<Idle>> idle = new HashMap<>();
+
+    public HttpClient(XnioWorker worker, ByteBufferPool buffers) {
+        this.thread = worker.getIoThread(0);
+        this.buffers = buffers;
+    }
+
+    /** Starts a call; callable from any thread. */
+    public void send(Call call, Consumer<Reply> then) {
+        thread.execute(() -> new Attempt(call, then).start());
+    }
+
+    private record Idle(ClientConnection connection, long since) {}
+
+    private static long nowMs() {
+        return System.nanoTime() / 1_000_000;
+    }
+
+    private ClientConnection kept(Endpoint to) {
+        Deque<Idle> connections = idle.get(to);
+        while (connections != null && !connections.isEmpty()) {
+            Idle last = connections.pollLast();
+            if (last.connection.isOpen() && nowMs() - last.since < IDLE_MS) {
+                return last.connection;
+            }
+            IoUtils.safeClose(last.connection);
+        }
+        return null;
+    }
+
+    private void keep(Endpoint to, ClientConnection connection) {
+        Deque<Idle> connections = idle.computeIfAbsent(to, key -> new ArrayDeque<>());
+        // The oldest go first, so that a burst's extra connections don't stay for good.
+        while (!connections.isEmpty() && nowMs() - connections.peekFirst().since >= IDLE_MS) {
+            IoUtils.safeClose(connections.pollFirst().connection);
+        }
+        connections.addLast(new Idle(connection, nowMs()));
+    }
+
+    private final class Attempt {
+        private final Call call;
+        private final Consumer<Reply> then;
+        private final XnioExecutor.Key timeout;
+        private final ByteArrayOutputStream received = new ByteArrayOutputStream();
+        private ClientConnection connection;
+        private boolean done;
+
+        Attempt(Call call, Consumer<Reply> then) {
+            this.call = call;
+            this.then = then;
+            this.timeout = thread.executeAfter(this::fail, call.timeoutMs(), TimeUnit.MILLISECONDS);
+        }
+
+        void start() {
+            ClientConnection open = kept(call.to());
+            if (open != null) {
+                connected(open);
+                return;
+            }
+            URI uri = URI.create("http://" + call.to());
+            UndertowClient.getInstance().connect(callback(this::connected), uri, thread, buffers, OptionMap.EMPTY);
+        }
+
+        private void connected(ClientConnection open) {
+            if (done) {
+                // The call was given up while its connection was being made.
+                IoUtils.safeClose(open);
+                return;
+            }
+            connection = open;
+            ClientRequest request = new ClientRequest().setPath(call.path())
+                    .setMethod(HttpString.tryFromString(call.method()));
+            request.getRequestHeaders().put(Headers.HOST, call.to().toString());
+            if (call.body() != null) {
+                request.getRequestHeaders().put(Headers.CONTENT_TYPE, call.type());
+                request.getRequestHeaders().put(Headers.CONTENT_LENGTH, call.body().length);
+            }
+            connection.sendRequest(request, callback(this::requestStarted));
+        }
+
+        private void requestStarted(ClientExchange exchange) {
+            exchange.setResponseListener(callback(this::responseStarted));
+            if (call.body() != null) {
+                ByteBuffer body = ByteBuffer.wrap(call.body());
+                StreamSinkChannel sink = exchange.getRequestChannel();
+                sink.getWriteSetter().set(channel -> write(sink, body));
+                write(sink, body);
+            }
+        }
+
+        private void write(StreamSinkChannel sink, ByteBuffer body) {
+            try {
+                while (body.hasRemaining()) {
+                    if (sink.write(body) == 0) {
+                        sink.resumeWrites();
+                        return;
+                    }
+                }
+                sink.shutdownWrites();
+                if (!sink.flush()) {
+                    sink.getWriteSetter().set(ChannelListeners.flushingChannelListener(
+                            channel -> channel.suspendWrites(), (channel, e) -> fail()));
+                    sink.resumeWrites();
+                }
+            } catch (IOException e) {
+                fail();
+            }
+        }
+
+        private void responseStarted(ClientExchange exchange) {
+            StreamSourceChannel source = exchange.getResponseChannel();
+            ByteBuffer chunk = ByteBuffer.allocate(READ_CHUNK);
+            source.getReadSetter().set(channel -> read(exchange, source, chunk));
+            read(exchange, source, chunk);
+        }
+
+        private void read(ClientExchange exchange, StreamSourceChannel source, ByteBuffer chunk) {
+            try {
+                while (true) {
+                    chunk.clear();
+                    int count = source.read(chunk);
+                    if (count < 0) {
+                        finish(exchange);
+                        return;
+                    }
+                    if (count == 0) {
+                        source.resumeReads();
+                        return;
+                    }
+                    received.write(chunk.array(), 0, count);
+                }
+            } catch (IOException e) {
+                fail();
+            }
+        }
+
+        private void finish(ClientExchange exchange) {
+            if (done) {
+                return;
+            }
+            done = true;
+            timeout.remove();
+            boolean closes = "close".equalsIgnoreCase(
+                    exchange.getResponse().getResponseHeaders().getFirst(Headers.CONNECTION));
+            if (closes) {
+                IoUtils.safeClose(connection);
+            } else {
+                keep(call.to(), connection);
+            }
+            then.accept(new Reply(exchange.getResponse().getResponseCode(), received.toByteArray()));
+        }
+
+        private void fail() {
+            if (done) {
+                return;
+            }
+            done = true;
+            timeout.remove();
+            IoUtils.safeClose(connection);
+            then.accept(Reply.lost());
+        }
+
+        private <T> ClientCallback<T> callback(Consumer<T> next) {
+            return new ClientCallback<>() {
+                @Override
+                public void completed(T result) {
+                    next.accept(result);
+                }
+
+                @Override
+                public void failed(IOException e) {
+                    fail();
+                }
+            };
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/quartzgw/leadership/Peers.java
@@ -0,0 +1,151 @@
+package io.quartzgw.leadership;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.quartzgw.http.Call;
+import io.quartzgw.http.Endpoint;
+import io.quartzgw.http.Json;
+import io.quartzgw.http.Request;
+import io.quartzgw.http.Response;
+import io.quartzgw.loop.Kernel;
+import io.quartzgw.store.StoreClient;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/**
+ * What controllers tell each other, in CBOR: who runs as which process, who leads with which term,
+ * whether the state service answers, and the leader's counts for display.
+ */
+public final class Peers {
+    public static final String PATH = "/peer";
+    private static final int FORGET_HEARTBEATS = 4;
+
+    private final Kernel kernel;
+    private final Leadership leadership;
+    private final StoreClient store;
+    private final LeadershipTimes times;
+    private final String member;
+    private final long process;
+    private final Map<String, Endpoint> others;
+    private final Map<String, Known> known = new HashMap<>();
+    private final Set<String> busy = new HashSet<>();
+    private Supplier<JsonNode> countsToTell = () -> null;
+    private Consumer<JsonNode> countsTold = counts -> {};
+    private Consumer<JsonNode> noticeTold = notice -> {};
+
+    /** The last that a peer told. */
+    private static final class Known {
+        private long heardAt;
+        private boolean storeReachable;
+        /** The highest term of others that the peer has seen, and so no longer answers below. */
+        private long renouncedBelow;
+    }
+
+    public Peers(Kernel kernel, Leadership leadership, StoreClient store, LeadershipTimes times, String member,
+            long process, Map<String, Endpoint> others) {
+        this.kernel = kernel;
+        this.leadership = leadership;
+        this.store = store;
+        this.times = times;
+        this.member = member;
+        this.process = process;
+        this.others = Map.copyOf(others);
+    }
+
+    /**
+     * @param toTell the leader's counts, or null when this node has none
+     * @param told receives the leader's counts
+     * @param notice receives a peer's notice about a job
+     */
+    public void start(Supplier<JsonNode> toTell, Consumer<JsonNode> told, Consumer<JsonNode> notice) {
+        this.countsToTell = toTell;
+        this.countsTold = told;
+        this.noticeTold = notice;
+        beat();
+        kernel.every(times.heartbeatMs(), this::beat);
+    }
+
+    /** Tells every peer at once, for example that this node has been elected. */
+    public void beat() {
+        ObjectNode message = state();
+        JsonNode counts = countsToTell.get();
+        if (counts != null) {
+            message.set("counts", counts);
+        }
+        others.forEach((name, endpoint) -> tell(name, endpoint, message));
+    }
+
+    /** Hands a notice about a job to the leader, if another node leads. */
+    public void notifyLeader(ObjectNode notice) {
+        String leader = leadership.leaderMember();
+        Endpoint endpoint = leader == null ? null : others.get(leader);
+        if (endpoint != null) {
+            ObjectNode message = state();
+            message.set("notice", notice);
+            kernel.call(Call.postCbor(endpoint, PATH, message, times.heartbeatMs()), reply -> {});
+        }
+    }
+
+    /** Whether every other controller has said that it answers workers with no term below this one. */
+    public boolean allRenouncedBelow(long term) {
+        return others.keySet().stream().allMatch(name ->
+                known.containsKey(name) && known.get(name).renouncedBelow >= term);
+    }
+
+    /** Whether some other controller, heard of lately, reaches the state service. */
+    public boolean anotherReachesStore() {
+        return known.values().stream().anyMatch(peer -> peer.storeReachable
+                && kernel.now() - peer.heardAt <= FORGET_HEARTBEATS * times.heartbeatMs());
+    }
+
+    /** Serves a peer's message. */
+    public void serve(Request request) {
+        JsonNode message = Json.readCborOrNull(request.body());
+        if (message == null || !others.containsKey(message.path("member").asText())) {
+            kernel.answer(request.exchange(), Response.error(400, "not a peer's message"));
+            return;
+        }
+        heard(message);
+        if (message.has("counts")) {
+            countsTold.accept(message.get("counts"));
+        }
+        if (message.has("notice")) {
+            noticeTold.accept(message.get("notice"));
+        }
+        kernel.answer(request.exchange(), Response.cbor(state()));
+    }
+
+    private void tell(String name, Endpoint endpoint, ObjectNode message) {
+        // One message at a time to each: a cut must not pile up calls.
+        if (busy.add(name)) {
+            kernel.call(Call.postCbor(endpoint, PATH, message, 2 * times.heartbeatMs()), reply -> {
+                busy.remove(name);
+                if (reply.ok()) {
+                    heard(reply.cbor());
+                }
+            });
+        }
+    }
+
+    private ObjectNode state() {
+        return Json.object().put("member", member).put("process", process)
+                .put("leading", leadership.leading() ? leadership.term() : 0)
+                .put("term", leadership.highestTerm())
+                .put("store", store.reachable() && store.answeredWithin(FORGET_HEARTBEATS * times.heartbeatMs()));
+    }
+
+    private void heard(JsonNode message) {
+        String name = message.path("member").asText();
+        long term = message.path("term").asLong();
+        Known peer = known.computeIfAbsent(name, key -> new Known());
+        peer.heardAt = kernel.now();
+        peer.storeReachable = message.path("store").asBoolean();
+        peer.renouncedBelow = Math.max(peer.renouncedBelow, term);
+        leadership.sawTerm(term);
+        leadership.memberRuns(name, message.path("process").asLong());
+    }
+}
--- /dev/null
+++ b/src/main/java/io/quartzgw/loop/Command.java
@@ -0,0 +1,14 @@
+package io.quartzgw.loop;
+
+import io.quartzgw.http.Reply;
+import io.quartzgw.http.Request;
+
+/** What happens to a node. */
+public sealed interface Command {
+
+    /** A request came in; it is owed exactly one {@link Effect.Answer}. */
+    record Arrived(Request request) implements Command {}
+
+    /** An outbound call ended, with a response or without one. */
+    record CallEnded(long call, Reply reply) implements Command {}
+}
--- /dev/null
+++ b/src/main/java/io/quartzgw/loop/Effect.java
@@ -0,0 +1,14 @@
+package io.quartzgw.loop;
+
+import io.quartzgw.http.Call;
+import io.quartzgw.http.Response;
+
+/** What a node does to the world outside its owner thread. */
+public sealed interface Effect {
+
+    /** Answers an inbound request. */
+    record Answer(long exchange, Response response) implements Effect {}
+
+    /** Starts an outbound call; it ends in one {@link Command.CallEnded}. */
+    record Send(long call, Call request) implements Effect {}
+}
--- /dev/null
+++ b/src/main/java/io/quartzgw/placement/BestFit.java
@@ -0,0 +1,68 @@
+package io.quartzgw.placement;
+
+import io.quartzgw.submission.JobSpec;
+import io.quartzgw.submission.Resources;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.Predicate;
+
+/** Samples a few machines with room and takes the best fit; looks at all when the sample has none. */
+public final class BestFit {
+    /** How many machines with room are compared. */
+    static final int SAMPLE = 3;
+    /** A fetch of the image weighs more than any difference in room. */
+    private static final double FETCH_WEIGHT = 10;
+    /** Work that may run on spot machines leaves the others to work that may not. */
+    private static final double ORDINARY_WEIGHT = 2;
+
+    private final SplittableRandom random;
+
+    public BestFit(SplittableRandom random) {
+        this.random = random;
+    }
+
+    /** The machine for one more task of the job, or null when none of these has room. */
+    public Machine choose(Job job, List<Machine> machines, Predicate<Machine> allowed) {
+        List<Machine> drawn = new ArrayList<>(machines);
+        Machine best = null;
+        double bestCost = Double.MAX_VALUE;
+        int found = 0;
+        // Drawing goes on until enough machines with room were found: with no room in the sample this
+        // becomes the scan of all.
+        for (int i = 0; i < drawn.size() && found < SAMPLE; i++) {
+            int pick = i + random.nextInt(drawn.size() - i);
+            Machine machine = drawn.get(pick);
+            drawn.set(pick, drawn.get(i));
+            if (!job.spec().demand().fitsIn(machine.room()) || !allowed.test(machine)) {
+                continue;
+            }
+            found++;
+            double cost = cost(job.spec(), machine);
+            if (cost < bestCost || cost == bestCost && machine.id().compareTo(best.id()) < 0) {
+                best = machine;
+                bestCost = cost;
+            }
+        }
+        return best;
+    }
+
+    /** Lower is better: little room left over, the image there, and the right kind of machine. */
+    static double cost(JobSpec job, Machine machine) {
+        Resources size = machine.type().size();
+        Resources left = machine.room().minus(job.demand());
+        double cost = share(left.cpus(), size.cpus()) + share(left.gpus(), size.gpus())
+                + share(left.memoryGb(), size.memoryGb());
+        if (!machine.hasImage(job.image())) {
+            cost += FETCH_WEIGHT;
+        }
+        if (job.spot() && !machine.spot()) {
+            cost += ORDINARY_WEIGHT;
+        }
+        return cost;
+    }
+
+    private static double share(double left, double of) {
+        return of == 0 ? 0 : left / of;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/quartzgw/placement/Booking.java
@@ -0,0 +1,118 @@
+package io.quartzgw.placement;
+
+import io.quartzgw.submission.Resources;
+
+/** A task's place on a machine: it runs there, or may run there. */
+public final class Booking {
+
+    /** What is known of the attempt. */
+    public enum Phase {
+        /** Booked, and not yet seen in a report. */
+        ORDERED,
+        FETCHING,
+        RUNNING,
+        SAVING
+    }
+
+    private final Job job;
+    private final int index;
+    private final long attempt;
+    private final Machine machine;
+    private final long bookedAt;
+    private Phase phase = Phase.ORDERED;
+    private long runningSince;
+    private boolean offered;
+    private boolean loose;
+    private boolean stopping;
+    private double saveS;
+
+    Booking(Job job, int index, long attempt, Machine machine, long now) {
+        this.job = job;
+        this.index = index;
+        this.attempt = attempt;
+        this.machine = machine;
+        this.bookedAt = now;
+    }
+
+    public Job job() {
+        return job;
+    }
+
+    public int index() {
+        return index;
+    }
+
+    public long attempt() {
+        return attempt;
+    }
+
+    public Machine machine() {
+        return machine;
+    }
+
+    public Resources demand() {
+        return job.spec().demand();
+    }
+
+    public String task() {
+        return job.task(index);
+    }
+
+    public Phase phase() {
+        return phase;
+    }
+
+    /** Whether a report has shown the attempt. */
+    public boolean seen() {
+        return phase != Phase.ORDERED;
+    }
+
+    public void seen(Phase reported, long now) {
+        if (reported == Phase.RUNNING && phase != Phase.RUNNING) {
+            runningSince = now;
+            machine.holdsImage(job.spec().image(), job.spec().imageGb());
+        }
+        phase = reported;
+    }
+
+    public long bookedAt() {
+        return bookedAt;
+    }
+
+    /** How long the task has run on this machine, as far as this leader has seen. */
+    public long ranMs(long now) {
+        return phase == Phase.RUNNING || phase == Phase.SAVING ? now - runningSince : 0;
+    }
+
+    /** Whether the start order has left this node at all. */
+    public boolean offered() {
+        return offered;
+    }
+
+    public void markOffered() {
+        offered = true;
+    }
+
+    /** Whether a copy of the start order is unaccounted for and may still be executed. */
+    public boolean loose() {
+        return loose;
+    }
+
+    public void markLoose() {
+        loose = true;
+    }
+
+    public boolean stopping() {
+        return stopping;
+    }
+
+    /** Has the task stopped; it keeps its place until the machine says that it has ended. */
+    public void stop(double graceS) {
+        stopping = true;
+        saveS = graceS;
+    }
+
+    public double stopGraceS() {
+        return saveS;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/quartzgw/placement/Machine.java
@@ -0,0 +1,267 @@
+package io.quartzgw.placement;
+
+import io.quartzgw.fleet.MachineType;
+import io.quartzgw.http.Endpoint;
+import io.quartzgw.submission.Resources;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** A rented machine as the leader sees it. */
+public final class Machine {
+
+    /** What the machine is good for. */
+    public enum Status {
+        /** Rented; its worker has not reported yet. */
+        BOOTING,
+        /** Its worker reports. */
+        UP,
+        /** Nothing is placed on it any more; it will be returned. */
+        LEAVING
+    }
+
+    private final String id;
+    private final MachineType type;
+    private final String zone;
+    private final boolean spot;
+    private final long rentedAt;
+    private Endpoint address;
+    private Status status = Status.BOOTING;
+    private boolean recorded;
+    private boolean used;
+    private long tenure;
+    private long counter = -1;
+    private long lastAnswered;
+    private boolean everAnswered;
+    private boolean unresponsive;
+    private boolean released;
+    private long reclaimAt = Long.MAX_VALUE;
+    private long emptySince;
+    private final Map<String, Booking> bookings = new HashMap<>();
+    private Resources taken = Resources.NONE;
+    private final LinkedHashMap<String, Double> images = new LinkedHashMap<>(8, 0.75f, true);
+    private final Set<String> failedJobs = new HashSet<>();
+
+    public Machine(String id, MachineType type, String zone, boolean spot, long rentedAt, long now) {
+        this.id = id;
+        this.type = type;
+        this.zone = zone;
+        this.spot = spot;
+        this.rentedAt = rentedAt;
+        this.lastAnswered = now;
+        this.emptySince = now;
+    }
+
+    public String id() {
+        return id;
+    }
+
+    public MachineType type() {
+        return type;
+    }
+
+    public String zone() {
+        return zone;
+    }
+
+    public boolean spot() {
+        return spot;
+    }
+
+    public long rentedAt() {
+        return rentedAt;
+    }
+
+    public Endpoint address() {
+        return address;
+    }
+
+    public void address(Endpoint told) {
+        this.address = told;
+    }
+
+    // ---- state
+
+    public Status status() {
+        return status;
+    }
+
+    public void up() {
+        if (status == Status.BOOTING) {
+            status = Status.UP;
+        }
+    }
+
+    public void leave() {
+        status = Status.LEAVING;
+    }
+
+    /** Whether its record is in the state service. */
+    public boolean recorded() {
+        return recorded;
+    }
+
+    public void markRecorded() {
+        recorded = true;
+    }
+
+    /** Whether its record says that tasks may have been started on it. */
+    public boolean used() {
+        return used;
+    }
+
+    public void markUsed() {
+        recorded = true;
+        used = true;
+    }
+
+    public long tenure() {
+        return tenure;
+    }
+
+    public long counter() {
+        return counter;
+    }
+
+    public boolean newer(long itsTenure, long itsCounter) {
+        return itsTenure > tenure || itsTenure == tenure && itsCounter > counter;
+    }
+
+    public void heard(long itsTenure, long itsCounter) {
+        tenure = itsTenure;
+        counter = itsCounter;
+        unresponsive = false;
+        released = false;
+    }
+
+    /** Whether it was silent for its whole hold: what was on it has ended, and nothing is placed there. */
+    public boolean released() {
+        return released;
+    }
+
+    public void holdExpired() {
+        released = true;
+    }
+
+    /** When this leader last answered its report; before the first, when it can last have been answered. */
+    public long lastAnswered() {
+        return lastAnswered;
+    }
+
+    public void answeredAt(long moment) {
+        lastAnswered = moment;
+        everAnswered = true;
+    }
+
+    /** Bounds the moment when a former leader can last have answered its report. */
+    public void formerAnswered(long moment) {
+        if (!everAnswered) {
+            lastAnswered = moment;
+        }
+    }
+
+    /** Whether this leader has answered a report of its. */
+    public boolean everAnswered() {
+        return everAnswered;
+    }
+
+    /** Whether it left the last direct order unanswered, and has not been heard since. */
+    public boolean unresponsive() {
+        return unresponsive;
+    }
+
+    public void markUnresponsive() {
+        unresponsive = true;
+    }
+
+    public long reclaimAt() {
+        return reclaimAt;
+    }
+
+    public void reclaimAt(long moment) {
+        reclaimAt = moment;
+    }
+
+    public long emptySince() {
+        return emptySince;
+    }
+
+    // ---- room
+
+    public Resources room() {
+        return type.size().minus(taken);
+    }
+
+    public boolean empty() {
+        return bookings.isEmpty();
+    }
+
+    public Booking booking(String task) {
+        return bookings.get(task);
+    }
+
+    public Collection<Booking> bookings() {
+        return bookings.values();
+    }
+
+    public List<Booking> bookingsCopy() {
+        return new ArrayList<>(bookings.values());
+    }
+
+    void booked(Booking booking) {
+        bookings.put(booking.task(), booking);
+        taken = taken.plus(booking.demand());
+    }
+
+    void released(Booking booking, long now) {
+        bookings.remove(booking.task());
+        // Summed anew when empty, so that rounding errors of decimals don't add up over a day.
+        taken = bookings.isEmpty() ? Resources.NONE : taken.minus(booking.demand());
+        if (bookings.isEmpty()) {
+            emptySince = now;
+        }
+    }
+
+    // ---- images
+
+    public boolean hasImage(String image) {
+        return images.containsKey(image);
+    }
+
+    /** Notes that an image was fetched or used; the least recently used ones leave the cache. */
+    public void holdsImage(String image, double gb) {
+        images.put(image, gb);
+        double held = images.values().stream().mapToDouble(Double::doubleValue).sum();
+        var oldest = images.entrySet().iterator();
+        while (held > type.cacheGb() && oldest.hasNext()) {
+            Map.Entry<String, Double> entry = oldest.next();
+            if (!entry.getKey().equals(image)) {
+                held -= entry.getValue();
+                oldest.remove();
+            }
+        }
+    }
+
+    public Set<String> images() {
+        return images.keySet();
+    }
+
+    // ---- trust
+
+    public void jobFailed(String job) {
+        failedJobs.add(job);
+    }
+
+    public void jobSucceeded() {
+        failedJobs.clear();
+    }
+
+    public int failedJobs() {
+        return failedJobs.size();
+    }
+}
--- /dev/null
+++ b/src/main/java/io/quartzgw/placement/Queue.java
@@ -0,0 +1,46 @@
+package io.quartzgw.placement;
+
+import io.quartzgw.submission.Resources;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+
+/** The order in which jobs get room: priority, guarantee, fairness among teams, deadline, age. */
+final class Queue {
+    private final Cluster cluster;
+    private final Map<String, Team> teams;
+
+    Queue(Cluster cluster, Map<String, Team> teams) {
+        this.cluster = cluster;
+        this.teams = teams;
+    }
+
+    private record Ranked(Job job, boolean guaranteed, double teamShare) {}
+
+    /** Jobs with a task to place, first things first. */
+    List<Job> order(long now) {
+        List<Ranked> ranked = new ArrayList<>();
+        for (Job job : cluster.jobs()) {
+            if (!job.waiting().isEmpty() && job.retryAt() <= now) {
+                Resources use = cluster.teamUse(job.spec().team());
+                Team team = teams.get(job.spec().team());
+                boolean guaranteed = team != null && team.withinGuarantee(use.plus(job.spec().demand()));
+                ranked.add(new Ranked(job, guaranteed, use.cpus()));
+            }
+        }
+        ranked.sort(Comparator.comparing((Ranked r) -> r.job.spec().priority())
+                .thenComparing(r -> !r.guaranteed)
+                .thenComparing(r -> r.job.dueAt())
+                .thenComparing(r -> r.teamShare)
+                .thenComparing(r -> r.job.submittedAt())
+                .thenComparing(r -> r.job.id()));
+        return ranked.stream().map(Ranked::job).toList();
+    }
+
+    /** When a paused job may be tried again, or {@code Long.MAX_VALUE}. */
+    long nextRetry(long now) {
+        return cluster.jobs().stream().filter(job -> !job.waiting().isEmpty() && job.retryAt() > now)
+                .mapToLong(Job::retryAt).min().orElse(Long.MAX_VALUE);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/quartzgw/placement/Starter.java
@@ -0,0 +1,8 @@
+package io.quartzgw.placement;
+
+/** Has bookings started and stopped on their machines. */
+public interface Starter {
+    void start(Booking booking);
+
+    void stop(Booking booking, double graceS);
+}
--- /dev/null
+++ b/src/main/java/io/quartzgw/recovery/Holds.java
@@ -0,0 +1,20 @@
+package io.quartzgw.recovery;
+
+import io.quartzgw.worker.WorkerTimes;
+
+/**
+ * The times of recovery, as ratios to the workers' figures.
+ *
+ * @param windowMs how long a new leader gathers reports at the most before it places
+ * @param silentMs how long a silent machine keeps its room, from the last report that was answered
+ */
+public record Holds(long windowMs, long silentMs) {
+    private static final int WINDOW_REPORTS = 6;
+    private static final int SILENT_REPORTS = 8;
+
+    public static Holds of(WorkerTimes times) {
+        // Never below the lease: before it has run out on the worker's clock, the tasks may be running.
+        return new Holds(WINDOW_REPORTS * times.reportMs(),
+                Math.max(SILENT_REPORTS * times.reportMs(), times.longestLeaseMs()));
+    }
+}
--- /dev/null
+++ b/src/main/java/io/quartzgw/recovery/Recovery.java
@@ -0,0 +1,231 @@
+package io.quartzgw.recovery;
+
+import io.quartzgw.fleet.MachineRecords;
+import io.quartzgw.fleet.MachineTypes;
+import io.quartzgw.leadership.Leadership;
+import io.quartzgw.leadership.Peers;
+import io.quartzgw.loop.Kernel;
+import io.quartzgw.placement.Cluster;
+import io.quartzgw.placement.Job;
+import io.quartzgw.placement.Machine;
+import io.quartzgw.progress.Packing;
+import io.quartzgw.progress.Progress;
+import io.quartzgw.store.Entry;
+import io.quartzgw.store.StoreClient;
+import io.quartzgw.submission.JobKeys;
+import io.quartzgw.submission.OpenJob;
+import io.quartzgw.worker.Workers;
+import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** A takeover: reads hard state, gathers reports for a window, then lets the leader place. */
+public final class Recovery {
+    private static final Logger LOG = LoggerFactory.getLogger(Recovery.class);
+    private static final double RETRY_REPORTS = 0.1;
+    private static final double CONTACT_REPORTS = 0.8;
+
+    /** How far the takeover is. */
+    private enum Stage {
+        READING,
+        GATHERING,
+        PLACING
+    }
+
+    private final Kernel kernel;
+    private final StoreClient store;
+    private final Leadership leadership;
+    private final Peers peers;
+    private final MachineTypes types;
+    private final Cluster cluster;
+    private final Workers workers;
+    private final Progress progress;
+    private final Holds holds;
+    private final long term;
+    private final long termRevision;
+    private final long retryMs;
+    private final long contactMs;
+    private final StoreClient.Follower openJobs;
+    private final long electedAt;
+    private long formerAnswersUntil;
+    private boolean renounced;
+    private Stage stage = Stage.READING;
+
+    /**
+     * @param formerAnswersUntil when a former leader can last answer a report, its grace included
+     * @param openJobs follows the open jobs from the revision that they were read at
+     */
+    public Recovery(Kernel kernel, StoreClient store, Leadership leadership, Peers peers, MachineTypes types,
+            Cluster cluster, Workers workers, Progress progress, Holds holds, long reportMs,
+            long formerAnswersUntil, StoreClient.Follower openJobs) {
+        this.kernel = kernel;
+        this.store = store;
+        this.leadership = leadership;
+        this.peers = peers;
+        this.types = types;
+        this.cluster = cluster;
+        this.workers = workers;
+        this.progress = progress;
+        this.holds = holds;
+        this.term = leadership.term();
+        this.termRevision = leadership.termRevision();
+        this.retryMs = (long) (RETRY_REPORTS * reportMs);
+        this.contactMs = (long) (CONTACT_REPORTS * reportMs);
+        this.formerAnswersUntil = formerAnswersUntil;
+        this.openJobs = openJobs;
+        this.electedAt = kernel.now();
+    }
+
+    public void start() {
+        read();
+    }
+
+    /** Whether the window is over. */
+    public boolean placing() {
+        return stage == Stage.PLACING;
+    }
+
+    private boolean current() {
+        return leadership.leading() && leadership.term() == term;
+    }
+
+    // ---- hard state
+
+    private void read() {
+        if (!current()) {
+            return;
+        }
+        if (!types.known()) {
+            kernel.after(retryMs, this::read);
+            return;
+        }
+        store.list(JobKeys.OPEN, jobs -> store.list(Packing.PREFIX, done ->
+                store.list(MachineRecords.PREFIX, machines -> {
+                    if (!current()) {
+                        return;
+                    }
+                    if (jobs == null || done == null || machines == null) {
+                        kernel.after(retryMs, this::read);
+                        return;
+                    }
+                    loaded(jobs, done.entries(), machines.entries());
+                })));
+    }
+
+    private void loaded(StoreClient.Listing jobs, List<Entry> done, List<Entry> machines) {
+        for (Entry entry : jobs.entries()) {
+            cluster.add(OpenJob.fromRecord(entry.value(), entry.revision()));
+        }
+        for (Entry entry : done) {
+            Job job = cluster.job(Packing.jobOf(entry.key()));
+            progress.found(entry.key());
+            if (job == null) {
+                progress.dropped(Packing.jobOf(entry.key()));
+                continue;
+            }
+            progress.packing().unpack(entry.key(), entry.value(), job.recorded());
+            job.recorded().stream().forEach(index -> cluster.markDone(job, index));
+        }
+        for (Entry entry : machines) {
+            Machine machine = MachineRecords.read(entry, types, kernel.now());
+            if (machine != null && cluster.machine(machine.id()) == null) {
+                machine.formerAnswered(formerAnswersUntil);
+                cluster.add(machine);
+            }
+        }
+        stage = Stage.GATHERING;
+        LOG.info("term {}: read {} jobs and {} machines, gathering reports", term, jobs.entries().size(),
+                machines.size());
+        workers.openBooks();
+        store.follow(JobKeys.OPEN, jobs.revision(), openJobs);
+        List.copyOf(cluster.jobs()).stream().filter(Job::complete).forEach(progress::end);
+        contactSilent();
+        check();
+    }
+
+    // ---- gathering
+
+    private boolean silent(Machine machine) {
+        return machine.used() && machine.counter() < 0 && !machine.released();
+    }
+
+    private void contactSilent() {
+        if (!current() || stage != Stage.GATHERING) {
+            return;
+        }
+        cluster.machines().stream().filter(this::silent).forEach(workers::contact);
+        kernel.after(contactMs, this::contactSilent);
+    }
+
+    /** Looks whether the window can close, and whose hold has run out; called after every batch. */
+    public void check() {
+        if (stage == Stage.READING || !current()) {
+            return;
+        }
+        noteRenounced();
+        if (stage == Stage.GATHERING && (cluster.machines().stream().noneMatch(this::silent)
+                || kernel.now() - electedAt >= holds.windowMs())) {
+            close();
+        }
+        if (stage == Stage.PLACING) {
+            releaseExpired();
+            settleDoubts();
+        }
+    }
+
+    // Every other controller has seen this term, so none of them answers workers any more: the holds
+    // of machines that are silent since the takeover count from now at the latest.
+    private void noteRenounced() {
+        if (!renounced && peers.allRenouncedBelow(term)) {
+            renounced = true;
+            formerAnswersUntil = Math.min(formerAnswersUntil, kernel.now());
+            cluster.machines().forEach(machine -> machine.formerAnswered(
+                    Math.min(machine.lastAnswered(), formerAnswersUntil)));
+        }
+    }
+
+    private void close() {
+        stage = Stage.PLACING;
+        cluster.touch();
+        List<Machine> silent = cluster.machines().stream().filter(this::silent).toList();
+        for (Job job : cluster.jobs()) {
+            if (silent.stream().anyMatch(machine -> mayHold(job, machine))) {
+                for (int index : job.waiting().stream().toArray()) {
+                    job.doubt(index);
+                }
+            }
+        }
+        LOG.info("term {}: placing after {} ms, {} machines silent", term, kernel.now() - electedAt, silent.size());
+    }
+
+    // A job accepted after the term was raised was never started by a former leader.
+    private boolean mayHold(Job job, Machine machine) {
+        return job.open().revision() < termRevision
+                && job.spec().allows(machine.type().name(), machine.zone(), machine.spot())
+                && job.spec().demand().fitsIn(machine.type().size());
+    }
+
+    private void settleDoubts() {
+        for (Job job : cluster.jobs()) {
+            if (!job.doubted().isEmpty() && cluster.machines().stream().noneMatch(machine ->
+                    silent(machine) && mayHold(job, machine))) {
+                job.endDoubt();
+                cluster.touch();
+            }
+        }
+    }
+
+    // ---- silence
+
+    private void releaseExpired() {
+        for (Machine machine : List.copyOf(cluster.machines())) {
+            boolean held = !machine.empty() || silent(machine);
+            if (held && kernel.now() - machine.lastAnswered() > holds.silentMs()) {
+                LOG.info("{} was silent for its hold, giving up {} tasks", machine.id(), machine.bookings().size());
+                machine.bookingsCopy().forEach(cluster::release);
+                machine.holdExpired();
+                cluster.touch();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/quartzgw/store/StoreClient.java
@@ -0,0 +1,291 @@
+package io.quartzgw.store;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.quartzgw.http.Call;
+import io.quartzgw.http.Endpoint;
+import io.quartzgw.http.Json;
+import io.quartzgw.http.Reply;
+import io.quartzgw.loop.Kernel;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/** Talks to the state service inside this node's budget; every call ends in one answer. */
+public final class StoreClient {
+    private static final int PAGE = 1000;
+    private static final int TIMEOUT_MS = 1_500;
+    /** How much later than its hold time an unanswered follow is given up. */
+    private static final int FOLLOW_SLACK_MS = 3_000;
+    private static final int FOLLOW_MS = 20_000;
+    /** A stage with a small buffer: what waits longer than this for the budget is refused. */
+    private static final int MAX_QUEUE_MS = 700;
+    /** Failures in a row for this long mean that the service is away for this node. */
+    private static final int AWAY_MS = 400;
+
+    private final Kernel kernel;
+    private final Endpoint endpoint;
+    private final StoreLimits share;
+    private final RateBudget requests;
+    private final RateBudget writes;
+    private final Deque<Waiting> first = new ArrayDeque<>();
+    private final Deque<Waiting> normal = new ArrayDeque<>();
+    private boolean draining;
+    private boolean probing;
+    private long lastAnswered = Long.MIN_VALUE / 2;
+    private long failingSince = Long.MAX_VALUE;
+
+    private record Waiting(Call call, int writes, long since, Consumer<Reply> then) {}
+
+    public StoreClient(Kernel kernel, Endpoint endpoint, StoreLimits share) {
+        this.kernel = kernel;
+        this.endpoint = endpoint;
+        this.share = share;
+        this.requests = new RateBudget(share.requestsPerS(), kernel.now());
+        this.writes = new RateBudget(share.writesPerS(), kernel.now());
+    }
+
+    public int txnOps() {
+        return share.txnOps();
+    }
+
+    public int valueBytes() {
+        return share.valueBytes();
+    }
+
+    /** Whether the service answers this node, as far as recent calls tell. */
+    public boolean reachable() {
+        return kernel.now() - failingSince < AWAY_MS;
+    }
+
+    /** Whether the service has answered this node at all within the given time. */
+    public boolean answeredWithin(long ms) {
+        return kernel.now() - lastAnswered <= ms;
+    }
+
+    // ---- reads
+
+    /** The entry; an empty list when there is none; null when the service did not tell. */
+    public void get(String key, Consumer<List<Entry>> then) {
+        submit(Call.get(endpoint, "/keys/" + key, TIMEOUT_MS), 0, Urgency.NORMAL, reply -> {
+            if (reply.ok()) {
+                then.accept(List.of(entry(reply.json())));
+            } else {
+                then.accept(reply.status() == 404 ? List.of() : null);
+            }
+        });
+    }
+
+    /** Every entry with the prefix, read page by page, and the revision before the first page. */
+    public record Listing(List<Entry> entries, long revision) {}
+
+    /** The listing, or null when the service did not tell. */
+    public void list(String prefix, Consumer<Listing> then) {
+        page(prefix, null, new ArrayList<>(), Long.MAX_VALUE, then);
+    }
+
+    private void page(String prefix, String since, List<Entry> sofar, long revision, Consumer<Listing> then) {
+        String path = "/keys?starts=" + prefix + (since == null ? "" : "&since=" + since) + "&most=" + PAGE;
+        submit(Call.get(endpoint, path, TIMEOUT_MS), 0, Urgency.FIRST, reply -> {
+            if (!reply.ok()) {
+                then.accept(null);
+                return;
+            }
+            JsonNode body = reply.json();
+            body.path("items").forEach(item -> sofar.add(entry(item)));
+            // A follow from the first page's revision sees again what changed between the pages.
+            long from = Math.min(revision, body.path("store_rev").asLong());
+            if (body.path("more").asBoolean() && !sofar.isEmpty()) {
+                page(prefix, sofar.get(sofar.size() - 1).key(), sofar, from, then);
+            } else {
+                then.accept(new Listing(sofar, from));
+            }
+        });
+    }
+
+    private static Entry entry(JsonNode item) {
+        return new Entry(item.path("path").asText(), item.path("data"), item.path("key_rev").asLong());
+    }
+
+    // ---- transactions
+
+    public void commit(Txn txn, Urgency urgency, Consumer<TxnOutcome> then) {
+        ObjectNode body = Json.object();
+        ArrayNode guards = body.putArray("guards");
+        txn.guards.forEach(guard ->
+                guards.addObject().put("path", guard.key()).put("key_rev", guard.revision()));
+        ArrayNode apply = body.putArray("apply");
+        for (Txn.Write write : txn.writes) {
+            if (write.value() == null) {
+                apply.addObject().put("drop", write.key());
+                continue;
+            }
+            ObjectNode put = apply.addObject().put("write", write.key());
+            put.set("data", write.value());
+            if (write.hold() != Txn.NO_HOLD) {
+                put.put("permit", write.hold());
+            }
+        }
+        submit(Call.post(endpoint, "/multi", body, TIMEOUT_MS), txn.size(), urgency,
+                reply -> then.accept(outcome(reply)));
+    }
+
+    private static TxnOutcome outcome(Reply reply) {
+        switch (reply.status()) {
+            case 200:
+                return new TxnOutcome.Committed(reply.json().path("store_rev").asLong());
+            case 409:
+                Set<String> failed = new HashSet<>();
+                reply.json().path("failed").forEach(key -> failed.add(key.asText()));
+                return new TxnOutcome.Conflict(failed);
+            case 400:
+                return new TxnOutcome.HoldEnded();
+            case 429:
+            case 503:
+                return new TxnOutcome.Refused();
+            default:
+                return new TxnOutcome.Unknown();
+        }
+    }
+
+    // ---- holds
+
+    /** The hold's number, or null when none was granted. */
+    public void grantHold(long lifeMs, Consumer<Long> then) {
+        submit(Call.post(endpoint, "/holds", Json.object().put("life_ms", lifeMs), TIMEOUT_MS), 0, Urgency.FIRST,
+                reply -> then.accept(reply.ok() ? reply.json().path("permit").asLong() : null));
+    }
+
+    /** What an extension brought. */
+    public enum Extension {
+        EXTENDED,
+        ENDED,
+        UNKNOWN
+    }
+
+    public void extendHold(long hold, Consumer<Extension> then) {
+        submit(Call.post(endpoint, "/holds/" + hold + "/extend", Json.object(), TIMEOUT_MS), 0, Urgency.FIRST,
+                reply -> then.accept(reply.ok() ? Extension.EXTENDED
+                        : reply.status() == 404 ? Extension.ENDED : Extension.UNKNOWN));
+    }
+
+    public void dropHold(long hold) {
+        submit(Call.delete(endpoint, "/holds/" + hold, TIMEOUT_MS), 0, Urgency.NORMAL, reply -> {});
+    }
+
+    // ---- follows
+
+    /** Receives changes until it says that it wants no more. */
+    public interface Follower {
+        boolean wanted();
+
+        void changed(List<Change> changes);
+
+        /** Changes were missed: everything has to be read again. */
+        void outdated();
+    }
+
+    /** Follows a prefix from a revision until the follower wants no more or is outdated. */
+    public void follow(String prefix, long since, Follower follower) {
+        if (!follower.wanted()) {
+            return;
+        }
+        String path = "/follow?starts=" + prefix + "&since=" + since + "&hold_ms=" + FOLLOW_MS;
+        submit(Call.get(endpoint, path, FOLLOW_MS + FOLLOW_SLACK_MS), 0, Urgency.FIRST, reply -> {
+            if (!follower.wanted()) {
+                return;
+            }
+            if (reply.status() == 410) {
+                follower.outdated();
+            } else if (reply.ok()) {
+                JsonNode body = reply.json();
+                List<Change> changes = new ArrayList<>();
+                body.path("news").forEach(item -> changes.add(change(item)));
+                if (!changes.isEmpty()) {
+                    follower.changed(changes);
+                }
+                follow(prefix, body.path("store_rev").asLong(), follower);
+            } else {
+                kernel.after(AWAY_MS / 2, () -> follow(prefix, since, follower));
+            }
+        });
+    }
+
+    private static Change change(JsonNode item) {
+        boolean dropped = item.hasNonNull("drop");
+        return new Change(item.path(dropped ? "drop" : "write").asText(), dropped ? null : item.path("data"),
+                item.path("key_rev").asLong());
+    }
+
+    // ---- budget
+
+    private void submit(Call call, int writeCount, Urgency urgency, Consumer<Reply> then) {
+        Waiting waiting = new Waiting(call, writeCount, kernel.now(), then);
+        (urgency == Urgency.FIRST ? first : normal).addLast(waiting);
+        drain();
+    }
+
+    private void drain() {
+        while (true) {
+            Deque<Waiting> queue = first.isEmpty() ? normal : first;
+            if (queue.isEmpty()) {
+                return;
+            }
+            Waiting next = queue.peekFirst();
+            if (queue == normal && kernel.now() - next.since > MAX_QUEUE_MS) {
+                queue.pollFirst();
+                // Deferred, so that a refusal never runs inside the caller's own call.
+                kernel.after(0, () -> next.then.accept(new Reply(429, new byte[0])));
+                continue;
+            }
+            long wait = Math.max(requests.waitFor(1, kernel.now()),
+                    next.writes == 0 ? 0 : writes.waitFor(next.writes, kernel.now()));
+            if (wait > 0) {
+                if (!draining) {
+                    draining = true;
+                    kernel.after(wait, () -> {
+                        draining = false;
+                        drain();
+                    });
+                }
+                return;
+            }
+            queue.pollFirst();
+            requests.take(1, kernel.now());
+            writes.take(next.writes, kernel.now());
+            kernel.call(next.call, reply -> {
+                noteHealth(reply);
+                next.then.accept(reply);
+            });
+        }
+    }
+
+    // Users are refused at once while the service is away, so nothing else would find it back.
+    private void probeSoon() {
+        if (!probing) {
+            probing = true;
+            kernel.after(AWAY_MS, () -> submit(Call.get(endpoint, "/keys?starts=probe/&most=1", TIMEOUT_MS), 0,
+                    Urgency.FIRST, reply -> {
+                        probing = false;
+                        if (failingSince != Long.MAX_VALUE) {
+                            probeSoon();
+                        }
+                    }));
+        }
+    }
+
+    private void noteHealth(Reply reply) {
+        if (reply.status() == Reply.LOST || reply.status() == 503) {
+            failingSince = Math.min(failingSince, kernel.now());
+            probeSoon();
+        } else {
+            lastAnswered = kernel.now();
+            failingSince = Long.MAX_VALUE;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/quartzgw/submission/Admission.java
@@ -0,0 +1,34 @@
+package io.quartzgw.submission;
+
+import io.quartzgw.fleet.MachineType;
+import io.quartzgw.placement.Team;
+import java.util.Collection;
+import java.util.Map;
+
+/** Decides whether a well-formed job can ever run. */
+public final class Admission {
+    private final Map<String, Team> teams;
+
+    public Admission(Map<String, Team> teams) {
+        this.teams = teams;
+    }
+
+    /** Why the job can never run, or null when it can. */
+    public String refusal(JobSpec job, Collection<MachineType> types) {
+        Team team = teams.get(job.team());
+        if (team == null) {
+            return "unknown crew";
+        }
+        if (types.stream().noneMatch(type -> fits(job, type))) {
+            return "a task fits no allowed machine type";
+        }
+        // A service needs all its replicas at once, an array can run one task after the other.
+        Resources needed = job.service() ? job.demand().times(job.tasks()) : job.demand();
+        return team.withinLimit(needed) ? null : "more than the crew's limit";
+    }
+
+    private static boolean fits(JobSpec job, MachineType type) {
+        return job.demand().fitsIn(type.size())
+                && type.zones().stream().anyMatch(zone -> job.allows(type.name(), zone, false));
+    }
+}
--- /dev/null
+++ b/src/main/java/io/quartzgw/submission/JobCodec.java
@@ -0,0 +1,129 @@
+package io.quartzgw.submission;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.quartzgw.http.Json;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.regex.Pattern;
+
+/** Job descriptions in the protocol's spelling; reading one checks every field. */
+public final class JobCodec {
+    private static final Pattern ID = Pattern.compile("j-[0-9]{1,32}");
+    private static final int MAX_TASKS = 100_000;
+    private static final int MAX_NAME = 200;
+    private static final int MAX_TYPES = 64;
+    private static final Map<String, Shape> SHAPES = Map.of("array", Shape.ARRAY, "daemon", Shape.SERVICE);
+    private static final Map<String, Priority> PRIORITIES = Map.of("critical", Priority.PRODUCTION,
+            "urgent", Priority.HIGH, "standard", Priority.NORMAL, "low", Priority.LOW);
+
+    private JobCodec() {}
+
+    public static boolean validId(String id) {
+        return id != null && ID.matcher(id).matches();
+    }
+
+    public static JobSpec read(JsonNode node) throws InvalidJob {
+        String id = text(node, "id");
+        if (!validId(id)) {
+            throw new InvalidJob("id: not a job id");
+        }
+        Shape shape = choice(node, "shape", SHAPES);
+        JsonNode tasks = node.path("shards");
+        if (!tasks.isIntegralNumber() || !tasks.canConvertToInt() || tasks.asInt() < 1 || tasks.asInt() > MAX_TASKS) {
+            throw new InvalidJob("shards: a whole number from 1 to " + MAX_TASKS);
+        }
+        Resources demand = new Resources(amount(node, "cpus"), amount(node, "gpus"), amount(node, "ram_gb"));
+        if (demand.equals(Resources.NONE)) {
+            throw new InvalidJob("cpus: a task has to take something of its machine");
+        }
+        Double deadline = node.hasNonNull("due_by_s") ? (Double) amount(node, "due_by_s") : null;
+        return new JobSpec(id, text(node, "workload"), text(node, "crew"), shape,
+                choice(node, "urgency", PRIORITIES), tasks.asInt(), demand, text(node, "bundle"),
+                amount(node, "pull_gb"), types(node), node.hasNonNull("yard") ? text(node, "yard") : null,
+                flag(node, "together"), flag(node, "scatter"), flag(node, "loaner"),
+                amount(node, "runtime_guess_s"), amount(node, "snapshot_every_s"),
+                amount(node, "snapshot_cost_s"), deadline);
+    }
+
+    public static ObjectNode write(JobSpec job) {
+        ObjectNode node = Json.object().put("id", job.id()).put("workload", job.workload()).put("crew", job.team())
+                .put("shape", spelling(SHAPES, job.shape())).put("urgency", spelling(PRIORITIES, job.priority()))
+                .put("shards", job.tasks()).put("cpus", job.demand().cpus()).put("gpus", job.demand().gpus())
+                .put("ram_gb", job.demand().memoryGb()).put("bundle", job.image()).put("pull_gb", job.imageGb());
+        if (job.machineTypes() != null) {
+            ArrayNode types = node.putArray("host_types");
+            job.machineTypes().forEach(types::add);
+        }
+        if (job.zone() != null) {
+            node.put("yard", job.zone());
+        }
+        node.put("together", job.oneZone()).put("scatter", job.spread()).put("loaner", job.spot())
+                .put("runtime_guess_s", job.estimateS()).put("snapshot_every_s", job.checkpointS())
+                .put("snapshot_cost_s", job.saveS());
+        if (job.deadlineS() != null) {
+            node.put("due_by_s", job.deadlineS());
+        }
+        return node;
+    }
+
+    private static String text(JsonNode node, String field) throws InvalidJob {
+        JsonNode value = node.path(field);
+        if (!value.isTextual() || value.textValue().isEmpty() || value.textValue().length() > MAX_NAME) {
+            throw new InvalidJob(field + ": a text of 1 to " + MAX_NAME + " characters");
+        }
+        return value.textValue();
+    }
+
+    private static double amount(JsonNode node, String field) throws InvalidJob {
+        JsonNode value = node.path(field);
+        if (!value.isNumber() || !Double.isFinite(value.doubleValue()) || value.doubleValue() < 0) {
+            throw new InvalidJob(field + ": a number, 0 or more");
+        }
+        return value.doubleValue();
+    }
+
+    private static boolean flag(JsonNode node, String field) throws InvalidJob {
+        JsonNode value = node.path(field);
+        if (value.isMissingNode() || value.isNull()) {
+            throw new InvalidJob(field + ": missing");
+        }
+        if (!value.isBoolean()) {
+            throw new InvalidJob(field + ": true or false");
+        }
+        return value.booleanValue();
+    }
+
+    private static <T> T choice(JsonNode node, String field, Map<String, T> choices) throws InvalidJob {
+        T chosen = choices.get(text(node, field));
+        if (chosen == null) {
+            throw new InvalidJob(field + ": unknown");
+        }
+        return chosen;
+    }
+
+    private static <T> String spelling(Map<String, T> choices, T value) {
+        return choices.entrySet().stream().filter(entry -> entry.getValue().equals(value)).findFirst()
+                .orElseThrow().getKey();
+    }
+
+    private static Set<String> types(JsonNode node) throws InvalidJob {
+        if (!node.hasNonNull("host_types")) {
+            return null;
+        }
+        JsonNode array = node.get("host_types");
+        if (!array.isArray() || array.size() > MAX_TYPES) {
+            throw new InvalidJob("host_types: a list of names, or null");
+        }
+        Set<String> types = new LinkedHashSet<>();
+        for (JsonNode item : array) {
+            if (!item.isTextual() || item.textValue().length() > MAX_NAME) {
+                throw new InvalidJob("host_types: a list of names, or null");
+            }
+            types.add(item.textValue());
+        }
+        return types;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/quartzgw/submission/Priority.java
@@ -0,0 +1,13 @@
+package io.quartzgw.submission;
+
+/** Priorities, most important first. */
+public enum Priority {
+    PRODUCTION,
+    HIGH,
+    NORMAL,
+    LOW;
+
+    public boolean above(Priority other) {
+        return ordinal() < other.ordinal();
+    }
+}
--- /dev/null
+++ b/src/main/java/io/quartzgw/submission/Submissions.java
@@ -0,0 +1,220 @@
+package io.quartzgw.submission;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.quartzgw.fleet.MachineTypes;
+import io.quartzgw.http.Json;
+import io.quartzgw.http.Request;
+import io.quartzgw.http.Response;
+import io.quartzgw.loop.Kernel;
+import io.quartzgw.store.StoreClient;
+import io.quartzgw.store.TxnOutcome;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Serves the users: every request gets its answer as soon as the state service has told. */
+public final class Submissions {
+    public static final String PATH = "/submissions";
+    private static final String ABORT = "/abort";
+    /** When a user should come back while the state service is away. */
+    private static final int AWAY_RETRY_S = 2;
+    private static final int ABORT_TRIES = 4;
+
+    /** Told about jobs that this node accepted or withdrew; the leader wants to know at once. */
+    public interface Listener {
+        void accepted(OpenJob job);
+
+        void withdrawn(String id);
+    }
+
+    /** How many of a job's tasks are done and running, for display. */
+    public record Counts(int done, int running) {
+        static final Counts NONE = new Counts(0, 0);
+    }
+
+    private final Kernel kernel;
+    private final StoreClient store;
+    private final JobStore jobs;
+    private final MachineTypes types;
+    private final Admission admission;
+    private final Listener listener;
+    private Map<String, Counts> counts = new HashMap<>();
+
+    public Submissions(Kernel kernel, StoreClient store, JobStore jobs, MachineTypes types, Admission admission,
+            Listener listener) {
+        this.kernel = kernel;
+        this.store = store;
+        this.jobs = jobs;
+        this.types = types;
+        this.admission = admission;
+        this.listener = listener;
+    }
+
+    /** Takes the leader's counts for display. */
+    public void counts(Map<String, Counts> told) {
+        this.counts = told;
+    }
+
+    /** Serves a request whose path begins with {@link #PATH}. */
+    public void serve(Request request) {
+        String rest = request.path().substring(PATH.length());
+        if (rest.isEmpty()) {
+            if (allowed(request, "POST")) {
+                submit(request);
+            }
+        } else if (rest.endsWith(ABORT) && rest.length() > ABORT.length() + 1) {
+            if (allowed(request, "POST")) {
+                abort(request, rest.substring(1, rest.length() - ABORT.length()));
+            }
+        } else if (allowed(request, "GET")) {
+            poll(request, rest.substring(1));
+        }
+    }
+
+    private boolean allowed(Request request, String method) {
+        if (!request.method().equals(method)) {
+            kernel.answer(request.exchange(), Response.error(405, "method not allowed"));
+            return false;
+        }
+        return true;
+    }
+
+    // ---- submit
+
+    private void submit(Request request) {
+        JsonNode body = Json.readOrNull(request.body());
+        String id = body == null ? null : body.path("id").textValue();
+        if (!JobCodec.validId(id)) {
+            kernel.answer(request.exchange(), Response.error(400, "not a job: a JSON object with a job id is due"));
+            return;
+        }
+        JobSpec spec;
+        try {
+            spec = JobCodec.read(body);
+        } catch (InvalidJob e) {
+            answerUnlessKnown(request, id, Response.error(400, e.getMessage()));
+            return;
+        }
+        if (Json.write(OpenJob.record(spec, kernel.wallClock())).length > store.valueBytes()) {
+            answerUnlessKnown(request, id, Response.error(400, "the description is too long"));
+            return;
+        }
+        if (!types.known()) {
+            answerUnlessKnown(request, id, Response.unavailable("machine types not known yet", AWAY_RETRY_S));
+            return;
+        }
+        String refusal = admission.refusal(spec, types.all());
+        if (refusal != null) {
+            answerUnlessKnown(request, id, Response.error(422, refusal));
+            return;
+        }
+        accept(request, spec);
+    }
+
+    // A repeat of an accepted submission gets 200, whatever its body says now.
+    private void answerUnlessKnown(Request request, String id, Response otherwise) {
+        lookUp(request, id, found -> kernel.answer(request.exchange(),
+                found instanceof JobStore.Found.Nothing ? otherwise : state(id, found)));
+    }
+
+    private void accept(Request request, JobSpec spec) {
+        FinalPhase known = jobs.cached(spec.id());
+        if (known != null) {
+            kernel.answer(request.exchange(), state(spec.id(), new JobStore.Found.Over(known)));
+            return;
+        }
+        if (!store.reachable()) {
+            answerAway(request);
+            return;
+        }
+        jobs.accept(spec, kernel.wallClock(), accepted -> {
+            if (accepted instanceof JobStore.Accepted.New created) {
+                kernel.answer(request.exchange(), Response.json(201, body(spec.id(), "pending")));
+                listener.accepted(created.job());
+            } else if (accepted instanceof JobStore.Accepted.Known) {
+                answerUnlessKnown(request, spec.id(), Response.unavailable("try again", 1));
+            } else {
+                answerAway(request);
+            }
+        });
+    }
+
+    // ---- poll
+
+    private void poll(Request request, String id) {
+        if (!JobCodec.validId(id)) {
+            kernel.answer(request.exchange(), Response.error(404, "no such job"));
+            return;
+        }
+        lookUp(request, id, found -> kernel.answer(request.exchange(), state(id, found)));
+    }
+
+    private interface FoundHandler {
+        void found(JobStore.Found found);
+    }
+
+    private void lookUp(Request request, String id, FoundHandler then) {
+        if (jobs.cached(id) == null && !store.reachable()) {
+            answerAway(request);
+            return;
+        }
+        jobs.find(id, found -> {
+            if (found instanceof JobStore.Found.Unclear) {
+                answerAway(request);
+            } else {
+                then.found(found);
+            }
+        });
+    }
+
+    private Response state(String id, JobStore.Found found) {
+        if (found instanceof JobStore.Found.Open) {
+            Counts now = counts.getOrDefault(id, Counts.NONE);
+            return Response.json(200, body(id, now.running > 0 ? "running" : "pending")
+                    .put("done", now.done).put("running", now.running));
+        }
+        if (found instanceof JobStore.Found.Over over) {
+            return Response.json(200, body(id, over.phase().withdrawn() ? "withdrawn" : "done")
+                    .put("done", over.phase().done()).put("running", 0));
+        }
+        return Response.error(404, "no such job");
+    }
+
+    // ---- abort
+
+    private void abort(Request request, String id) {
+        if (!JobCodec.validId(id)) {
+            kernel.answer(request.exchange(), Response.error(404, "no such job"));
+            return;
+        }
+        abort(request, id, ABORT_TRIES);
+    }
+
+    private void abort(Request request, String id, int tries) {
+        lookUp(request, id, found -> {
+            if (!(found instanceof JobStore.Found.Open open)) {
+                kernel.answer(request.exchange(), state(id, found));
+                return;
+            }
+            jobs.withdraw(open.job(), counts.getOrDefault(id, Counts.NONE).done, outcome -> {
+                if (outcome instanceof TxnOutcome.Committed) {
+                    kernel.answer(request.exchange(), Response.json(200, body(id, "withdrawn")));
+                    listener.withdrawn(id);
+                } else if (outcome instanceof TxnOutcome.Conflict && tries > 1) {
+                    // The job has just ended some other way: the first end wins, read which.
+                    abort(request, id, tries - 1);
+                } else {
+                    answerAway(request);
+                }
+            });
+        });
+    }
+
+    private void answerAway(Request request) {
+        kernel.answer(request.exchange(), Response.unavailable("the state service does not answer", AWAY_RETRY_S));
+    }
+
+    private static ObjectNode body(String id, String phase) {
+        return Json.object().put("id", id).put("phase", phase);
+    }
+}
