Gangs placed whole under one attempt; candidates check again for a leader

Members that had different attempts waited for each other for good; under one attempt they run together. A candidate whose campaign was planned before another one won took the term over from the winner: it now looks again before it asks for a hold.

--- a/src/main/java/io/quartzgw/leadership/Leadership.java
+++ b/src/main/java/io/quartzgw/leadership/Leadership.java
@@ -8,7 +8,9 @@
 import io.quartzgw.store.Txn;
 import io.quartzgw.store.TxnOutcome;
 import io.quartzgw.store.Urgency;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -55,6 +57,7 @@
     private long termRevision;
     private long highestTerm;
     private boolean campaigning;
+    private final Set<Long> deadProcesses = new HashSet<>();
 
     private boolean leading;
     private long term;
@@ -126,6 +129,7 @@
     public void memberRuns(String other, long itsProcess) {
         if (!leading && leader != null && leader.member().equals(other) && leader.process() != itsProcess) {
             LOG.info("leader {} was restarted, taking over", other);
+            deadProcesses.add(leader.process());
             campaignSoon();
         }
     }
@@ -197,17 +201,23 @@
             }
             return;
         }
-        if (leader == null) {
+        if (vacant()) {
             campaignSoon();
         } else if (leader.process() == process && leader.term() == storedTerm && leader.term() > term) {
             // A campaign whose answer was lost, or that was applied late, has won.
             lead(leader.term(), leader.hold(), kernel.now() - times.holdMs());
-        } else if (leader.member().equals(member) && leader.process() != process) {
-            // The record is this member's former process's, which is dead since this one runs.
-            campaignSoon();
         }
     }
 
+    /** Whether nobody leads, or only a process that is surely dead. */
+    private boolean vacant() {
+        if (leader == null || deadProcesses.contains(leader.process())) {
+            return true;
+        }
+        // The record is this member's former process's, which is dead since this one runs.
+        return leader.member().equals(member) && leader.process() != process;
+    }
+
     // ---- campaigning
 
     private void campaignSoon() {
@@ -219,6 +229,11 @@
     }
 
     private void campaign() {
+        // Another candidate may have won since this campaign was planned.
+        if (leading || !vacant()) {
+            campaigning = false;
+            return;
+        }
         long asked = kernel.now();
         long aim = Math.max(storedTerm, highestTerm) + 1;
         long seenLeader = leaderRevision;
--- a/src/main/java/io/quartzgw/placement/Cluster.java
+++ b/src/main/java/io/quartzgw/placement/Cluster.java
@@ -89,7 +89,7 @@
 
     // ---- bookings
 
-    /** Attempts are unique across leaders: the term is the higher half. */
+    /** A task's attempts are unique across leaders: the term is the higher half. */
     public long nextAttempt() {
         return (term << 32) + ++attempts;
     }
--- a/src/main/java/io/quartzgw/placement/Job.java
+++ b/src/main/java/io/quartzgw/placement/Job.java
@@ -153,6 +153,11 @@
         doubted.clear();
     }
 
+    /** Whether a gang has lost a member while others still have their places: it restarts whole. */
+    public boolean broken() {
+        return spec().gang() && !waiting.isEmpty() && !bookings.isEmpty();
+    }
+
     /** How many tasks are or may be running anywhere. */
     public int mayRun() {
         return bookings.size() + doubted.cardinality();
--- a/src/main/java/io/quartzgw/placement/Scheduler.java
+++ b/src/main/java/io/quartzgw/placement/Scheduler.java
@@ -42,8 +42,9 @@
     public void run() {
         List<Machine> machines = cluster.machines().stream().filter(this::usable).toList();
         List<Unplaced> left = new ArrayList<>();
+        cluster.jobs().stream().filter(Job::broken).forEach(this::stopRest);
         for (Job job : queue.order(kernel.now())) {
-            int lacking = place(job, machines);
+            int lacking = job.spec().gang() ? placeGang(job, machines) : place(job, machines);
             if (lacking > 0) {
                 left.add(new Unplaced(job, lacking));
             }
@@ -75,6 +76,36 @@
         return 0;
     }
 
+    // Whole or not at all: members that wait for others would only hold room.
+    private int placeGang(Job job, List<Machine> machines) {
+        if (job.mayRun() > 0) {
+            return 0;
+        }
+        int members = job.waiting().cardinality();
+        Team team = teams.get(job.spec().team());
+        if (!team.withinLimit(cluster.teamUse(team.name()).plus(job.spec().demand().times(members)))) {
+            return 0;
+        }
+        List<Booking> placed = new ArrayList<>();
+        // Members come together under one attempt.
+        long attempt = cluster.nextAttempt();
+        while (job.nextWaiting() >= 0) {
+            Machine chosen = bestFit.choose(job, machines, machine -> allowed(job, machine));
+            if (chosen == null) {
+                placed.forEach(cluster::release);
+                return members;
+            }
+            placed.add(cluster.book(job, job.nextWaiting(), chosen, attempt));
+        }
+        placed.forEach(starter::start);
+        return 0;
+    }
+
+    private void stopRest(Job job) {
+        job.bookingsCopy().stream().filter(booking -> !booking.stopping())
+                .forEach(booking -> starter.stop(booking, job.spec().saveS()));
+    }
+
     private boolean withinLimit(Job job) {
         Team team = teams.get(job.spec().team());
         return team != null && team.withinLimit(cluster.teamUse(job.spec().team()).plus(job.spec().demand()));
--- a/src/main/java/io/quartzgw/submission/Admission.java
+++ b/src/main/java/io/quartzgw/submission/Admission.java
@@ -22,9 +22,7 @@
         if (types.stream().noneMatch(type -> fits(job, type))) {
             return "a task fits no allowed machine type";
         }
-        // A service needs all its replicas at once, an array can run one task after the other.
-        Resources needed = job.service() ? job.demand().times(job.tasks()) : job.demand();
-        return team.withinLimit(needed) ? null : "more than the crew's limit";
+        return team.withinLimit(job.neededAtOnce()) ? null : "more than the crew's limit";
     }
 
     private static boolean fits(JobSpec job, MachineType type) {
--- a/src/main/java/io/quartzgw/submission/JobCodec.java
+++ b/src/main/java/io/quartzgw/submission/JobCodec.java
@@ -15,7 +15,8 @@
     private static final int MAX_TASKS = 100_000;
     private static final int MAX_NAME = 200;
     private static final int MAX_TYPES = 64;
-    private static final Map<String, Shape> SHAPES = Map.of("array", Shape.ARRAY, "daemon", Shape.SERVICE);
+    private static final Map<String, Shape> SHAPES = Map.of("array", Shape.ARRAY, "gang", Shape.GANG,
+            "daemon", Shape.SERVICE);
     private static final Map<String, Priority> PRIORITIES = Map.of("critical", Priority.PRODUCTION,
             "urgent", Priority.HIGH, "standard", Priority.NORMAL, "low", Priority.LOW);
 
--- a/src/main/java/io/quartzgw/submission/JobSpec.java
+++ b/src/main/java/io/quartzgw/submission/JobSpec.java
@@ -22,6 +22,15 @@
         return shape == Shape.SERVICE;
     }
 
+    public boolean gang() {
+        return shape == Shape.GANG;
+    }
+
+    /** What the job has to hold at once to get anywhere: an array can run one task after the other. */
+    public Resources neededAtOnce() {
+        return shape == Shape.ARRAY ? demand : demand.times(tasks);
+    }
+
     /** How many of the tasks may be in one zone. */
     public int tasksPerZone() {
         return spread ? (tasks + 1) / 2 : tasks;
--- a/src/main/java/io/quartzgw/submission/Shape.java
+++ b/src/main/java/io/quartzgw/submission/Shape.java
@@ -4,6 +4,8 @@
 public enum Shape {
     /** Independent tasks, each of which runs to completion. */
     ARRAY,
+    /** Tasks that run only together: all start at once, and one that is lost takes the others along. */
+    GANG,
     /** Replicas that run until the job is cancelled. */
     SERVICE
 }
--- a/src/main/java/io/quartzgw/worker/Order.java
+++ b/src/main/java/io/quartzgw/worker/Order.java
@@ -13,27 +13,27 @@
     record Run(Booking booking) implements Order {
         @Override
         public ObjectNode toJson() {
-            return named("run", booking.task(), booking.attempt());
+            return named("run", Attempt.of(booking));
         }
     }
 
     /** Stops an attempt, giving it so many seconds to save. */
-    record Kill(String task, long attempt, double graceS) implements Order {
+    record Kill(Attempt attempt, double graceS) implements Order {
         @Override
         public ObjectNode toJson() {
-            return named("kill", task, attempt).put("wind_down_s", graceS);
+            return named("kill", attempt).put("wind_down_s", graceS);
         }
     }
 
     /** Removes an ended attempt from the reports. */
-    record Reap(String task, long attempt) implements Order {
+    record Reap(Attempt attempt) implements Order {
         @Override
         public ObjectNode toJson() {
-            return named("reap", task, attempt);
+            return named("reap", attempt);
         }
     }
 
-    private static ObjectNode named(String verb, String task, long attempt) {
-        return Json.object().put("verb", verb).put("shard", task).put("try_no", attempt);
+    private static ObjectNode named(String verb, Attempt attempt) {
+        return Json.object().put("verb", verb).put("shard", attempt.task()).put("try_no", attempt.number());
     }
 }
--- a/src/main/java/io/quartzgw/worker/Report.java
+++ b/src/main/java/io/quartzgw/worker/Report.java
@@ -9,11 +9,7 @@
         long counter, long token, Double reclaimInS, List<TaskReport> tasks) {
 
     /** What the worker says of one attempt. */
-    public record TaskReport(String job, int index, long attempt, State state, Cause cause) {
-        String task() {
-            return job + "/" + index;
-        }
-    }
+    public record TaskReport(Attempt attempt, State state, Cause cause) {}
 
     public enum State {
         FETCHING,
@@ -27,6 +23,8 @@
         DONE,
         STOPPED,
         ERROR,
+        /** Its gang did not come together, or fell apart. */
+        GANG,
         /** It was refused: the machine had no room, another attempt, or no such job. */
         REFUSED,
         NONE
@@ -65,7 +63,8 @@
             return null;
         }
         State state = switch (item.path("phase").asText()) {
-            case "fetching" -> State.FETCHING;
+            // A gang's task that waits for the others does not run yet.
+            case "fetching", "gathering" -> State.FETCHING;
             case "flushing" -> State.SAVING;
             case "ended" -> State.ENDED;
             default -> State.RUNNING;
@@ -74,9 +73,10 @@
             case "done" -> Cause.DONE;
             case "stopped" -> Cause.STOPPED;
             case "error" -> Cause.ERROR;
+            case "peers", "alone" -> Cause.GANG;
             case "no_room", "busy", "unknown" -> Cause.REFUSED;
             default -> Cause.NONE;
         };
-        return new TaskReport(name.substring(0, slash), index, item.path("try_no").asLong(), state, cause);
+        return new TaskReport(new Attempt(name.substring(0, slash), index, item.path("try_no").asLong()), state, cause);
     }
 }
--- a/src/main/java/io/quartzgw/worker/Session.java
+++ b/src/main/java/io/quartzgw/worker/Session.java
@@ -2,22 +2,20 @@
 
 import io.quartzgw.placement.Booking;
 import io.quartzgw.placement.Machine;
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Map;
 import java.util.Set;
 
 /** What the leader has under way with one worker. */
 final class Session {
     final Machine machine;
-    /** Ended attempts that the worker still reports, and their tasks. */
-    final Map<Long, String> ended = new HashMap<>();
+    /** Ended attempts that the worker still reports. */
+    final Set<Attempt> ended = new HashSet<>();
     /** Of those, the attempts that may be removed: what came of them is in the state service. */
-    final Set<Long> reapable = new HashSet<>();
+    final Set<Attempt> reapable = new HashSet<>();
     /** Attempts of which a copy of the start order is unaccounted for in this session. */
-    final Set<Long> loose = new HashSet<>();
+    final Set<Attempt> loose = new HashSet<>();
     /** Attempts to be stopped that the book does not have. */
-    final Map<Long, String> strays = new HashMap<>();
+    final Set<Attempt> strays = new HashSet<>();
     /** Whether a direct order is under way; there is one at a time, so that orders keep their order. */
     boolean calling;
     /** The bookings whose start is in the direct order under way. */
--- a/src/main/java/io/quartzgw/worker/Workers.java
+++ b/src/main/java/io/quartzgw/worker/Workers.java
@@ -141,6 +141,7 @@
         boolean restarted = !first && report.tenure() > machine.tenure();
         machine.heard(report.tenure(), report.counter());
         machine.up();
+        LOG.debug("{} session {} reports {}", machine.id(), report.tenure(), report.tasks());
         if (restarted) {
             // The lease ran out: the worker has killed and forgotten all that it had before.
             LOG.info("{} starts session {}", machine.id(), report.tenure());
@@ -168,11 +169,14 @@
 
     private void applyTasks(Session session, List<Report.TaskReport> tasks) {
         Machine machine = session.machine;
-        Set<Long> reported = new HashSet<>();
+        Set<Attempt> reported = new HashSet<>();
         session.ended.clear();
         session.strays.clear();
         for (Report.TaskReport task : tasks) {
-            Booking booking = machine.booking(task.task());
+            Booking booking = machine.booking(task.attempt().task());
+            if (booking != null && booking.attempt() != task.attempt().number()) {
+                booking = null;
+            }
             reported.add(task.attempt());
             if (task.state() == Report.State.ENDED) {
                 ended(session, task, booking);
@@ -180,65 +184,75 @@
                 present(session, task, booking);
             }
         }
-        session.reapable.retainAll(session.ended.keySet());
+        session.reapable.retainAll(session.ended);
         for (Booking booking : machine.bookingsCopy()) {
             // An attempt that was seen and is gone ended and was removed on a former leader's word.
-            if (booking.seen() && !reported.contains(booking.attempt())) {
+            if (booking.seen() && !reported.contains(Attempt.of(booking))) {
                 cluster.release(booking);
             }
         }
     }
 
+    /** @param booking the attempt's place on the machine, or null when the book has none */
     private void present(Session session, Report.TaskReport task, Booking booking) {
         Booking.Phase phase = switch (task.state()) {
             case FETCHING -> Booking.Phase.FETCHING;
             case SAVING -> Booking.Phase.SAVING;
             default -> Booking.Phase.RUNNING;
         };
-        if (booking != null && booking.attempt() == task.attempt()) {
+        if (booking != null) {
             booking.seen(phase, kernel.now());
             if (booking.stopping()) {
                 session.ordersDue = true;
             }
             return;
         }
-        Job job = cluster.job(task.job());
-        boolean mine = job != null && !job.over() && task.index() < job.spec().tasks() && !job.isDone(task.index());
-        if (mine && job.booking(task.index()) == null) {
+        Attempt attempt = task.attempt();
+        Job job = openJob(attempt);
+        if (job != null && !job.isDone(attempt.index()) && job.booking(attempt.index()) == null) {
             // The report outranks the book: the task is there, and gets its place back.
-            cluster.book(job, task.index(), session.machine, task.attempt()).seen(phase, kernel.now());
+            cluster.book(job, attempt.index(), session.machine, attempt.number()).seen(phase, kernel.now());
             return;
         }
-        LOG.info("{} on {} has no place there: stopping it", task.task(), session.machine.id());
-        session.strays.put(task.attempt(), task.task());
+        LOG.info("{} on {} has no place there: stopping it", attempt.task(), session.machine.id());
+        session.strays.add(attempt);
         session.ordersDue = true;
     }
 
+    /** The open job that an attempt is of, or null. */
+    private Job openJob(Attempt attempt) {
+        Job job = cluster.job(attempt.job());
+        return job != null && !job.over() && attempt.index() < job.spec().tasks() ? job : null;
+    }
+
     private void ended(Session session, Report.TaskReport task, Booking booking) {
-        session.ended.put(task.attempt(), task.task());
-        boolean booked = booking != null && booking.attempt() == task.attempt();
-        if (booked && booking.loose()) {
-            session.loose.add(task.attempt());
-        }
-        Job job = booked ? booking.job() : cluster.job(task.job());
-        boolean open = job != null && !job.over() && task.index() < job.spec().tasks();
-        if (open && task.cause() == Report.Cause.DONE && !job.spec().service()) {
+        Attempt attempt = task.attempt();
+        session.ended.add(attempt);
+        if (booking != null && booking.loose()) {
+            session.loose.add(attempt);
+        }
+        Job job = openJob(attempt);
+        if (job != null && task.cause() == Report.Cause.DONE && !job.spec().service()) {
             session.machine.jobSucceeded();
             session.machine.holdsImage(job.spec().image(), job.spec().imageGb());
-            if (!job.isDone(task.index())) {
-                cluster.markDone(job, task.index());
-                listener.finished(job, task.index());
+            if (!job.isDone(attempt.index())) {
+                cluster.markDone(job, attempt.index());
+                Booking other = job.booking(attempt.index());
+                if (other != null && other != booking) {
+                    stop(other, 0);
+                }
+                listener.finished(job, attempt.index());
             }
-            if (job.recorded(task.index())) {
-                session.reapable.add(task.attempt());
+            if (job.recorded(attempt.index())) {
+                session.reapable.add(attempt);
             }
         } else {
-            if (open && booked) {
+            if (job != null && booking != null) {
                 failed(session.machine, job, task.cause());
             }
-            session.reapable.add(task.attempt());
+            session.reapable.add(attempt);
         }
-        if (booked) {
+        if (booking != null) {
             cluster.release(booking);
         }
     }
@@ -247,7 +261,7 @@
         if (cause == Report.Cause.ERROR) {
             machine.jobFailed(job.id());
             job.failedOn(machine.id(), kernel.now(), (long) (ERROR_PAUSE_REPORTS * times.reportMs()));
-        } else if (cause == Report.Cause.REFUSED) {
+        } else if (cause == Report.Cause.REFUSED || cause == Report.Cause.GANG) {
             job.delay(kernel.now() + (long) (REFUSED_PAUSE_REPORTS * times.reportMs()));
         }
     }
@@ -255,13 +269,8 @@
     /** The finishes of a job's tasks are in the state service: workers may forget them. */
     public void recorded(Job job) {
         for (Session session : sessions.values()) {
-            session.ended.forEach((attempt, task) -> {
-                int slash = task.lastIndexOf('/');
-                if (task.substring(0, slash).equals(job.id())
-                        && (job.over() || job.recorded(Integer.parseInt(task.substring(slash + 1))))) {
-                    session.reapable.add(attempt);
-                }
-            });
+            session.ended.stream().filter(attempt -> attempt.job().equals(job.id())
+                    && (job.over() || job.recorded(attempt.index()))).forEach(session.reapable::add);
         }
     }
 
@@ -311,21 +320,21 @@
 
     private List<Order> pendingOrders(Session session, boolean direct) {
         List<Order> orders = new ArrayList<>();
-        for (long attempt : session.reapable) {
+        for (Attempt attempt : session.reapable) {
             // After a removal a late copy of the start would run the task again.
             if (!session.loose.contains(attempt)) {
-                orders.add(new Order.Reap(session.ended.get(attempt), attempt));
+                orders.add(new Order.Reap(attempt));
             }
         }
         int removals = orders.size();
-        session.strays.forEach((attempt, task) -> orders.add(new Order.Kill(task, attempt, 0)));
+        session.strays.forEach(attempt -> orders.add(new Order.Kill(attempt, 0)));
         for (Booking booking : session.machine.bookings()) {
             if (booking.stopping() && booking.loose() && !booking.seen() && !direct) {
                 // Makes the attempt known and ended there, so that the copy that may still come has no effect.
                 orders.add(new Order.Run(booking));
             }
             if (booking.stopping() && (booking.seen() || booking.loose())) {
-                orders.add(new Order.Kill(booking.task(), booking.attempt(), booking.stopGraceS()));
+                orders.add(new Order.Kill(Attempt.of(booking), booking.stopGraceS()));
             }
         }
         if (leadership.confirmed()) {
@@ -364,6 +373,7 @@
                 session.inCall.add(run.booking());
             }
         }
+        LOG.debug("{} is ordered {}", machine.id(), list);
         long timeout = (long) (ORDER_TIMEOUT_REPORTS * times.reportMs());
         kernel.call(Call.post(machine.address(), "/orders", body, timeout), reply -> answered(session, reply));
     }
