--- /dev/null
+++ b/src/test/java/io/quartzgw/standin/CloudStandIn.java
@@ -0,0 +1,155 @@
+package io.quartzgw.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.quartzgw.http.Call;
+import io.quartzgw.http.Json;
+import io.quartzgw.http.Reply;
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/** The cloud as its protocol page describes it, with a machine list that lags; time is handed in. */
+public final class CloudStandIn {
+    private final long lagMs;
+    private final long bootMs;
+    private final int capacity;
+    private final TreeMap<String, Rented> machines = new TreeMap<>();
+    private final Map<String, List<String>> answered = new HashMap<>();
+    private final List<Snapshot> history = new ArrayList<>();
+    private Listener listener;
+
+    /** What happens to machines. */
+    public interface Listener {
+        void booted(String id, String type, String zone, boolean spot);
+
+        void gone(String id);
+    }
+
+    private record Rented(String type, String zone, boolean spot, long since, boolean failed) {}
+
+    private record Snapshot(long at, Map<String, Rented> machines) {}
+
+    private final Set<String> up = new HashSet<>();
+
+    public CloudStandIn(long lagMs, long bootMs, int capacity) {
+        this.lagMs = lagMs;
+        this.bootMs = bootMs;
+        this.capacity = capacity;
+    }
+
+    public void listener(Listener told) {
+        this.listener = told;
+    }
+
+    /** A machine stops on its own. */
+    public void fail(String id, long now) {
+        Rented machine = machines.get(id);
+        if (machine != null) {
+            machines.put(id, new Rented(machine.type, machine.zone, machine.spot, machine.since, true));
+            listener.gone(id);
+            note(now);
+        }
+    }
+
+    public List<String> running() {
+        return machines.keySet().stream().filter(id -> up.contains(id) && !machines.get(id).failed).toList();
+    }
+
+    public void tick(long now) {
+        machines.forEach((id, machine) -> {
+            if (!machine.failed && now - machine.since >= bootMs && up.add(id)) {
+                listener.booted(id, machine.type, machine.zone, machine.spot);
+            }
+        });
+    }
+
+    public void handle(Call call, long now, Consumer<Reply> then) {
+        URI uri = URI.create(call.path());
+        JsonNode body = call.body() == null ? null : Json.readOrNull(call.body());
+        switch (uri.getPath()) {
+            case "/machine_types" -> then.accept(StoreStandIn.reply(200, types()));
+            case "/rentals/delete" -> {
+                body.path("hosts").forEach(host -> {
+                    if (machines.remove(host.asText()) != null) {
+                        listener.gone(host.asText());
+                    }
+                });
+                note(now);
+                then.accept(StoreStandIn.reply(200, Json.object()));
+            }
+            case "/rentals" -> then.accept(body == null ? list(uri, now) : rent(body, now));
+            default -> then.accept(StoreStandIn.reply(404, Json.object()));
+        }
+    }
+
+    private Reply rent(JsonNode body, long now) {
+        String request = body.path("hire").asText();
+        List<String> ids = answered.get(request);
+        if (ids == null) {
+            ids = new ArrayList<>();
+            while (ids.size() < body.path("number").asInt() && machines.size() < capacity) {
+                String id = String.format("i-%06d", nextId++);
+                machines.put(id, new Rented(body.path("host_type").asText(), body.path("yard").asText(),
+                        body.path("loaner").asBoolean(), now, false));
+                ids.add(id);
+            }
+            if (ids.isEmpty()) {
+                return StoreStandIn.reply(503, Json.object().put("error", "no capacity"));
+            }
+            answered.put(request, ids);
+            note(now);
+        }
+        ObjectNode answer = Json.object();
+        ids.forEach(answer.putArray("hosts")::add);
+        return StoreStandIn.reply(200, answer);
+    }
+
+    private int nextId;
+
+    private void note(long now) {
+        history.add(new Snapshot(now, Map.copyOf(machines)));
+    }
+
+    private Reply list(URI uri, long now) {
+        Map<String, Rented> seen = new TreeMap<>();
+        long asOf = now - lagMs;
+        for (Snapshot snapshot : history) {
+            if (snapshot.at <= asOf) {
+                seen = new TreeMap<>(snapshot.machines);
+            }
+        }
+        ObjectNode body = Json.object().put("more", false);
+        ArrayNode list = body.putArray("hosts");
+        String since = StoreStandIn.query(uri).getOrDefault("since", "");
+        seen.forEach((id, machine) -> {
+            if (id.compareTo(since) > 0) {
+                String phase = machine.failed ? "failed" : asOf - machine.since >= bootMs ? "running" : "booting";
+                list.addObject().put("id", id).put("address", WorkerStandIn.address(id)).put("host_type", machine.type)
+                        .put("yard", machine.zone).put("loaner", machine.spot).put("phase", phase)
+                        .put("held_s", (asOf - machine.since) / 1000.0);
+            }
+        });
+        return StoreStandIn.reply(200, body);
+    }
+
+    static ObjectNode types() {
+        ObjectNode body = Json.object();
+        ArrayNode list = body.putArray("host_types");
+        for (String name : List.of("small", "large")) {
+            boolean large = name.equals("large");
+            ObjectNode type = list.addObject().put("name", name).put("cpus", large ? 16 : 8).put("gpus", 0)
+                    .put("ram_gb", 64).put("cache_gb", 40).put("pull_gb_per_s", 1.0)
+                    .put("hourly", large ? 1.9 : 1.0).put("spot_price", large ? 0.5 : 0.3).put("startup_s", 10);
+            type.putArray("yards").add("a").add("b");
+        }
+        return body;
+    }
+}
--- /dev/null
+++ b/src/test/java/io/quartzgw/standin/SimWorld.java
@@ -0,0 +1,488 @@
+package io.quartzgw.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.quartzgw.app.Node;
+import io.quartzgw.app.Settings;
+import io.quartzgw.fleet.CloudLimits;
+import io.quartzgw.http.Call;
+import io.quartzgw.http.Door;
+import io.quartzgw.http.Endpoint;
+import io.quartzgw.http.Json;
+import io.quartzgw.http.Reply;
+import io.quartzgw.http.Request;
+import io.quartzgw.http.Response;
+import io.quartzgw.loop.Command;
+import io.quartzgw.loop.Effect;
+import io.quartzgw.loop.Kernel;
+import io.quartzgw.loop.Time;
+import io.quartzgw.placement.Team;
+import io.quartzgw.store.StoreLimits;
+import io.quartzgw.worker.WorkerTimes;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/**
+ * Three cores, the stand-ins and a network in simulated time. Requests may be held up and delivered
+ * late, sockets cut, nodes and machines killed; the same seed plays the same world.
+ */
+public final class SimWorld {
+    public static final String STORE = "store";
+    public static final String CLOUD = "cloud";
+    private static final Endpoint STORE_AT = new Endpoint("10.2.0.1", 2379);
+    private static final Endpoint CLOUD_AT = new Endpoint("10.2.0.2", 8443);
+    private static final long REPORT_MS = 2_500;
+    private static final long LEASE_MS = 16_000;
+    private static final long CANCEL_MS = 36_000;
+    private static final long WORKER_TIMEOUT_MS = 4_000;
+
+    public final SplittableRandom random;
+    public final StoreStandIn store = new StoreStandIn();
+    public final CloudStandIn cloud = new CloudStandIn(5_000, 8_000, 12);
+    public final Rules rules = new Rules(CANCEL_MS);
+    private final List<SimNode> nodes = new ArrayList<>();
+    private final Map<String, SimWorker> workers = new TreeMap<>();
+    private final Map<String, JsonNode> submitted = new HashMap<>();
+    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final Set<String> cuts = new HashSet<>();
+    private final Map<String, List<Runnable>> held = new LinkedHashMap<>();
+    private double lateTransactions;
+    private long now;
+    private long sequence;
+    private long processes;
+
+    private record Event(long at, long order, Runnable run) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event other) {
+            int byTime = Long.compare(at, other.at);
+            return byTime != 0 ? byTime : Long.compare(order, other.order);
+        }
+    }
+
+    private static final class SimNode {
+        private final String name;
+        private Kernel kernel;
+        private Node node;
+        private long epoch;
+        private long wake = Long.MAX_VALUE;
+        private final Map<Long, Consumer<Response>> inbound = new HashMap<>();
+        private long exchanges;
+
+        SimNode(String name) {
+            this.name = name;
+        }
+    }
+
+    private static final class SimWorker {
+        private final WorkerStandIn worker;
+        private int home;
+        private boolean reporting;
+        private boolean hanging;
+        private long lastSent;
+        private final List<Runnable> whileHanging = new ArrayList<>();
+
+        SimWorker(WorkerStandIn worker) {
+            this.worker = worker;
+        }
+    }
+
+    public SimWorld(long seed, int size) {
+        this.random = new SplittableRandom(seed);
+        cloud.listener(new CloudStandIn.Listener() {
+            @Override
+            public void booted(String id, String type, String zone, boolean spot) {
+                boot(id, type, zone, spot);
+            }
+
+            @Override
+            public void gone(String id) {
+                SimWorker gone = workers.remove(id);
+                if (gone != null) {
+                    gone.worker.die();
+                }
+            }
+        });
+        for (int i = 0; i < size; i++) {
+            nodes.add(new SimNode("rig-" + i));
+        }
+        for (int i = 0; i < size; i++) {
+            start(i);
+        }
+        repeat(50, () -> store.tick(now));
+        repeat(200, () -> cloud.tick(now));
+    }
+
+    // ---- time
+
+    public long now() {
+        return now;
+    }
+
+    public void at(long moment, Runnable run) {
+        events.add(new Event(Math.max(now, moment), ++sequence, run));
+    }
+
+    private void repeat(long period, Runnable run) {
+        at(now + period, () -> {
+            run.run();
+            repeat(period, run);
+        });
+    }
+
+    public void runUntil(long end) {
+        while (!events.isEmpty() && events.peek().at <= end) {
+            Event event = events.poll();
+            now = event.at;
+            event.run.run();
+        }
+        now = end;
+    }
+
+    // ---- nodes
+
+    public Settings settings(int index) {
+        Map<String, Endpoint> peers = new LinkedHashMap<>();
+        for (int i = 0; i < nodes.size(); i++) {
+            if (i != index) {
+                peers.put("rig-" + i, new Endpoint("10.0.0." + (i + 1), 8081));
+            }
+        }
+        return new Settings("rig-" + index, "a", new Endpoint("10.0.0." + (index + 1), 8080),
+                new Endpoint("10.0.0." + (index + 1), 8081), peers, CLOUD_AT, STORE_AT, nodes.size(),
+                List.of("a", "b"), 100, Map.of("red", new Team("red", 0, 40, 0, 0), "blue", new Team("blue", 0, 0, 0, 0)),
+                List.of(), new WorkerTimes(REPORT_MS, LEASE_MS, CANCEL_MS), CANCEL_MS / 1000.0,
+                new StoreLimits(300, 120, 8192, 16), new CloudLimits(4, 5_000), 1000);
+    }
+
+    public void start(int index) {
+        SimNode sim = nodes.get(index);
+        sim.epoch++;
+        sim.wake = Long.MAX_VALUE;
+        sim.inbound.clear();
+        long process = ++processes;
+        sim.kernel = new Kernel(random.nextLong());
+        sim.kernel.handle(List.of(), time());
+        sim.node = new Node(sim.kernel, settings(index), process, Json::object);
+        sim.node.start();
+        handle(sim, List.of());
+    }
+
+    public void crash(int index) {
+        SimNode sim = nodes.get(index);
+        sim.epoch++;
+        sim.node = null;
+    }
+
+    public boolean isUp(int index) {
+        return nodes.get(index).node != null;
+    }
+
+    /** The index of the node that leads with the highest term, or -1. */
+    public int leader() {
+        int best = -1;
+        for (int i = 0; i < nodes.size(); i++) {
+            Node node = nodes.get(i).node;
+            if (node != null && node.leading() && (best < 0 || node.term() > nodes.get(best).node.term())) {
+                best = i;
+            }
+        }
+        return best;
+    }
+
+    private Time time() {
+        return new Time(now, 1_800_000_000_000L + now);
+    }
+
+    private void handle(SimNode sim, List<Command> batch) {
+        for (Effect effect : sim.kernel.handle(batch, time())) {
+            if (effect instanceof Effect.Answer answer) {
+                Consumer<Response> then = sim.inbound.remove(answer.exchange());
+                if (then != null) {
+                    then.accept(answer.response());
+                }
+            } else if (effect instanceof Effect.Send send) {
+                long epoch = sim.epoch;
+                send(sim.name, send.request(), reply -> {
+                    if (sim.epoch == epoch && sim.node != null) {
+                        handle(sim, List.of(new Command.CallEnded(send.call(), reply)));
+                    }
+                });
+            }
+        }
+        long due = Math.max(now + 1, sim.kernel.nextDue());
+        if (due < sim.wake) {
+            sim.wake = due;
+            long epoch = sim.epoch;
+            at(due, () -> {
+                if (sim.epoch == epoch && sim.node != null) {
+                    sim.wake = Long.MAX_VALUE;
+                    handle(sim, List.of());
+                }
+            });
+        }
+    }
+
+    private void deliver(int index, Door door, Call call, Consumer<Reply> then) {
+        SimNode sim = nodes.get(index);
+        if (sim.node == null) {
+            return;
+        }
+        long id = ++sim.exchanges;
+        sim.inbound.put(id, response -> then.accept(new Reply(response.status(), response.body())));
+        handle(sim, List.of(new Command.Arrived(new Request(id, door, call.method(), call.path(), "",
+                call.body() == null ? new byte[0] : call.body()))));
+    }
+
+    // ---- network
+
+    /** Cuts two hosts off from each other, or one from all with {@code "*"}; packets are held back. */
+    public void cut(String one, String other) {
+        cuts.add(one + "|" + other);
+    }
+
+    public void heal(String one, String other) {
+        cuts.remove(one + "|" + other);
+        held.values().stream().flatMap(List::stream).toList().forEach(run -> at(now + 1 + random.nextInt(20), run));
+        held.clear();
+    }
+
+    public void lateTransactions(double share) {
+        lateTransactions = share;
+    }
+
+    private boolean isCut(String one, String other) {
+        return cuts.contains(one + "|" + other) || cuts.contains(other + "|" + one) || cuts.contains(one + "|*")
+                || cuts.contains(other + "|*");
+    }
+
+    private void send(String from, Call call, Consumer<Reply> then) {
+        String to = host(call.to());
+        boolean[] done = new boolean[1];
+        Consumer<Reply> once = reply -> {
+            if (!done[0]) {
+                done[0] = true;
+                then.accept(reply);
+            }
+        };
+        at(now + call.timeoutMs(), () -> once.accept(Reply.lost()));
+        boolean late = call.path().equals("/multi") && random.nextDouble() < lateTransactions;
+        Runnable arrive = () -> serve(to, call, reply -> {
+            if (!isCut(from, to)) {
+                at(now + 1 + random.nextInt(3), () -> once.accept(reply));
+            }
+        });
+        if (late) {
+            at(now + 2_000 + random.nextInt(20_000), arrive);
+        } else if (isCut(from, to)) {
+            held.computeIfAbsent(from + "|" + to, key -> new ArrayList<>()).add(arrive);
+        } else {
+            at(now + 1 + random.nextInt(3), arrive);
+        }
+    }
+
+    private static String host(Endpoint to) {
+        if (to.equals(STORE_AT)) {
+            return STORE;
+        }
+        if (to.equals(CLOUD_AT)) {
+            return CLOUD;
+        }
+        if (to.host().startsWith("10.0.0.")) {
+            return "rig-" + (Integer.parseInt(to.host().substring("10.0.0.".length())) - 1);
+        }
+        return String.format("i-%06d", to.port() - 10_000);
+    }
+
+    private void serve(String to, Call call, Consumer<Reply> then) {
+        if (to.equals(STORE)) {
+            store.handle(call, now, then);
+        } else if (to.equals(CLOUD)) {
+            cloud.handle(call, now, then);
+        } else if (to.startsWith("rig-")) {
+            deliver(Integer.parseInt(to.substring(4)), Door.PEER, call, then);
+        } else {
+            SimWorker sim = workers.get(to);
+            if (sim == null) {
+                return;
+            }
+            Runnable execute = () -> {
+                sim.worker.tick(now);
+                then.accept(sim.worker.orders(Json.readOrNull(call.body()), now));
+            };
+            if (sim.hanging) {
+                sim.whileHanging.add(execute);
+            } else {
+                execute.run();
+            }
+        }
+    }
+
+    // ---- workers
+
+    private void boot(String id, String type, String zone, boolean spot) {
+        SimWorker sim = new SimWorker(new WorkerStandIn(id, type, zone, spot, LEASE_MS, now, this::description, rules));
+        sim.home = random.nextInt(nodes.size());
+        workers.put(id, sim);
+        rules.now(() -> now);
+        workerStep(sim);
+    }
+
+    private void workerStep(SimWorker sim) {
+        if (workers.get(sim.worker.id) != sim) {
+            return;
+        }
+        if (sim.hanging) {
+            sim.worker.expire(now);
+        } else {
+            sim.worker.tick(now);
+            boolean due = now - sim.lastSent >= REPORT_MS * 3 / 4 + random.nextInt((int) REPORT_MS / 2)
+                    || now - sim.lastSent >= 500 && sim.worker.takeChanged();
+            if (due && !sim.reporting) {
+                report(sim);
+            }
+        }
+        at(now + 50, () -> workerStep(sim));
+    }
+
+    private void report(SimWorker sim) {
+        sim.reporting = true;
+        sim.lastSent = now;
+        long tenure = sim.worker.tenure();
+        long sentAt = now;
+        int target = sim.home;
+        Call call = Call.post(new Endpoint("10.0.0." + (target + 1), 8080), "/hello", sim.worker.report(), WORKER_TIMEOUT_MS);
+        String name = "rig-" + target;
+        boolean[] done = new boolean[1];
+        Consumer<Reply> end = reply -> {
+            if (!done[0]) {
+                done[0] = true;
+                reported(sim, reply, tenure, sentAt);
+            }
+        };
+        at(now + WORKER_TIMEOUT_MS, () -> end.accept(Reply.lost()));
+        Runnable arrive = () -> deliver(target, Door.CLIENT, call, reply -> {
+            if (!isCut(sim.worker.id, name)) {
+                at(now + 1, () -> end.accept(reply));
+            }
+        });
+        if (isCut(sim.worker.id, name)) {
+            held.computeIfAbsent(sim.worker.id, key -> new ArrayList<>()).add(arrive);
+        } else if (nodes.get(target).node == null) {
+            at(now + 1, () -> end.accept(Reply.lost()));
+        } else {
+            at(now + 1 + random.nextInt(3), arrive);
+        }
+    }
+
+    private void reported(SimWorker sim, Reply reply, long tenure, long sentAt) {
+        if (workers.get(sim.worker.id) != sim) {
+            return;
+        }
+        if (reply.ok() && !sim.hanging) {
+            sim.worker.answered(reply, tenure, sentAt, now);
+            sim.reporting = false;
+            return;
+        }
+        if (reply.status() == 421 && reply.json().has("home_controller")) {
+            sim.home = Integer.parseInt(reply.json().path("home_controller").asText().substring(4));
+            at(now + 100, () -> sim.reporting = false);
+        } else {
+            sim.home = (sim.home + 1) % nodes.size();
+            at(now + 1_000, () -> sim.reporting = false);
+        }
+        sim.lastSent = now - REPORT_MS * 2;
+    }
+
+    public List<String> machines() {
+        return List.copyOf(workers.keySet());
+    }
+
+    public void hang(String id, boolean on) {
+        SimWorker sim = workers.get(id);
+        if (sim != null) {
+            sim.hanging = on;
+            if (!on) {
+                sim.worker.tick(now);
+                sim.whileHanging.forEach(Runnable::run);
+                sim.whileHanging.clear();
+            }
+        }
+    }
+
+    private WorkerStandIn.Description description(String job) {
+        JsonNode spec = submitted.get(job);
+        return spec == null ? null : new WorkerStandIn.Description(spec.path("cpus").asDouble(),
+                spec.path("runtime_guess_s").asDouble(), spec.path("pull_gb").asDouble() / 2,
+                spec.path("shape").asText().equals("daemon"), spec.path("bundle").asText().equals("broken"));
+    }
+
+    // ---- users
+
+    /** A user's request to a node; ends with a reply, or with a lost one after 5 s. */
+    public void user(int node, String method, String path, JsonNode body, Consumer<Reply> then) {
+        boolean[] done = new boolean[1];
+        Consumer<Reply> once = reply -> {
+            if (!done[0]) {
+                done[0] = true;
+                then.accept(reply);
+            }
+        };
+        at(now + 5_000, () -> once.accept(Reply.lost()));
+        Call call = body == null ? Call.get(new Endpoint("10.0.0.1", 1), path, 5_000)
+                : Call.post(new Endpoint("10.0.0.1", 1), path, body, 5_000);
+        at(now + 1, () -> deliver(node, Door.CLIENT, new Call(call.to(), method, path, call.type(), call.body(), 5_000),
+                reply -> at(now + 1, () -> once.accept(reply))));
+    }
+
+    /** Submits until the job is accepted, then polls and perhaps aborts it, watching all answers. */
+    public void job(JsonNode spec, Long abortAt) {
+        String id = spec.path("id").asText();
+        submitted.put(id, spec);
+        rules.submitted(spec);
+        submit(id, spec);
+        if (abortAt != null) {
+            at(abortAt, () -> abort(id));
+        }
+    }
+
+    private int anyNode() {
+        return random.nextInt(nodes.size());
+    }
+
+    private void submit(String id, JsonNode spec) {
+        user(anyNode(), "POST", "/submissions", spec, reply -> {
+            if (reply.status() == 201 || reply.status() == 200) {
+                rules.told(id, reply, now);
+                poll(id);
+            } else {
+                rules.refused(id, reply.status());
+                at(now + 1_000, () -> submit(id, spec));
+            }
+        });
+    }
+
+    private void poll(String id) {
+        at(now + 2_000 + random.nextInt(1_000), () -> user(anyNode(), "GET", "/submissions/" + id, null, reply -> {
+            rules.told(id, reply, now);
+            poll(id);
+        }));
+    }
+
+    private void abort(String id) {
+        user(anyNode(), "POST", "/submissions/" + id + "/abort", Json.object(), reply -> {
+            if (reply.ok()) {
+                rules.told(id, reply, now);
+            } else {
+                at(now + 1_000, () -> abort(id));
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/test/java/io/quartzgw/standin/WorkerStandIn.java
@@ -0,0 +1,235 @@
+package io.quartzgw.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.quartzgw.http.Json;
+import io.quartzgw.http.Reply;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+
+/** A worker as its protocol page describes it: sessions, tokens, leases, orders; time is handed in. */
+public final class WorkerStandIn {
+    private static final double CPUS_SMALL = 8;
+    private static final double CPUS_LARGE = 16;
+
+    /** What a worker learns of a job; null where no such job was submitted. */
+    public record Description(double cpus, double runS, double imageS, boolean service, boolean faulty) {}
+
+    /** Told when a task begins to be, and ceases to be, on the machine. */
+    public interface Watcher {
+        void started(WorkerStandIn on, String task);
+
+        void ended(WorkerStandIn on, String task);
+
+        void completed(String task);
+    }
+
+    private static final class Task {
+        private final String name;
+        private final long attempt;
+        private final Description job;
+        private long runsAt;
+        private long doneAt;
+        private boolean running;
+        private String cause;
+
+        Task(String name, long attempt, Description job) {
+            this.name = name;
+            this.attempt = attempt;
+            this.job = job;
+        }
+    }
+
+    public final String id;
+    public final String type;
+    public final String zone;
+    public final boolean spot;
+    private final long leaseMs;
+    private final Function<String, Description> jobs;
+    private final Watcher watcher;
+    private final Map<String, Task> tasks = new LinkedHashMap<>();
+    private long tenure = 1;
+    private long counter;
+    private long token;
+    private long renewedAt;
+    private boolean changed;
+
+    public WorkerStandIn(String id, String type, String zone, boolean spot, long leaseMs, long now,
+            Function<String, Description> jobs, Watcher watcher) {
+        this.id = id;
+        this.type = type;
+        this.zone = zone;
+        this.spot = spot;
+        this.leaseMs = leaseMs;
+        this.renewedAt = now;
+        this.jobs = jobs;
+        this.watcher = watcher;
+    }
+
+    public static String address(String id) {
+        return "10.1.0.1:" + (10_000 + Integer.parseInt(id.substring(2)));
+    }
+
+    public long tenure() {
+        return tenure;
+    }
+
+    public long token() {
+        return token;
+    }
+
+    /** Whether something has changed since the last report. */
+    public boolean takeChanged() {
+        boolean was = changed;
+        changed = false;
+        return was;
+    }
+
+    public List<String> running() {
+        return tasks.values().stream().filter(task -> task.running).map(task -> task.name).toList();
+    }
+
+    /** The machine is gone, with all that is on it. */
+    public void die() {
+        forgetAll();
+    }
+
+    public void tick(long now) {
+        expire(now);
+        for (Task task : List.copyOf(tasks.values())) {
+            if (task.cause == null && !task.running && now >= task.runsAt) {
+                task.running = true;
+                changed = true;
+                watcher.started(this, task.name);
+            }
+            if (task.cause == null && task.running && !task.job.service() && now >= task.doneAt) {
+                if (!task.job.faulty()) {
+                    watcher.completed(task.name);
+                }
+                end(task, task.job.faulty() ? "error" : "done");
+            }
+        }
+    }
+
+    /** Ends the session when its lease has run out; a machine that hangs past it runs nothing any more. */
+    public void expire(long now) {
+        if (now - renewedAt > leaseMs) {
+            forgetAll();
+            tenure++;
+            renewedAt = now;
+            changed = true;
+        }
+    }
+
+    private void forgetAll() {
+        tasks.values().stream().filter(task -> task.running).forEach(task -> watcher.ended(this, task.name));
+        tasks.clear();
+    }
+
+    private void end(Task task, String cause) {
+        if (task.running) {
+            task.running = false;
+            watcher.ended(this, task.name);
+        }
+        task.cause = cause;
+        changed = true;
+    }
+
+    public ObjectNode report() {
+        ObjectNode report = Json.object().put("host", id).put("address", address(id)).put("host_type", type)
+                .put("yard", zone).put("loaner", spot).put("tenure", tenure).put("counter", ++counter)
+                .put("baton", token);
+        report.putNull("reclaim_in_s");
+        ArrayNode list = report.putArray("shards");
+        for (Task task : tasks.values()) {
+            ObjectNode node = list.addObject().put("shard", task.name).put("try_no", task.attempt);
+            node.put("phase", task.cause != null ? "ended" : task.running ? "running" : "fetching");
+            if (task.cause != null) {
+                node.put("exit_cause", task.cause);
+            }
+        }
+        return report;
+    }
+
+    /** Takes the response to a report that was sent in a session at a moment. */
+    public void answered(Reply reply, long sentIn, long sentAt, long now) {
+        JsonNode body = reply.json();
+        if (!reply.ok() || sentIn != tenure || body.path("baton").asLong() < token || !body.has("baton")) {
+            return;
+        }
+        token = body.path("baton").asLong();
+        renewedAt = Math.max(renewedAt, sentAt);
+        execute(body.path("orders"), now);
+    }
+
+    /** Serves a direct order. */
+    public Reply orders(JsonNode body, long now) {
+        long told = body.path("baton").asLong();
+        if (!body.has("baton") || !body.has("tenure")) {
+            return StoreStandIn.reply(400, Json.object());
+        }
+        boolean stale = told < token;
+        if (told > token) {
+            token = told;
+            changed = true;
+        }
+        if (stale || body.path("tenure").asLong() != tenure) {
+            return StoreStandIn.reply(409, report());
+        }
+        execute(body.path("orders"), now);
+        return StoreStandIn.reply(200, report());
+    }
+
+    private void execute(JsonNode orders, long now) {
+        for (JsonNode order : orders) {
+            String name = order.path("shard").asText();
+            long attempt = order.path("try_no").asLong();
+            Task known = tasks.get(name + "#" + attempt);
+            switch (order.path("verb").asText()) {
+                case "run" -> {
+                    if (known == null) {
+                        run(name, attempt, now);
+                    }
+                }
+                case "kill" -> {
+                    if (known != null && known.cause == null) {
+                        end(known, "stopped");
+                    }
+                }
+                default -> {
+                    if (known != null && known.cause != null) {
+                        tasks.remove(name + "#" + attempt);
+                    }
+                }
+            }
+        }
+    }
+
+    private void run(String name, long attempt, long now) {
+        Description job = jobs.apply(name.substring(0, name.indexOf('/')));
+        Task task = new Task(name, attempt, job);
+        double used = tasks.values().stream().filter(other -> other.cause == null)
+                .mapToDouble(other -> other.job.cpus()).sum();
+        boolean busy = tasks.values().stream().anyMatch(other -> other.name.equals(name));
+        if (job == null) {
+            task.cause = "unknown";
+        } else if (busy) {
+            task.cause = "busy";
+        } else if (used + job.cpus() > (type.equals("large") ? CPUS_LARGE : CPUS_SMALL)) {
+            task.cause = "no_room";
+        } else {
+            task.runsAt = now + (long) (job.imageS() * 1000);
+            task.doneAt = task.runsAt + (long) (job.runS() * 1000);
+        }
+        tasks.put(name + "#" + attempt, task);
+        changed = true;
+    }
+
+    public List<String> names() {
+        return new ArrayList<>(tasks.keySet());
+    }
+}
