Guard a takeover against its own follow, and machine records against late notes

A node that learned of its victory by the follow before its transaction's answer dropped the hold it led with, so that the next start took over. A late note (used = false) could overwrite the mark (used = true) that came after it, and a takeover then placed tasks again that ran there.

--- a/src/main/java/io/quartzgw/fleet/MachineRecords.java
+++ b/src/main/java/io/quartzgw/fleet/MachineRecords.java
@@ -97,30 +97,60 @@
                 || !leadership.confirmed()) {
             return;
         }
+        if (toMark.isEmpty() && toDrop.isEmpty()) {
+            writeNotes();
+            return;
+        }
         Txn txn = new Txn().guard(Leadership.TERM, termRevision);
         List<Machine> marked = new ArrayList<>();
-        List<Machine> noted = new ArrayList<>();
         List<String> dropped = new ArrayList<>();
         take(toMark, marked, txn, machine -> txn.put(PREFIX + machine.id(), record(machine, true)));
-        take(toNote, noted, txn, machine -> txn.put(PREFIX + machine.id(), record(machine, machine.used())));
         take(toDrop, dropped, txn, id -> txn.drop(PREFIX + id));
         writing = true;
         store.commit(txn, Urgency.FIRST, outcome -> {
             writing = false;
             if (outcome instanceof TxnOutcome.Committed) {
                 marked.forEach(Machine::markUsed);
-                noted.forEach(Machine::markRecorded);
                 marked.stream().filter(machine -> cluster.machine(machine.id()) == machine).forEach(used);
                 return;
             }
             toMark.addAll(marked);
-            noted.stream().filter(machine -> !cluster.gone(machine.id())).forEach(toNote::add);
             toDrop.addAll(dropped);
-            retrying = true;
-            kernel.after(RETRY_MS, () -> retrying = false);
+            pause();
+        });
+    }
+
+    // A note that is applied late must not take back the mark that came after it: it is only written
+    // where the machine has no record yet.
+    private void writeNotes() {
+        Txn txn = new Txn().guard(Leadership.TERM, termRevision);
+        List<Machine> noted = new ArrayList<>();
+        take(toNote, noted, txn, machine -> txn.guard(PREFIX + machine.id(), Txn.ABSENT)
+                .put(PREFIX + machine.id(), record(machine, false)));
+        writing = true;
+        store.commit(txn, Urgency.NORMAL, outcome -> {
+            writing = false;
+            if (outcome instanceof TxnOutcome.Committed) {
+                noted.forEach(Machine::markRecorded);
+                return;
+            }
+            for (Machine machine : noted) {
+                if (outcome instanceof TxnOutcome.Conflict conflict
+                        && conflict.failed().contains(PREFIX + machine.id())) {
+                    machine.markRecorded();
+                } else if (!cluster.gone(machine.id()) && !machine.used()) {
+                    toNote.add(machine);
+                }
+            }
+            pause();
         });
     }
 
+    private void pause() {
+        retrying = true;
+        kernel.after(RETRY_MS, () -> retrying = false);
+    }
+
     private <T> void take(Set<T> from, List<T> into, Txn txn, Consumer<T> write) {
         var each = from.iterator();
         while (each.hasNext() && txn.size() < store.txnOps()) {
--- a/src/main/java/io/quartzgw/leadership/Leadership.java
+++ b/src/main/java/io/quartzgw/leadership/Leadership.java
@@ -225,6 +225,7 @@
             return;
         }
         campaigning = true;
+        LOG.debug("standing for term {}, the record names {}", Math.max(storedTerm, highestTerm) + 1, leader);
         kernel.after(kernel.random().nextInt(CAMPAIGN_SPREAD_MS), this::campaign);
     }
 
@@ -247,11 +248,14 @@
                     .putHeld(LEADER, new LeaderRecord(member, process, aim, granted).toJson(), granted)
                     .put(TERM, Json.object().put("term", aim));
             store.commit(txn, Urgency.FIRST, outcome -> {
-                if (outcome instanceof TxnOutcome.Committed committed && aim > term && !leading) {
+                if (outcome instanceof TxnOutcome.Committed committed) {
                     campaigning = false;
-                    storedTerm = Math.max(storedTerm, aim);
-                    termRevision = Math.max(termRevision, committed.revision());
-                    lead(aim, granted, asked);
+                    // The follow may have told of the victory first: the hold is in use then.
+                    if (!leading && aim > term) {
+                        storedTerm = Math.max(storedTerm, aim);
+                        termRevision = Math.max(termRevision, committed.revision());
+                        lead(aim, granted, asked);
+                    }
                     return;
                 }
                 if (!(outcome instanceof TxnOutcome.Unknown)) {
--- a/src/test/java/io/quartzgw/app/FailureTest.java
+++ b/src/test/java/io/quartzgw/app/FailureTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.slf4j.LoggerFactory;
 
 /** Three cores in a simulated world, through failures; every rule of the protocol is watched. */
 class FailureTest {
@@ -56,6 +57,8 @@
             int kind = random.nextInt(7);
             long start = at;
             world.at(start, () -> {
+                LoggerFactory.getLogger("world").info("{} ms: failure {} of node {} or {} for {} ms", start, kind, node,
+                        other, lasts);
                 List<String> machines = world.machines();
                 String machine = machines.isEmpty() ? null : machines.get((int) (start % machines.size()));
                 switch (kind) {
@@ -118,9 +121,10 @@
         assertTrue(arrays.stream().allMatch(id -> world.rules.finalPhase(id) != null), "every array is over");
     }
 
-    /** Fixed seeds; {@code -Dquartzgw.seeds=500} tries more by hand. */
+    /** Fixed seeds; {@code -Dquartzgw.first=11 -Dquartzgw.seeds=500} tries others by hand. */
     static LongStream seeds() {
-        return LongStream.range(11, 11 + Integer.getInteger("quartzgw.seeds", 24));
+        long first = Long.getLong("quartzgw.first", 11);
+        return LongStream.range(first, first + Integer.getInteger("quartzgw.seeds", 24));
     }
 
     @ParameterizedTest
--- a/src/test/java/io/quartzgw/standin/SimWorld.java
+++ b/src/test/java/io/quartzgw/standin/SimWorld.java
@@ -202,6 +202,8 @@
     }
 
     private void handle(SimNode sim, List<Command> batch) {
+        // Shown by the log's lines: which node, and when.
+        Thread.currentThread().setName(now + " " + sim.name);
         for (Effect effect : sim.kernel.handle(batch, time())) {
             if (effect instanceof Effect.Answer answer) {
                 Consumer<Response> then = sim.inbound.remove(answer.exchange());
