A late notice of an accepted job no longer brings a withdrawn job back

Found by the simulated world: a notice held back by a cut between two controllers reached the leader after the job was over, and its tasks were started again.

--- a/src/main/java/io/quartzgw/app/Leader.java
+++ b/src/main/java/io/quartzgw/app/Leader.java
@@ -48,6 +48,7 @@
     private final MachineRecords records;
     private final Fleet fleet;
     private boolean fleetStarted;
+    private long followedTo = Long.MAX_VALUE;
 
     Leader(Kernel kernel, Settings settings, Leadership leadership, Peers peers, StoreClient store, JobStore jobs,
             MachineTypes types, CloudClient cloud, long formerAnswersUntil) {
@@ -121,7 +122,9 @@
     // ---- jobs
 
     void accepted(OpenJob open) {
-        if (recovery.placing() && jobs.cached(open.spec().id()) == null) {
+        // A notice may be held up and come late, when the job is over already: what the follow has
+        // passed, it has told better.
+        if (open.revision() > followedTo) {
             cluster.add(open);
         }
     }
@@ -162,6 +165,11 @@
             return current();
         }
 
+        @Override
+        public void reached(long revision) {
+            followedTo = revision;
+        }
+
         @Override
         public void changed(List<Change> changes) {
             for (Change change : changes) {
--- a/src/main/java/io/quartzgw/store/StoreClient.java
+++ b/src/main/java/io/quartzgw/store/StoreClient.java
@@ -184,6 +184,9 @@
     public interface Follower {
         boolean wanted();
 
+        /** All changes up to a revision have been told. */
+        default void reached(long revision) {}
+
         void changed(List<Change> changes);
 
         /** Changes were missed: everything has to be read again. */
@@ -195,6 +198,7 @@
         if (!follower.wanted()) {
             return;
         }
+        follower.reached(since);
         String path = "/follow?starts=" + prefix + "&since=" + since + "&hold_ms=" + FOLLOW_MS;
         submit(Call.get(endpoint, path, FOLLOW_MS + FOLLOW_SLACK_MS), 0, Urgency.FIRST, reply -> {
             if (!follower.wanted()) {
