--- /dev/null
+++ b/src/test/java/io/quartzgw/standin/ClassArchive.java
@@ -0,0 +1,62 @@
+package io.quartzgw.standin;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.quartzgw.http.Json;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Run by the build: makes the class-data archive from one real node that serves a little work against
+ * the stand-ins on loopback. A node that starts from the archive is up in a fraction of the time.
+ */
+public final class ClassArchive {
+    private static final long LIMIT_MS = 20_000;
+
+    private ClassArchive() {}
+
+    /** @param args the jar, the archive to write, and the options of the JVM that will use it */
+    public static void main(String[] args) throws IOException, InterruptedException {
+        Path folder = Files.createTempDirectory("quartzgw");
+        try (LoopbackWorld world = new LoopbackWorld(1)) {
+            List<String> command = new ArrayList<>();
+            command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+            command.addAll(List.of(args).subList(2, args.length));
+            command.addAll(List.of("-XX:ArchiveClassesAtExit=" + args[1], "-jar", args[0], "--config",
+                    world.settings(0, folder).toString()));
+            Process process = new ProcessBuilder(command).redirectErrorStream(true)
+                    .redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
+            work(world);
+            process.destroy();
+            if (!process.waitFor(LIMIT_MS, TimeUnit.MILLISECONDS)) {
+                process.destroyForcibly();
+            }
+        }
+        // The stand-ins' HTTP threads may be waiting for an answer for good.
+        System.exit(0);
+    }
+
+    private static void work(LoopbackWorld world) {
+        long end = System.currentTimeMillis() + LIMIT_MS;
+        ObjectNode spec = Json.object().put("id", "j-000001").put("workload", "w").put("crew", "blue").put("shape", "array")
+                .put("urgency", "standard").put("shards", 4).put("cpus", 2.0).put("gpus", 0.0).put("ram_gb", 1.0)
+                .put("bundle", "img").put("pull_gb", 1.0).put("together", false).put("scatter", false)
+                .put("loaner", true).put("runtime_guess_s", 0.3).put("snapshot_every_s", 0.0)
+                .put("snapshot_cost_s", 0.0);
+        while (world.submit(0, spec).status() / 100 != 2 && System.currentTimeMillis() < end) {
+            LoopbackWorld.pause(200);
+        }
+        world.request(0, "GET", "/ready", null);
+        while (!world.request(0, "GET", "/submissions/j-000001", null).json().path("phase").asText().equals("done")
+                && System.currentTimeMillis() < end) {
+            LoopbackWorld.pause(200);
+        }
+        world.submit(0, spec.put("id", "j-000002").put("shape", "daemon"));
+        LoopbackWorld.pause(500);
+        world.request(0, "POST", "/submissions/j-000002/abort", Json.object());
+        LoopbackWorld.pause(300);
+    }
+}
--- a/src/test/java/io/quartzgw/standin/CloudStandIn.java
+++ b/src/test/java/io/quartzgw/standin/CloudStandIn.java
@@ -15,6 +15,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 /** The cloud as its protocol page describes it, with a machine list that lags; time is handed in. */
 public final class CloudStandIn {
@@ -24,6 +25,7 @@
     private final TreeMap<String, Rented> machines = new TreeMap<>();
     private final Map<String, List<String>> answered = new HashMap<>();
     private final List<Snapshot> history = new ArrayList<>();
+    private final Function<String, String> addresses;
     private Listener listener;
 
     /** What happens to machines. */
@@ -39,7 +41,8 @@
 
     private final Set<String> up = new HashSet<>();
 
-    public CloudStandIn(long lagMs, long bootMs, int capacity) {
+    public CloudStandIn(long lagMs, long bootMs, int capacity, Function<String, String> addresses) {
+        this.addresses = addresses;
         this.lagMs = lagMs;
         this.bootMs = bootMs;
         this.capacity = capacity;
@@ -132,7 +135,7 @@
         seen.forEach((id, machine) -> {
             if (id.compareTo(since) > 0) {
                 String phase = machine.failed ? "failed" : asOf - machine.since >= bootMs ? "running" : "booting";
-                list.addObject().put("id", id).put("address", WorkerStandIn.address(id)).put("host_type", machine.type)
+                list.addObject().put("id", id).put("address", addresses.apply(id)).put("host_type", machine.type)
                         .put("yard", machine.zone).put("loaner", machine.spot).put("phase", phase)
                         .put("held_s", (asOf - machine.since) / 1000.0);
             }
--- /dev/null
+++ b/src/test/java/io/quartzgw/standin/LoopbackWorld.java
@@ -0,0 +1,254 @@
+package io.quartzgw.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import io.quartzgw.http.Call;
+import io.quartzgw.http.Endpoint;
+import io.quartzgw.http.Json;
+import io.quartzgw.http.Reply;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/** The stand-ins over real HTTP on loopback, in real time, for whole processes of the program. */
+public final class LoopbackWorld implements AutoCloseable {
+    private static final long REPORT_MS = 400;
+    private static final long LEASE_MS = 8_000;
+
+    private final StoreStandIn store = new StoreStandIn();
+    private final CloudStandIn cloud = new CloudStandIn(200, 300, 4, this::addressOf);
+    private final ExecutorService threads = Executors.newCachedThreadPool();
+    private final ScheduledExecutorService clock = Executors.newSingleThreadScheduledExecutor();
+    private final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(Duration.ofSeconds(2)).executor(threads).build();
+    private final Map<String, JsonNode> jobs = new ConcurrentHashMap<>();
+    private final Map<String, HttpServer> workerServers = new HashMap<>();
+    private final Map<String, WorkerStandIn> workers = new ConcurrentHashMap<>();
+    private final HttpServer storeServer;
+    private final HttpServer cloudServer;
+    private final int[] clientPorts;
+    private final int[] peerPorts;
+
+    private interface Handler {
+        void handle(Call call, long now, Consumer<Reply> then);
+    }
+
+    public LoopbackWorld(int nodes) throws IOException {
+        storeServer = serve((call, now, then) -> store.handle(call, now, then));
+        cloudServer = serve((call, now, then) -> cloud.handle(call, now, then));
+        clientPorts = freePorts(nodes);
+        peerPorts = freePorts(nodes);
+        cloud.listener(new CloudStandIn.Listener() {
+            @Override
+            public void booted(String id, String type, String zone, boolean spot) {
+                boot(id, type, zone, spot);
+            }
+
+            @Override
+            public void gone(String id) {
+                workers.remove(id);
+            }
+        });
+        clock.scheduleAtFixedRate(this::tick, 20, 20, TimeUnit.MILLISECONDS);
+    }
+
+    private static int[] freePorts(int count) throws IOException {
+        int[] ports = new int[count];
+        ServerSocket[] sockets = new ServerSocket[count];
+        for (int i = 0; i < count; i++) {
+            sockets[i] = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+            ports[i] = sockets[i].getLocalPort();
+        }
+        for (ServerSocket socket : sockets) {
+            socket.close();
+        }
+        return ports;
+    }
+
+    private static long now() {
+        return System.nanoTime() / 1_000_000;
+    }
+
+    private HttpServer serve(Handler handler) throws IOException {
+        HttpServer server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+        server.setExecutor(threads);
+        server.createContext("/", exchange -> answer(exchange, handler));
+        server.start();
+        return server;
+    }
+
+    private void answer(HttpExchange exchange, Handler handler) throws IOException {
+        byte[] body = exchange.getRequestBody().readAllBytes();
+        Call call = new Call(new Endpoint("127.0.0.1", 1), exchange.getRequestMethod(),
+                exchange.getRequestURI().toString(), null, body.length == 0 ? null : body, 0);
+        CompletableFuture<Reply> reply = new CompletableFuture<>();
+        synchronized (this) {
+            handler.handle(call, now(), reply::complete);
+        }
+        Reply done = reply.join();
+        exchange.sendResponseHeaders(done.status(), done.body().length == 0 ? -1 : done.body().length);
+        exchange.getResponseBody().write(done.body());
+        exchange.close();
+    }
+
+    private synchronized void tick() {
+        store.tick(now());
+        cloud.tick(now());
+        workers.values().forEach(worker -> worker.tick(now()));
+    }
+
+    // ---- workers
+
+    private synchronized String addressOf(String id) {
+        return "127.0.0.1:" + workerServers.computeIfAbsent(id, key -> {
+            try {
+                return serve((call, now, then) -> {
+                    WorkerStandIn worker = workers.get(id);
+                    then.accept(worker == null ? new Reply(503, new byte[0])
+                            : worker.orders(Json.readOrNull(call.body()), now));
+                });
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        }).getAddress().getPort();
+    }
+
+    private void boot(String id, String type, String zone, boolean spot) {
+        WorkerStandIn worker = new WorkerStandIn(id, addressOf(id), type, zone, spot, LEASE_MS, now(), this::description,
+                new WorkerStandIn.Watcher() {
+                    @Override
+                    public void started(WorkerStandIn on, String task) {}
+
+                    @Override
+                    public void ended(WorkerStandIn on, String task) {}
+
+                    @Override
+                    public void completed(String task) {}
+                });
+        workers.put(id, worker);
+        threads.execute(() -> reportForever(worker));
+    }
+
+    private WorkerStandIn.Description description(String job) {
+        JsonNode spec = jobs.get(job);
+        return spec == null ? null : new WorkerStandIn.Description(spec.path("cpus").asDouble(),
+                spec.path("runtime_guess_s").asDouble(), 0.1, spec.path("shape").asText().equals("daemon"), false);
+    }
+
+    private void reportForever(WorkerStandIn worker) {
+        int home = 0;
+        while (workers.get(worker.id) == worker) {
+            long sentAt = now();
+            JsonNode report;
+            long tenure;
+            synchronized (this) {
+                report = worker.report();
+                tenure = worker.tenure();
+            }
+            Reply reply = request(home, "POST", "/hello", report);
+            if (reply.status() == 421 && reply.json().has("home_controller")) {
+                home = Integer.parseInt(reply.json().path("home_controller").asText().substring(4));
+            } else if (!reply.ok()) {
+                home = (home + 1) % clientPorts.length;
+            }
+            synchronized (this) {
+                worker.answered(reply, tenure, sentAt, now());
+            }
+            pause(REPORT_MS);
+        }
+    }
+
+    public static void pause(long ms) {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    // ---- users
+
+    /** A request to a node; lost when the node does not answer. */
+    public Reply request(int node, String method, String path, JsonNode body) {
+        HttpRequest.BodyPublisher publisher = body == null ? HttpRequest.BodyPublishers.noBody()
+                : HttpRequest.BodyPublishers.ofByteArray(Json.write(body));
+        return raw(node, method, path, publisher);
+    }
+
+    public Reply raw(int node, String method, String path, HttpRequest.BodyPublisher body) {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + clientPorts[node] + path))
+                .timeout(Duration.ofSeconds(4)).method(method, body).build();
+        try {
+            HttpResponse<byte[]> response = http.send(request, HttpResponse.BodyHandlers.ofByteArray());
+            return new Reply(response.statusCode(), response.body());
+        } catch (IOException e) {
+            return Reply.lost();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return Reply.lost();
+        }
+    }
+
+    /** Submits a job whose description workers can read from then on. */
+    public Reply submit(int node, JsonNode spec) {
+        jobs.put(spec.path("id").asText(), spec);
+        return request(node, "POST", "/submissions", spec);
+    }
+
+    // ---- settings
+
+    /** Writes a node's settings file. */
+    public Path settings(int node, Path folder) throws IOException {
+        StringBuilder toml = new StringBuilder();
+        toml.append("member = \"rig-").append(node).append("\"\nsite = \"a\"\n")
+                .append("client_listen = \"127.0.0.1:").append(clientPorts[node]).append("\"\n")
+                .append("peer_listen = \"127.0.0.1:").append(peerPorts[node]).append("\"\n");
+        for (int i = 0; i < clientPorts.length; i++) {
+            if (i != node) {
+                toml.append("[[known]]\nmember = \"rig-").append(i).append("\"\nsite = \"a\"\nendpoint = \"127.0.0.1:")
+                        .append(peerPorts[i]).append("\"\n");
+            }
+        }
+        toml.append("[external]\ncloud = \"127.0.0.1:").append(cloudServer.getAddress().getPort())
+                .append("\"\nstate = \"127.0.0.1:").append(storeServer.getAddress().getPort()).append("\"\n")
+                .append("[facts]\nsize = ").append(clientPorts.length)
+                .append("\nzones = [\"a\", \"b\"]\ntime_bound_ms = 100.0\n")
+                .append("[[facts.teams]]\nname = \"blue\"\ncpus = 0.0\ncpus_max = 0.0\ngpus = 0.0\ngpus_max = 0.0\n")
+                .append("[facts.workers]\nreport_s = 0.4\nlease_s = 8.0\ncancel_s = 20.0\n")
+                .append("[facts.state]\nrps = 600.0\nwrite_rps = 300.0\nvalue_kb = 8.0\ntxn_ops = 16\n")
+                .append("[facts.cloud]\nrps = 20.0\nlist_lag_s = 0.5\n[facts.limits]\nsockets = 200\n");
+        Path file = folder.resolve("rig-" + node + ".toml");
+        Files.writeString(file, toml);
+        return file;
+    }
+
+    @Override
+    public void close() {
+        workers.clear();
+        clock.shutdownNow();
+        storeServer.stop(0);
+        cloudServer.stop(0);
+        synchronized (this) {
+            workerServers.values().forEach(server -> server.stop(0));
+        }
+        threads.shutdownNow();
+    }
+}
--- a/src/test/java/io/quartzgw/standin/SimWorld.java
+++ b/src/test/java/io/quartzgw/standin/SimWorld.java
@@ -46,7 +46,7 @@
 
     public final SplittableRandom random;
     public final StoreStandIn store = new StoreStandIn();
-    public final CloudStandIn cloud = new CloudStandIn(5_000, 8_000, 12);
+    public final CloudStandIn cloud = new CloudStandIn(5_000, 8_000, 12, SimWorld::address);
     public final Rules rules = new Rules(CANCEL_MS);
     private final List<SimNode> nodes = new ArrayList<>();
     private final Map<String, SimWorker> workers = new TreeMap<>();
@@ -330,13 +330,17 @@
     // ---- workers
 
     private void boot(String id, String type, String zone, boolean spot) {
-        SimWorker sim = new SimWorker(new WorkerStandIn(id, type, zone, spot, LEASE_MS, now, this::description, rules));
+        SimWorker sim = new SimWorker(new WorkerStandIn(id, address(id), type, zone, spot, LEASE_MS, now, this::description, rules));
         sim.home = random.nextInt(nodes.size());
         workers.put(id, sim);
         rules.now(() -> now);
         workerStep(sim);
     }
 
+    private static String address(String id) {
+        return "10.1.0.1:" + (10_000 + Integer.parseInt(id.substring(2)));
+    }
+
     private void workerStep(SimWorker sim) {
         if (workers.get(sim.worker.id) != sim) {
             return;
--- a/src/test/java/io/quartzgw/standin/WorkerStandIn.java
+++ b/src/test/java/io/quartzgw/standin/WorkerStandIn.java
@@ -45,6 +45,7 @@
     }
 
     public final String id;
+    private final String address;
     public final String type;
     public final String zone;
     public final boolean spot;
@@ -58,9 +59,10 @@
     private long renewedAt;
     private boolean changed;
 
-    public WorkerStandIn(String id, String type, String zone, boolean spot, long leaseMs, long now,
+    public WorkerStandIn(String id, String address, String type, String zone, boolean spot, long leaseMs, long now,
             Function<String, Description> jobs, Watcher watcher) {
         this.id = id;
+        this.address = address;
         this.type = type;
         this.zone = zone;
         this.spot = spot;
@@ -70,10 +72,6 @@
         this.watcher = watcher;
     }
 
-    public static String address(String id) {
-        return "10.1.0.1:" + (10_000 + Integer.parseInt(id.substring(2)));
-    }
-
     public long tenure() {
         return tenure;
     }
@@ -140,7 +138,7 @@
     }
 
     public ObjectNode report() {
-        ObjectNode report = Json.object().put("host", id).put("address", address(id)).put("host_type", type)
+        ObjectNode report = Json.object().put("host", id).put("address", address).put("host_type", type)
                 .put("yard", zone).put("loaner", spot).put("tenure", tenure).put("counter", ++counter)
                 .put("baton", token);
         report.putNull("reclaim_in_s");
