Least work first among jobs that can still be in time

Ruled out: room (the fleet was rented in full). Now jobs that can still reach a goal come first, least work first.

--- a/src/main/java/io/quartzgw/app/Leader.java
+++ b/src/main/java/io/quartzgw/app/Leader.java
@@ -13,6 +13,7 @@
 import io.quartzgw.loop.Kernel;
 import io.quartzgw.placement.Booking;
 import io.quartzgw.placement.Cluster;
+import io.quartzgw.placement.Goals;
 import io.quartzgw.placement.Job;
 import io.quartzgw.placement.Machine;
 import io.quartzgw.placement.Scheduler;
@@ -64,7 +65,8 @@
         this.workers = new Workers(kernel, leadership, cluster, types, settings.workers(), new FromWorkers());
         this.progress = new Progress(kernel, store, leadership, leadership.termRevision(), reportMs,
                 new FromProgress());
-        this.scheduler = new Scheduler(kernel, cluster, settings.teams(), reportMs, new ToWorkers());
+        this.scheduler = new Scheduler(kernel, cluster, settings.teams(), new Goals(settings.finishGoals()), reportMs,
+                new ToWorkers());
         this.records = new MachineRecords(kernel, store, leadership, cluster, leadership.termRevision(),
                 workers::startsDue);
         this.fleet = new Fleet(kernel, cloud, settings.cloudLimits(), leadership, cluster, types, records,
--- a/src/main/java/io/quartzgw/app/Settings.java
+++ b/src/main/java/io/quartzgw/app/Settings.java
@@ -7,6 +7,7 @@
 import io.quartzgw.worker.WorkerTimes;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 
 /**
  * What the platform hands over in the settings file, checked.
@@ -22,6 +23,13 @@
     /** An aim that users state for a class of jobs; the class is empty where it holds for all. */
     public record Objective(String kind, String workload, double withinS, double share) {}
 
+    /** By class, the times from submission within which its jobs should be finished. */
+    public Map<String, List<Double>> finishGoals() {
+        return objectives.stream().filter(objective -> objective.kind().equals("finished"))
+                .collect(Collectors.groupingBy(Objective::workload,
+                        Collectors.mapping(Objective::withinS, Collectors.toList())));
+    }
+
     /** Whether an aim of this kind is stated. */
     public boolean aimsAt(String kind) {
         return objectives.stream().anyMatch(objective -> objective.kind().equals(kind));
--- a/src/main/java/io/quartzgw/placement/Job.java
+++ b/src/main/java/io/quartzgw/placement/Job.java
@@ -163,8 +163,9 @@
         return bookings.size() + doubted.cardinality();
     }
 
-    public Resources unfinishedDemand() {
-        return spec().demand().times(spec().tasks() - (double) doneCount());
+    /** The CPU time that its waiting tasks will take, as far as its owner guesses. */
+    public double waitingWork() {
+        return waiting.cardinality() * spec().demand().cpus() * spec().estimateS();
     }
 
     // ---- zones
--- a/src/main/java/io/quartzgw/placement/Scheduler.java
+++ b/src/main/java/io/quartzgw/placement/Scheduler.java
@@ -23,12 +23,13 @@
     private final long freshMs;
     private List<Unplaced> unplaced = List.of();
 
-    public Scheduler(Kernel kernel, Cluster cluster, Map<String, Team> teams, long reportMs, Starter starter) {
+    public Scheduler(Kernel kernel, Cluster cluster, Map<String, Team> teams, Goals goals, long reportMs,
+            Starter starter) {
         this.kernel = kernel;
         this.cluster = cluster;
         this.teams = teams;
         this.starter = starter;
-        this.queue = new Queue(cluster, teams);
+        this.queue = new Queue(cluster, teams, goals);
         this.bestFit = new BestFit(kernel.random());
         this.freshMs = (long) (FRESH_REPORTS * reportMs);
     }
