A leader that knows of all withdrawals goes on answering through an outage

Cause: an outage of the state service lasts longer than the grace (cancel - lease - 2 reports), so the leader stopped answering in the middle of it, and a crash of all controllers afterwards met leases that were nearly out. The grace bounds how long a withdrawal told by another node may be unknown to the leader; each controller now names its withdrawals in every message, and the grace counts from the moment up to which all are known. A successor's bound on the former leader's answers grows by the hold. Ruled out: the start of nodes (1.6 s).

--- a/src/main/java/io/quartzgw/app/Node.java
+++ b/src/main/java/io/quartzgw/app/Node.java
@@ -149,9 +149,9 @@
     private final class Elections implements Leadership.Listener {
         @Override
         public void elected(long term, long termRevision) {
-            // The former leader's hold had ended: it was confirmed at the latest one hold time ago, and
-            // answers for its grace from then.
-            long formerAnswersUntil = kernel.now() + times.graceMs() - times.holdMs();
+            // A former leader answers for its grace from the last moment up to which it knew of all
+            // withdrawals; this node, for one, has told it of none since it was elected.
+            long formerAnswersUntil = kernel.now() + times.graceMs();
             leader = new Leader(kernel, settings, leadership, peers, store, jobs, types, cloud, formerAnswersUntil);
             leader.start();
             peers.beat();
@@ -197,6 +197,7 @@
 
         @Override
         public void withdrawn(String id) {
+            peers.withdrew(id);
             if (leader != null) {
                 leader.withdrawn(id);
             } else {
--- a/src/main/java/io/quartzgw/leadership/Leadership.java
+++ b/src/main/java/io/quartzgw/leadership/Leadership.java
@@ -11,6 +11,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.LongUnaryOperator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -48,6 +49,7 @@
     private final String member;
     private final long process;
     private Listener listener;
+    private LongUnaryOperator withdrawalsKnown = confirmation -> confirmation;
 
     private boolean observed;
     private long generation;
@@ -91,9 +93,19 @@
         return leading && kernel.now() < confirmedAt + (long) (times.holdMs() * TRUSTED);
     }
 
-    /** Whether this node may answer workers: confirmed, or within the grace. */
+    /**
+     * Whether this node may answer workers: confirmed, or within the grace. The grace bounds how long a
+     * withdrawal that another node has told a user may be unknown here, so it counts from the moment up
+     * to which this node knows them all: its last confirmation, or what the others have told since.
+     */
     public boolean answering() {
-        return leading && kernel.now() < confirmedAt + times.graceMs();
+        return leading && kernel.now()
+                < Math.max(confirmedAt, withdrawalsKnown.applyAsLong(confirmedAt)) + times.graceMs();
+    }
+
+    /** @param known up to when all withdrawals told by others are known, given the last confirmation */
+    void withdrawalsKnown(LongUnaryOperator known) {
+        this.withdrawalsKnown = known;
     }
 
     /** The revision of the term key under this node's term. */
--- a/src/main/java/io/quartzgw/leadership/Peers.java
+++ b/src/main/java/io/quartzgw/leadership/Peers.java
@@ -11,6 +11,7 @@
 import io.quartzgw.store.StoreClient;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -23,6 +24,8 @@
 public final class Peers {
     public static final String PATH = "/peer";
     private static final int FORGET_HEARTBEATS = 4;
+    /** How long a withdrawal is told, beyond the grace: a leader that missed it answers nobody by then. */
+    private static final int WITHDRAWN_HOLDS = 4;
 
     private final Kernel kernel;
     private final Leadership leadership;
@@ -33,6 +36,7 @@
     private final Map<String, Endpoint> others;
     private final Map<String, Known> known = new HashMap<>();
     private final Set<String> busy = new HashSet<>();
+    private final Map<String, Long> withdrawn = new LinkedHashMap<>();
     private Supplier<JsonNode> countsToTell = () -> null;
     private Consumer<JsonNode> countsTold = counts -> {};
     private Consumer<JsonNode> noticeTold = notice -> {};
@@ -41,6 +45,13 @@
     private static final class Known {
         private long heardAt;
         private boolean storeReachable;
+        private long process;
+        /** When its present process was first heard of. */
+        private long processSince;
+        /** Up to when it has told this node of all withdrawals that it told its users. */
+        private long withdrawalsUntil = Long.MIN_VALUE / 2;
+        /** The same for its process before. */
+        private long formerUntil = Long.MIN_VALUE / 2;
         /** The highest term of others that the peer has seen, and so no longer answers below. */
         private long renouncedBelow;
     }
@@ -65,10 +76,31 @@
         this.countsToTell = toTell;
         this.countsTold = told;
         this.noticeTold = notice;
+        leadership.withdrawalsKnown(this::withdrawalsKnownSince);
         beat();
         kernel.every(times.heartbeatMs(), this::beat);
     }
 
+    /** Notes that this node has told a user that a job is withdrawn; every message says so for a while. */
+    public void withdrew(String job) {
+        withdrawn.put(job, kernel.now());
+    }
+
+    // The answer to a message names all withdrawals that the peer told before, so they are known up to
+    // the moment when the message was sent. A peer's former process may have told of some between its
+    // last answer and its end: those are known only after this node's next confirmation.
+    private long withdrawalsKnownSince(long confirmation) {
+        long known = Long.MAX_VALUE;
+        for (String name : others.keySet()) {
+            Known peer = this.known.get(name);
+            if (peer == null) {
+                return Long.MIN_VALUE / 2;
+            }
+            known = Math.min(known, peer.processSince > confirmation ? peer.formerUntil : peer.withdrawalsUntil);
+        }
+        return others.isEmpty() ? confirmation : known;
+    }
+
     /** Tells every peer at once, for example that this node has been elected. */
     public void beat() {
         ObjectNode message = state();
@@ -122,17 +154,25 @@
     private void tell(String name, Endpoint endpoint, ObjectNode message) {
         // One message at a time to each: a cut must not pile up calls.
         if (busy.add(name)) {
+            long sent = kernel.now();
             kernel.call(Call.postCbor(endpoint, PATH, message, 2 * times.heartbeatMs()), reply -> {
                 busy.remove(name);
                 if (reply.ok()) {
                     heard(reply.cbor());
+                    Known peer = known.get(name);
+                    if (peer != null && peer.process == reply.cbor().path("process").asLong()) {
+                        peer.withdrawalsUntil = Math.max(peer.withdrawalsUntil, sent);
+                    }
                 }
             });
         }
     }
 
     private ObjectNode state() {
-        return Json.object().put("member", member).put("process", process)
+        withdrawn.values().removeIf(since -> kernel.now() - since > times.graceMs() + WITHDRAWN_HOLDS * times.holdMs());
+        ObjectNode state = Json.object();
+        withdrawn.keySet().forEach(state.putArray("withdrawn")::add);
+        return state.put("member", member).put("process", process)
                 .put("leading", leadership.leading() ? leadership.term() : 0)
                 .put("term", leadership.highestTerm())
                 .put("store", store.reachable() && store.answeredWithin(FORGET_HEARTBEATS * times.heartbeatMs()));
@@ -142,10 +182,18 @@
         String name = message.path("member").asText();
         long term = message.path("term").asLong();
         Known peer = known.computeIfAbsent(name, key -> new Known());
+        long itsProcess = message.path("process").asLong();
+        if (peer.process != itsProcess) {
+            peer.process = itsProcess;
+            peer.processSince = kernel.now();
+            peer.formerUntil = peer.withdrawalsUntil;
+            peer.withdrawalsUntil = Long.MIN_VALUE / 2;
+        }
+        message.path("withdrawn").forEach(job -> noticeTold.accept(Json.object().put("withdrawn", job.asText())));
         peer.heardAt = kernel.now();
         peer.storeReachable = message.path("store").asBoolean();
         peer.renouncedBelow = Math.max(peer.renouncedBelow, term);
         leadership.sawTerm(term);
-        leadership.memberRuns(name, message.path("process").asLong());
+        leadership.memberRuns(name, itsProcess);
     }
 }
