A leader cut from the workers alone gives up its term

A leader that no worker reached kept its hold, and the others sent the workers back to it until their leases ran out. Controllers now tell how many workers they turned away, and a leader that has not heard half of its machines for two report intervals hands over to one that sees more. Ruled out: the takeovers themselves.

--- a/src/main/java/io/quartzgw/app/Leader.java
+++ b/src/main/java/io/quartzgw/app/Leader.java
@@ -30,10 +30,16 @@
 import io.quartzgw.submission.OpenJob;
 import io.quartzgw.worker.Workers;
 import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** All that this node does as the leader of one term; a later term starts with a new one. */
 final class Leader {
+    private static final Logger LOG = LoggerFactory.getLogger(Leader.class);
     private static final double CHECK_REPORTS = 0.2;
+    private static final int SILENT_REPORTS = 2;
+    /** After giving up for lack of reports, this node does not stand again for so long. */
+    private static final int ABSTAIN_REPORTS = 6;
 
     private final Kernel kernel;
     private final Settings settings;
@@ -41,6 +47,8 @@
     private final StoreClient store;
     private final JobStore jobs;
     private final long term;
+    private final long since;
+    private final Peers peers;
     private final Cluster cluster;
     private final Workers workers;
     private final Progress progress;
@@ -59,6 +67,8 @@
         this.store = store;
         this.jobs = jobs;
         this.term = leadership.term();
+        this.peers = peers;
+        this.since = kernel.now();
         long reportMs = settings.workers().reportMs();
         Holds holds = Holds.of(settings.workers());
         this.cluster = new Cluster(kernel, term);
@@ -90,12 +100,26 @@
     }
 
     private void tick() {
+        if (current() && cutFromWorkers()) {
+            LOG.info("most workers reach another controller, but not this one: giving up term {}", term);
+            leadership.abdicate(ABSTAIN_REPORTS * settings.workers().reportMs());
+        }
         if (current()) {
             kernel.after((long) (CHECK_REPORTS * settings.workers().reportMs()), this::tick);
             cluster.touch();
         }
     }
 
+    // A cut between this node and the workers alone leaves its hold untouched, while their leases run out.
+    // The others see it: workers that get no answer here turn up there.
+    private boolean cutFromWorkers() {
+        List<Machine> up = cluster.machines().stream()
+                .filter(machine -> machine.status() == Machine.Status.UP && !machine.released()).toList();
+        long fresh = up.stream().filter(machine -> kernel.now() - Math.max(machine.lastAnswered(), since)
+                < SILENT_REPORTS * settings.workers().reportMs()).count();
+        return fresh * 2 < up.size() && peers.workersAtOthers() > fresh;
+    }
+
     /** Answers a worker's report. */
     ObjectNode report(JsonNode body) {
         return workers.report(body);
--- a/src/main/java/io/quartzgw/app/Node.java
+++ b/src/main/java/io/quartzgw/app/Node.java
@@ -127,6 +127,7 @@
             kernel.answer(request.exchange(), Response.json(200, leader.report(body)));
             return;
         }
+        peers.turnedAway(body.path("host").asText());
         String home = leadership.leaderMember();
         if (home == null || home.equals(settings.member())) {
             kernel.answer(request.exchange(), Response.unavailable("no leader", 1));
--- a/src/main/java/io/quartzgw/leadership/Leadership.java
+++ b/src/main/java/io/quartzgw/leadership/Leadership.java
@@ -59,6 +59,7 @@
     private long termRevision;
     private long highestTerm;
     private boolean campaigning;
+    private long abstainUntil = Long.MIN_VALUE;
     private final Set<Long> deadProcesses = new HashSet<>();
 
     private boolean leading;
@@ -127,6 +128,16 @@
         return observed;
     }
 
+    /** Gives the term up to another node, and does not stand again for a while. */
+    public void abdicate(long abstainMs) {
+        if (leading) {
+            abstainUntil = kernel.now() + abstainMs;
+            stepDown();
+            observe();
+            kernel.after(abstainMs, this::decide);
+        }
+    }
+
     /** A higher term was seen at a worker or a peer: whoever leads with a lower one is no leader. */
     public void sawTerm(long seen) {
         highestTerm = Math.max(highestTerm, seen);
@@ -233,7 +244,7 @@
     // ---- campaigning
 
     private void campaignSoon() {
-        if (campaigning) {
+        if (campaigning || kernel.now() < abstainUntil) {
             return;
         }
         campaigning = true;
@@ -243,7 +254,7 @@
 
     private void campaign() {
         // Another candidate may have won since this campaign was planned.
-        if (leading || !vacant()) {
+        if (leading || !vacant() || kernel.now() < abstainUntil) {
             campaigning = false;
             return;
         }
--- a/src/main/java/io/quartzgw/leadership/Peers.java
+++ b/src/main/java/io/quartzgw/leadership/Peers.java
@@ -24,6 +24,8 @@
 public final class Peers {
     public static final String PATH = "/peer";
     private static final int FORGET_HEARTBEATS = 4;
+    /** How long a worker counts that was turned away: it tries the leader for some seconds in between. */
+    private static final int TURNED_AWAY_HEARTBEATS = 6;
     /** How long a withdrawal is told, beyond the grace: a leader that missed it answers nobody by then. */
     private static final int WITHDRAWN_HOLDS = 4;
 
@@ -36,6 +38,7 @@
     private final Map<String, Endpoint> others;
     private final Map<String, Known> known = new HashMap<>();
     private final Set<String> busy = new HashSet<>();
+    private final Map<String, Long> turnedAway = new HashMap<>();
     private final Map<String, Long> withdrawn = new LinkedHashMap<>();
     private Supplier<JsonNode> countsToTell = () -> null;
     private Consumer<JsonNode> countsTold = counts -> {};
@@ -45,6 +48,7 @@
     private static final class Known {
         private long heardAt;
         private boolean storeReachable;
+        private int workers;
         private long process;
         /** When its present process was first heard of. */
         private long processSince;
@@ -128,10 +132,23 @@
                 known.containsKey(name) && known.get(name).renouncedBelow >= term);
     }
 
+    /** Notes that a worker reported to this node while another one leads, or none. */
+    public void turnedAway(String machine) {
+        turnedAway.put(machine, kernel.now());
+    }
+
+    /** How many workers some other controller, heard of lately, has turned away lately. */
+    public int workersAtOthers() {
+        return known.values().stream().filter(this::lately).mapToInt(peer -> peer.workers).max().orElse(0);
+    }
+
+    private boolean lately(Known peer) {
+        return kernel.now() - peer.heardAt <= FORGET_HEARTBEATS * times.heartbeatMs();
+    }
+
     /** Whether some other controller, heard of lately, reaches the state service. */
     public boolean anotherReachesStore() {
-        return known.values().stream().anyMatch(peer -> peer.storeReachable
-                && kernel.now() - peer.heardAt <= FORGET_HEARTBEATS * times.heartbeatMs());
+        return known.values().stream().anyMatch(peer -> peer.storeReachable && lately(peer));
     }
 
     /** Serves a peer's message. */
@@ -172,7 +189,8 @@
         withdrawn.values().removeIf(since -> kernel.now() - since > times.graceMs() + WITHDRAWN_HOLDS * times.holdMs());
         ObjectNode state = Json.object();
         withdrawn.keySet().forEach(state.putArray("withdrawn")::add);
-        return state.put("member", member).put("process", process)
+        turnedAway.values().removeIf(at -> kernel.now() - at > TURNED_AWAY_HEARTBEATS * times.heartbeatMs());
+        return state.put("member", member).put("workers", turnedAway.size()).put("process", process)
                 .put("leading", leadership.leading() ? leadership.term() : 0)
                 .put("term", leadership.highestTerm())
                 .put("store", store.reachable() && store.answeredWithin(FORGET_HEARTBEATS * times.heartbeatMs()));
@@ -191,6 +209,7 @@
         }
         message.path("withdrawn").forEach(job -> noticeTold.accept(Json.object().put("withdrawn", job.asText())));
         peer.heardAt = kernel.now();
+        peer.workers = message.path("workers").asInt();
         peer.storeReachable = message.path("store").asBoolean();
         peer.renouncedBelow = Math.max(peer.renouncedBelow, term);
         leadership.sawTerm(term);
--- a/src/test/java/io/quartzgw/app/FailureTest.java
+++ b/src/test/java/io/quartzgw/app/FailureTest.java
@@ -13,13 +13,14 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.slf4j.LoggerFactory;
 
 /** Three cores in a simulated world, through failures; every rule of the protocol is watched. */
 class FailureTest {
     private static final long END = 420_000;
 
-    private static ObjectNode job(String id, String crew, String shape, int tasks, double cpus, double runS) {
+    static ObjectNode job(String id, String crew, String shape, int tasks, double cpus, double runS) {
         ObjectNode job = Json.object().put("id", id).put("workload", shape).put("crew", crew).put("shape", shape)
                 .put("urgency", shape.equals("daemon") ? "critical" : "standard").put("shards", tasks)
                 .put("cpus", cpus).put("gpus", 0.0).put("ram_gb", 1.0).put("bundle", "img-" + tasks % 3)
@@ -127,6 +128,13 @@
         return LongStream.range(first, first + Integer.getInteger("quartzgw.seeds", 24));
     }
 
+    /** Worlds in which a rule was broken once: late records, late notices, a hold dropped by its owner. */
+    @ParameterizedTest
+    @ValueSource(longs = {26, 298, 392, 422, 429, 430, 466, 553, 563})
+    void worldsThatOnceBrokeARuleKeepIt(long seed) {
+        rulesHoldThroughRandomFailures(seed);
+    }
+
     @ParameterizedTest
     @MethodSource("seeds")
     void rulesHoldThroughRandomFailures(long seed) {
--- /dev/null
+++ b/src/test/java/io/quartzgw/app/ScenarioTest.java
@@ -0,0 +1,149 @@
+package io.quartzgw.app;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.quartzgw.http.Json;
+import io.quartzgw.standin.SimWorld;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Single failures, each with what users notice of it. */
+class ScenarioTest {
+    private static final int SERVICES = 6;
+
+    private static SimWorld withServices() {
+        SimWorld world = new SimWorld(5, 3);
+        for (int i = 0; i < SERVICES; i++) {
+            ObjectNode spec = FailureTest.job("j-00000" + i, "blue", "daemon", 2, 2, 0);
+            world.at(1_000, () -> world.job(spec, null));
+        }
+        world.runUntil(60_000);
+        assertEquals(SERVICES * 2, world.rules.runningTasks().size());
+        assertEquals(SERVICES * 2, world.rules.started());
+        return world;
+    }
+
+    private static void assertNothingRestarted(SimWorld world) {
+        assertEquals(List.of(), world.rules.broken());
+        assertEquals(SERVICES * 2, world.rules.runningTasks().size());
+        assertEquals(SERVICES * 2, world.rules.started(), "no replica was started anew");
+    }
+
+    @Test
+    void aCrashOfTheLeaderRestartsNothing() {
+        SimWorld world = withServices();
+        int leader = world.leader();
+        world.crash(leader);
+        world.runUntil(75_000);
+        assertTrue(world.leader() >= 0 && world.leader() != leader, "another node leads");
+        world.start(leader);
+        world.runUntil(120_000);
+        assertNothingRestarted(world);
+    }
+
+    @Test
+    void aCrashOfAllControllersRestartsNothing() {
+        SimWorld world = withServices();
+        for (int i = 0; i < 3; i++) {
+            world.crash(i);
+            int node = i;
+            world.at(world.now() + 6_000 + 500L * i, () -> world.start(node));
+        }
+        world.runUntil(120_000);
+        assertNothingRestarted(world);
+    }
+
+    // Guards the grace: it counts from the moment up to which the leader knows all withdrawals.
+    @Test
+    void anOutageLongerThanGraceAndLeaseRestartsNothing() {
+        SimWorld world = withServices();
+        world.store.outage(true);
+        world.runUntil(world.now() + 60_000);
+        world.store.outage(false);
+        world.runUntil(world.now() + 30_000);
+        assertNothingRestarted(world);
+    }
+
+    // Guards against leadership that is judged by the state service alone.
+    @Test
+    void aLeaderCutFromTheWorkersHandsOver() {
+        SimWorld world = withServices();
+        int leader = world.leader();
+        List<String> machines = world.machines();
+        machines.forEach(machine -> world.cut("rig-" + leader, machine));
+        world.runUntil(world.now() + 30_000);
+        assertTrue(world.leader() >= 0 && world.leader() != leader, "another node leads");
+        machines.forEach(machine -> world.heal("rig-" + leader, machine));
+        world.runUntil(world.now() + 30_000);
+        assertNothingRestarted(world);
+    }
+
+    @Test
+    void aLeaderCutFromAllButItsWorkersStopsAnsweringThem() {
+        SimWorld world = withServices();
+        int leader = world.leader();
+        for (String other : List.of("rig-0", "rig-1", "rig-2", SimWorld.STORE)) {
+            world.cut("rig-" + leader, other);
+        }
+        world.runUntil(world.now() + 30_000);
+        assertTrue(world.leader() >= 0 && world.leader() != leader, "another node leads");
+        assertNothingRestarted(world);
+    }
+
+    @Test
+    void aDeadMachinesReplicasMoveOnce() {
+        SimWorld world = withServices();
+        String machine = world.machines().get(0);
+        world.cloud.fail(machine, world.now());
+        world.runUntil(world.now() + 60_000);
+        assertEquals(List.of(), world.rules.broken());
+        assertEquals(SERVICES * 2, world.rules.runningTasks().size());
+    }
+
+    @Test
+    void withoutTheStateServiceUsersAreToldAtOnce() {
+        SimWorld world = withServices();
+        world.store.outage(true);
+        world.runUntil(world.now() + 2_000);
+        long asked = world.now();
+        long[] answeredAt = new long[1];
+        int[] status = new int[1];
+        world.user(0, "GET", "/submissions/" + "j-000001", null, reply -> {
+            answeredAt[0] = world.now();
+            status[0] = reply.status();
+        });
+        world.runUntil(asked + 1_000);
+        assertEquals(503, status[0]);
+        assertTrue(answeredAt[0] - asked < 10, "at once");
+    }
+
+    @Test
+    void badInputIsAnsweredAsTheProtocolSays() {
+        SimWorld world = withServices();
+        ObjectNode good = FailureTest.job("j-000100", "blue", "array", 2, 2, 5);
+        assertEquals(400, status(world, "POST", "/submissions", Json.object().put("id", "j-000101")));
+        assertEquals(400, status(world, "POST", "/submissions", good.deepCopy().put("shards", 0)));
+        assertEquals(400, status(world, "POST", "/submissions", good.deepCopy().put("shards", 1.5)));
+        assertEquals(400, status(world, "POST", "/submissions", good.deepCopy().put("cpus", -1.0)));
+        assertEquals(400, status(world, "POST", "/submissions", good.deepCopy().put("id", "x")));
+        assertEquals(400, status(world, "POST", "/submissions", good.deepCopy().put("urgency", "soon")));
+        assertEquals(422, status(world, "POST", "/submissions", good.deepCopy().put("crew", "nobody")));
+        assertEquals(422, status(world, "POST", "/submissions", good.deepCopy().put("cpus", 99.0)));
+        assertEquals(422, status(world, "POST", "/submissions",
+                FailureTest.job("j-000102", "red", "daemon", 30, 2, 0)));
+        assertEquals(404, status(world, "GET", "/submissions/j-999999", null));
+        assertEquals(404, status(world, "GET", "/nothing", null));
+        assertEquals(405, status(world, "DELETE", "/submissions", null));
+        assertEquals(201, status(world, "POST", "/submissions", good));
+        assertEquals(200, status(world, "POST", "/submissions", good.deepCopy().put("shards", "many")));
+    }
+
+    private static int status(SimWorld world, String method, String path, ObjectNode body) {
+        int[] status = new int[1];
+        world.user(1, method, path, body, reply -> status[0] = reply.status());
+        world.runUntil(world.now() + 1_000);
+        return status[0];
+    }
+}
