--- a/src/main/java/io/quartzgw/fleet/Fleet.java
+++ b/src/main/java/io/quartzgw/fleet/Fleet.java
@@ -186,12 +186,28 @@
         double rented = asked.stream().mapToDouble(offer -> offer.type().size().cpus()).sum()
                 + cluster.machines().stream().filter(machine -> machine.status() != Machine.Status.LEAVING)
                         .mapToDouble(machine -> machine.type().size().cpus()).sum();
-        Map<Offer, Integer> wanted = plan.plan(unplaced, coming, asked, this::available, keptCpus - rented);
+        Map<Offer, Integer> wanted = plan.plan(beyondSlack(unplaced), coming, asked, this::available, keptCpus - rented);
         wanted.forEach(this::rent);
         retireIdle(rented, !unplaced.isEmpty());
         deleteLeaving();
     }
 
+    // Where room is guaranteed, it is rented for; elsewhere what can wait until its deadline does.
+    private List<Unplaced> beyondSlack(List<Unplaced> unplaced) {
+        if (keptCpus > 0) {
+            return unplaced;
+        }
+        Slack slack = new Slack(cluster.machines(), kernel.now());
+        List<Unplaced> left = new ArrayList<>();
+        for (Unplaced work : unplaced) {
+            int lacking = work.count() - slack.take(work.job(), work.count());
+            if (lacking > 0) {
+                left.add(new Unplaced(work.job(), lacking));
+            }
+        }
+        return left;
+    }
+
     private boolean coming(Machine machine) {
         return machine.status() == Machine.Status.BOOTING && !machine.released()
                 && (stillBooting.contains(machine.id()) || !listedAt.containsKey(machine.id())
--- /dev/null
+++ b/src/main/java/io/quartzgw/fleet/Slack.java
@@ -0,0 +1,60 @@
+package io.quartzgw.fleet;
+
+import io.quartzgw.placement.Booking;
+import io.quartzgw.placement.Job;
+import io.quartzgw.placement.Machine;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * How much of the work that lacks room the machines at hand can still finish in time, one task after
+ * the other: a job with a deadline needs no new machine for that part.
+ */
+final class Slack {
+    /** Owners guess too low as often as too high, and machines differ. */
+    private static final double CAUTION = 1.25;
+
+    private final long now;
+    /** When each place for one task is free, by machine; places in use by batch work only. */
+    private final Map<Machine, List<Long>> places = new LinkedHashMap<>();
+
+    Slack(Iterable<Machine> machines, long now) {
+        this.now = now;
+        for (Machine machine : machines) {
+            List<Long> free = new ArrayList<>();
+            for (Booking booking : machine.bookings()) {
+                if (!booking.job().spec().service() && !booking.stopping()) {
+                    double left = booking.job().spec().estimateS() * 1000 * CAUTION - booking.ranMs(now);
+                    free.add(now + (long) Math.max(0, left));
+                }
+            }
+            places.put(machine, free);
+        }
+    }
+
+    /** Takes places for as many of the tasks as can be finished in time, and returns how many. */
+    int take(Job job, int count) {
+        if (job.dueAt() == Long.MAX_VALUE) {
+            return 0;
+        }
+        long runMs = (long) (job.spec().estimateS() * 1000 * CAUTION);
+        int taken = 0;
+        for (Map.Entry<Machine, List<Long>> entry : places.entrySet()) {
+            Machine machine = entry.getKey();
+            if (!job.spec().allows(machine.type().name(), machine.zone(), machine.spot())
+                    || !job.zoneAllowed(machine.zone())) {
+                continue;
+            }
+            List<Long> free = entry.getValue();
+            for (int i = 0; i < free.size(); i++) {
+                while (taken < count && free.get(i) + runMs <= job.dueAt()) {
+                    free.set(i, Math.max(now, free.get(i)) + runMs);
+                    taken++;
+                }
+            }
+        }
+        return taken;
+    }
+}
