--- a/src/main/java/io/quartzgw/fleet/Fleet.java
+++ b/src/main/java/io/quartzgw/fleet/Fleet.java
@@ -32,8 +32,8 @@
     private static final double BOOT_PATIENCE = 3;
     /** Charged in any case, so a machine is not returned before. */
     private static final int CHARGED_MS = 60_000;
-    /** Keeping an idle machine costs as much as booting another one after about its boot time. */
-    private static final double IDLE_BOOTS = 0.6;
+    /** A pause between two jobs is bridged, no more: work with a deadline can wait for a boot. */
+    private static final double IDLE_BOOTS = 0.2;
     /** A machine is lost when it was silent for this many holds while this leader answered. */
     private static final double LOST_HOLDS = 1.5;
 
