A job that fails everywhere no longer has machines rented, nor spoils them

Cause: found by reading. Each failure made a job avoid one more machine, so it lacked room and a machine was rented for it, without end; and two such jobs made every machine distrusted. Now a job with three failures gets no new machine and may return to those that failed it, and only a job's first failure counts against a machine.

--- a/src/main/java/io/quartzgw/placement/Scheduler.java
+++ b/src/main/java/io/quartzgw/placement/Scheduler.java
@@ -12,6 +12,8 @@
 public final class Scheduler {
     /** A machine on which so many different jobs failed in a row gets nothing more. */
     private static final int DISTRUST_JOBS = 2;
+    /** A job with so many failures gets no new machine. */
+    private static final int RENT_ERRORS = 3;
     private static final double FRESH_REPORTS = 2.5;
 
     private final Kernel kernel;
@@ -46,7 +48,8 @@
         cluster.jobs().stream().filter(Job::broken).forEach(this::stopRest);
         for (Job job : queue.order(kernel.now())) {
             int lacking = job.spec().gang() ? placeGang(job, machines) : place(job, machines);
-            if (lacking > 0) {
+            // A job that fails everywhere must not have machines rented for it.
+            if (lacking > 0 && job.errors() < RENT_ERRORS) {
                 left.add(new Unplaced(job, lacking));
             }
         }
@@ -66,6 +69,9 @@
 
     /** Returns how many tasks only lack room. */
     private int place(Job job, List<Machine> machines) {
+        if (job.errors() >= RENT_ERRORS && machines.stream().allMatch(machine -> job.avoids(machine.id()))) {
+            job.forgiveMachines();
+        }
         while (job.nextWaiting() >= 0) {
             if (!withinLimit(job)) {
                 return 0;
--- a/src/main/java/io/quartzgw/worker/Workers.java
+++ b/src/main/java/io/quartzgw/worker/Workers.java
@@ -259,7 +259,10 @@
 
     private void failed(Machine machine, Job job, Report.Cause cause) {
         if (cause == Report.Cause.ERROR) {
-            machine.jobFailed(job.id());
+            // A job's later failures tell of the job: two that fail everywhere must not spoil all machines.
+            if (job.errors() == 0) {
+                machine.jobFailed(job.id());
+            }
             job.failedOn(machine.id(), kernel.now(), (long) (ERROR_PAUSE_REPORTS * times.reportMs()));
         } else if (cause == Report.Cause.REFUSED || cause == Report.Cause.GANG) {
             job.delay(kernel.now() + (long) (REFUSED_PAUSE_REPORTS * times.reportMs()));
