A quiet node stays ready; tests for it and for jobs that fail everywhere

Cause: readiness asked for an answer of the state service within two report intervals, but a follower whose users are quiet does not ask it. Now only failures count. Found by the end-to-end test, which failed now and then.

--- a/src/main/java/io/quartzgw/app/Node.java
+++ b/src/main/java/io/quartzgw/app/Node.java
@@ -136,11 +136,12 @@
         }
     }
 
+    // A node that has not asked the state service for a while is no less able: only failures count.
     // True to what users get: without the state service nothing is accepted or told. But when no node
     // reaches it, leaving the balancer would only reset everybody's connections.
     private void ready(Request request) {
         boolean able = leadership.knowsStore() && types.known()
-                && (store.answeredWithin(settings.workers().reportMs() * 2) || !peers.anotherReachesStore());
+                && (!store.failingLongerThan(settings.workers().reportMs() * 2) || !peers.anotherReachesStore());
         kernel.answer(request.exchange(), able ? Response.json(200, Json.object().put("ready", true))
                 : Response.unavailable("not ready", 1));
     }
--- a/src/main/java/io/quartzgw/store/StoreClient.java
+++ b/src/main/java/io/quartzgw/store/StoreClient.java
@@ -63,6 +63,11 @@
         return kernel.now() - failingSince < AWAY_MS;
     }
 
+    /** Whether the service has only failed this node for longer than the given time. */
+    public boolean failingLongerThan(long ms) {
+        return kernel.now() - failingSince > ms;
+    }
+
     /** Whether the service has answered this node at all within the given time. */
     public boolean answeredWithin(long ms) {
         return kernel.now() - lastAnswered <= ms;
--- a/src/test/java/io/quartzgw/app/ScenarioTest.java
+++ b/src/test/java/io/quartzgw/app/ScenarioTest.java
@@ -141,6 +141,19 @@
         assertTrue(answeredAt[0] - asked < 10, "at once");
     }
 
+    // Guards against a node that counts as unable because its users are quiet.
+    @Test
+    void aQuietNodeIsReady() {
+        SimWorld world = new SimWorld(7, 3);
+        world.runUntil(60_000);
+        for (int i = 0; i < 3; i++) {
+            int[] status = new int[1];
+            world.user(i, "GET", "/ready", null, reply -> status[0] = reply.status());
+            world.runUntil(world.now() + 100);
+            assertEquals(200, status[0], "rig-" + i);
+        }
+    }
+
     @Test
     void badInputIsAnsweredAsTheProtocolSays() {
         SimWorld world = withServices();
--- a/src/test/java/io/quartzgw/placement/SchedulerTest.java
+++ b/src/test/java/io/quartzgw/placement/SchedulerTest.java
@@ -148,6 +148,21 @@
         assertEquals(1, scheduler.unplaced().size());
     }
 
+    @Test
+    void aJobThatFailsEverywhereIsRetriedButNotRentedFor() {
+        Machine machine = machine(0, false);
+        Job job = job(1, "free", Shape.ARRAY, Priority.NORMAL, 1, 4, false, false, false);
+        job.failedOn(machine.id(), 0, 1);
+        kernel.handle(List.of(), new Time(1_000, 1_000));
+        scheduler.run();
+        assertEquals(1, scheduler.unplaced().size(), "another machine may do");
+        job.failedOn(machine.id(), 0, 1);
+        job.failedOn(machine.id(), 0, 1);
+        scheduler.run();
+        assertEquals(List.of(), scheduler.unplaced(), "no machine is rented for it");
+        assertEquals(machine, job.booking(0).machine(), "it may try again where it failed");
+    }
+
     @Test
     void aGangIsPlacedWholeOrNotAtAll() {
         machine(0, false);
