--- a/src/main/java/io/quartzgw/fleet/Fleet.java
+++ b/src/main/java/io/quartzgw/fleet/Fleet.java
@@ -188,7 +188,7 @@
                         .mapToDouble(machine -> machine.type().size().cpus()).sum();
         Map<Offer, Integer> wanted = plan.plan(beyondSlack(unplaced), coming, asked, this::available, keptCpus - rented);
         wanted.forEach(this::rent);
-        retireIdle(rented, !unplaced.isEmpty());
+        retireIdle(rented);
         deleteLeaving();
     }
 
@@ -261,7 +261,7 @@
 
     // ---- returning
 
-    private void retireIdle(double rentedCpus, boolean workWaits) {
+    private void retireIdle(double rentedCpus) {
         double spare = rentedCpus - keptCpus;
         for (Machine machine : cluster.machines()) {
             double cpus = machine.type().size().cpus();
--- a/src/main/java/io/quartzgw/placement/Machine.java
+++ b/src/main/java/io/quartzgw/placement/Machine.java
@@ -165,11 +165,6 @@
         }
     }
 
-    /** Whether this leader has answered a report of its. */
-    public boolean everAnswered() {
-        return everAnswered;
-    }
-
     /** Whether it left the last direct order unanswered, and has not been heard since. */
     public boolean unresponsive() {
         return unresponsive;
@@ -247,10 +242,6 @@
         }
     }
 
-    public Set<String> images() {
-        return images.keySet();
-    }
-
     // ---- trust
 
     public void jobFailed(String job) {
--- a/src/main/java/io/quartzgw/submission/Submissions.java
+++ b/src/main/java/io/quartzgw/submission/Submissions.java
@@ -11,6 +11,7 @@
 import io.quartzgw.store.TxnOutcome;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Consumer;
 
 /** Serves the users: every request gets its answer as soon as the state service has told. */
 public final class Submissions {
@@ -149,11 +150,7 @@
         lookUp(request, id, found -> kernel.answer(request.exchange(), state(id, found)));
     }
 
-    private interface FoundHandler {
-        void found(JobStore.Found found);
-    }
-
-    private void lookUp(Request request, String id, FoundHandler then) {
+    private void lookUp(Request request, String id, Consumer<JobStore.Found> then) {
         if (jobs.cached(id) == null && !store.reachable()) {
             answerAway(request);
             return;
@@ -162,7 +159,7 @@
             if (found instanceof JobStore.Found.Unclear) {
                 answerAway(request);
             } else {
-                then.found(found);
+                then.accept(found);
             }
         });
     }
--- a/src/test/java/io/quartzgw/standin/WorkerStandIn.java
+++ b/src/test/java/io/quartzgw/standin/WorkerStandIn.java
@@ -5,7 +5,6 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.quartzgw.http.Json;
 import io.quartzgw.http.Reply;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -226,8 +225,4 @@
         tasks.put(name + "#" + attempt, task);
         changed = true;
     }
-
-    public List<String> names() {
-        return new ArrayList<>(tasks.keySet());
-    }
 }
