--- a/src/main/java/io/quartzgw/app/Leader.java
+++ b/src/main/java/io/quartzgw/app/Leader.java
@@ -7,6 +7,7 @@
 import io.quartzgw.fleet.MachineRecords;
 import io.quartzgw.fleet.MachineTypes;
 import io.quartzgw.http.Json;
+import io.quartzgw.http.Sockets;
 import io.quartzgw.leadership.Leadership;
 import io.quartzgw.leadership.Peers;
 import io.quartzgw.loop.Kernel;
@@ -79,7 +80,7 @@
         Holds holds = Holds.of(settings.workers());
         this.cluster = new Cluster(kernel, term);
         this.workers = new Workers(kernel, leadership, cluster, types, settings.workers(),
-                settings.sockets(), new FromWorkers());
+                Sockets.of(settings.sockets()).orders(), new FromWorkers());
         this.progress = new Progress(kernel, store, leadership, leadership.termRevision(), reportMs,
                 new FromProgress());
         double keptCpus = keptCpus(settings);
--- a/src/main/java/io/quartzgw/app/Service.java
+++ b/src/main/java/io/quartzgw/app/Service.java
@@ -4,6 +4,7 @@
 import io.quartzgw.http.HttpClient;
 import io.quartzgw.http.HttpServer;
 import io.quartzgw.http.Request;
+import io.quartzgw.http.Sockets;
 import io.quartzgw.loop.Command;
 import io.quartzgw.loop.Effect;
 import io.quartzgw.loop.Kernel;
@@ -23,13 +24,8 @@
 final class Service {
     private static final int BUFFER_BYTES = 8 * 1024;
     private static final int POOLED_BUFFERS = 128;
-    /** How many requests may wait for the owner thread. */
-    private static final int WAITING_REQUESTS = 128;
-    /** The client listener's part of the sockets; the rest is for peers, the store, and workers. */
-    private static final double CLIENT_SOCKETS = 0.75;
-    private static final double IDLE_SOCKETS = 0.1;
     /** Workers and users that live ask far more often; a dead one's connection only holds a socket. */
-    private static final int IDLE_REPORTS = 12;
+    private static final int IDLE_REPORTS = 6;
     private static final long STACK_BYTES = 256 * 1024;
 
     private final Metrics metrics = new Metrics();
@@ -45,7 +41,10 @@
     Service(Settings settings, long process) throws IOException {
         this.kernel = new Kernel(process);
         this.node = new Node(kernel, settings, process, metrics::snapshot);
-        this.owner = new OwnerThread(kernel, WAITING_REQUESTS, this::perform);
+        Sockets sockets = Sockets.of(settings.sockets());
+        // A client has one request under way: all that are connected may ask a new leader at once, and none of
+        // them is better served by a refusal that sends it to another node first.
+        this.owner = new OwnerThread(kernel, sockets.client(), this::perform);
         this.thread = new Thread(null, owner, "owner", STACK_BYTES);
         this.worker = Xnio.getInstance().createWorker(OptionMap.builder()
                 .set(Options.WORKER_IO_THREADS, 1)
@@ -55,9 +54,9 @@
                 .set(Options.TCP_NODELAY, true)
                 .getMap());
         ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, POOLED_BUFFERS, 4);
-        this.client = new HttpClient(worker, buffers, (int) (settings.sockets() * IDLE_SOCKETS));
+        this.client = new HttpClient(worker, buffers, sockets.kept());
         this.server = new HttpServer(worker, buffers, settings.clientListen(), settings.peerListen(),
-                (int) (settings.sockets() * CLIENT_SOCKETS), (int) (IDLE_REPORTS * settings.workers().reportMs()), this::take);
+                sockets, (int) (IDLE_REPORTS * settings.workers().reportMs()), this::take);
     }
 
     void start() {
--- a/src/main/java/io/quartzgw/app/SettingsReader.java
+++ b/src/main/java/io/quartzgw/app/SettingsReader.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import io.quartzgw.fleet.CloudLimits;
 import io.quartzgw.http.Endpoint;
+import io.quartzgw.http.Sockets;
 import io.quartzgw.placement.Team;
 import io.quartzgw.store.StoreLimits;
 import io.quartzgw.worker.WorkerTimes;
@@ -62,7 +63,7 @@
                         (int) (positive(facts, "facts.state.value_kb") * BYTES_PER_KB),
                         (int) atLeast(facts, "facts.state.txn_ops", 2)),
                 new CloudLimits(positive(facts, "facts.cloud.rps"), millis(atLeast(facts, "facts.cloud.list_lag_s", 0))),
-                (int) atLeast(facts, "facts.limits.sockets", 16));
+                (int) atLeast(facts, "facts.limits.sockets", Sockets.least(peers.size())));
     }
 
     private static long millis(double seconds) {
--- a/src/main/java/io/quartzgw/http/HttpServer.java
+++ b/src/main/java/io/quartzgw/http/HttpServer.java
@@ -3,6 +3,7 @@
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.ConnectorStatistics;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
@@ -30,25 +31,30 @@
     private static final int BUSY_RETRY_S = 1;
 
     private final Undertow undertow;
+    private final Sockets sockets;
     private final Predicate<Request> receiver;
     private final Map<Long, HttpServerExchange> open = new ConcurrentHashMap<>();
     private final AtomicLong exchanges = new AtomicLong();
+    private volatile ConnectorStatistics clients;
 
     /**
-     * @param maxClientConnections what the client listener may hold; room is left for all others
+     * @param sockets what the client listener may hold; room is left for all others
      * @param idleMs how long a connection may be without a request
      * @param receiver takes a request, or says false when it has no room
      */
     public HttpServer(XnioWorker worker, ByteBufferPool buffers, Endpoint client, Endpoint peer,
-            int maxClientConnections, int idleMs, Predicate<Request> receiver) {
+            Sockets sockets, int idleMs, Predicate<Request> receiver) {
+        this.sockets = sockets;
         this.receiver = receiver;
         this.undertow = Undertow.builder()
                 .setWorker(worker)
                 .setByteBufferPool(buffers)
                 .setSocketOption(Options.REUSE_ADDRESSES, true)
-                .setSocketOption(Options.BACKLOG, 256)
-                .setSocketOption(Options.CONNECTION_HIGH_WATER, maxClientConnections)
-                .setSocketOption(Options.CONNECTION_LOW_WATER, maxClientConnections)
+                // All that may be connected may come back at once, to a new leader.
+                .setSocketOption(Options.BACKLOG, sockets.client())
+                .setSocketOption(Options.CONNECTION_HIGH_WATER, sockets.client())
+                .setSocketOption(Options.CONNECTION_LOW_WATER, sockets.client())
+                .setServerOption(UndertowOptions.ENABLE_STATISTICS, true)
                 .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, idleMs)
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, SLOW_REQUEST_MS)
                 .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, MAX_BODY)
@@ -61,6 +67,7 @@
 
     public void start() {
         undertow.start();
+        clients = listener(Door.CLIENT).getConnectorStatistics();
     }
 
     public void stop() {
@@ -69,8 +76,11 @@
 
     /** The port that a listener got; for settings that ask for port 0. */
     public int port(Door door) {
-        Undertow.ListenerInfo listener = undertow.getListenerInfo().get(door.ordinal());
-        return ((InetSocketAddress) listener.getAddress()).getPort();
+        return ((InetSocketAddress) listener(door).getAddress()).getPort();
+    }
+
+    private Undertow.ListenerInfo listener(Door door) {
+        return undertow.getListenerInfo().get(door.ordinal());
     }
 
     /** Answers an exchange; callable from any thread. */
@@ -116,15 +126,19 @@
         }
     }
 
-    private static void refuse(HttpServerExchange exchange) {
+    private void refuse(HttpServerExchange exchange) {
         exchange.setPersistent(false);
         send(exchange, Response.error(413, "a request body may be at most " + MAX_BODY + " bytes"));
     }
 
-    private static void send(HttpServerExchange exchange, Response response) {
+    private void send(HttpServerExchange exchange, Response response) {
         if (exchange.isResponseStarted()) {
             return;
         }
+        // Guards accepting: with more clients than sockets, those that are answered make room for those that wait.
+        if (clients != null && clients.getActiveConnections() > sockets.lasting()) {
+            exchange.setPersistent(false);
+        }
         exchange.setStatusCode(response.status());
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, response.type());
         if (response.retryAfterS() > 0) {
--- a/src/main/java/io/quartzgw/worker/Workers.java
+++ b/src/main/java/io/quartzgw/worker/Workers.java
@@ -35,9 +35,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Workers.class);
     /** A direct order that takes longer than this part of a report interval is given up. */
     private static final double ORDER_TIMEOUT_REPORTS = 0.8;
-    /** Direct orders under way at once, as a part of the sockets: machines that are cut off hold theirs. */
-    private static final double CALL_SOCKETS = 0.1;
-    /** The part of those that may be spent on asking the silent, so that orders always get through. */
+    /** The part of the direct calls that may be spent on asking the silent, so that orders always get through. */
     private static final double CONTACTS = 0.5;
     private static final double ERROR_PAUSE_REPORTS = 0.4;
     private static final double REFUSED_PAUSE_REPORTS = 0.2;
@@ -74,15 +72,15 @@
         void needsRecord(Job job, int index);
     }
 
-    /** @param sockets how many the node has for everything */
+    /** @param mostCalls how many direct calls may be under way at once */
     public Workers(Kernel kernel, Leadership leadership, Cluster cluster, MachineTypes types, WorkerTimes times,
-            int sockets, Listener listener) {
+            int mostCalls, Listener listener) {
         this.kernel = kernel;
         this.leadership = leadership;
         this.cluster = cluster;
         this.types = types;
         this.times = times;
-        this.mostCalls = Math.max(1, (int) (sockets * CALL_SOCKETS));
+        this.mostCalls = mostCalls;
         this.term = leadership.term();
         this.listener = listener;
     }
--- /dev/null
+++ b/src/test/java/io/quartzgw/http/HttpServerTest.java
@@ -0,0 +1,98 @@
+package io.quartzgw.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+class HttpServerTest {
+    private static final int PATIENCE_MS = 30_000;
+
+    // Guards the leases of a cluster with more workers than the leader has sockets: accepting must not stop for
+    // those that come last while the first keep their connections.
+    @Test
+    void moreClientsThanSocketsAreEachAnsweredAgainAndAgain() throws Exception {
+        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+        HttpServer[] server = new HttpServer[1];
+        server[0] = new HttpServer(worker, new DefaultByteBufferPool(true, 8 * 1024), new Endpoint("127.0.0.1", 0),
+                new Endpoint("127.0.0.1", 0), new Sockets(8, 6, 1, 1), PATIENCE_MS, request -> {
+                    server[0].answer(request.exchange(), Response.error(200, "none"));
+                    return true;
+                });
+        server[0].start();
+        List<Client> clients = new ArrayList<>();
+        try {
+            for (int i = 0; i < 40; i++) {
+                clients.add(new Client(server[0].port(Door.CLIENT)));
+            }
+            int lasting = 0;
+            for (int round = 0; round < 3; round++) {
+                for (Client client : clients) {
+                    assertEquals("HTTP/1.1 200 OK", client.ask());
+                }
+                lasting = (int) clients.stream().filter(client -> client.socket != null).count();
+            }
+            assertTrue(lasting > 0 && lasting <= 8, lasting + " connections are kept");
+        } finally {
+            for (Client client : clients) {
+                client.close();
+            }
+            server[0].stop();
+            worker.shutdownNow();
+        }
+    }
+
+    /** Keeps its connection until the server says that it closes it, as the protocol has it. */
+    private static final class Client {
+        private final int port;
+        private Socket socket;
+        private BufferedReader reader;
+
+        Client(int port) {
+            this.port = port;
+        }
+
+        String ask() throws IOException {
+            if (socket == null) {
+                socket = new Socket(InetAddress.getLoopbackAddress(), port);
+                socket.setSoTimeout(PATIENCE_MS);
+                reader = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+            }
+            socket.getOutputStream().write("GET /ready HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            String status = reader.readLine();
+            int length = 0;
+            boolean closes = false;
+            for (String line = reader.readLine(); line != null && !line.isEmpty(); line = reader.readLine()) {
+                length = line.startsWith("Content-Length: ") ? Integer.parseInt(line.substring(16)) : length;
+                closes |= line.equalsIgnoreCase("Connection: close");
+            }
+            for (int i = 0; i < length; i++) {
+                reader.read();
+            }
+            if (closes) {
+                close();
+            }
+            return status;
+        }
+
+        void close() throws IOException {
+            if (socket != null) {
+                socket.close();
+                socket = null;
+            }
+        }
+    }
+}
