A call that is given up while connecting gives its socket back

Cause: with 1,655 machines the leader still reached its limit of 1,834 sockets around takeovers (peak 1,834, parts that add up to 1,750). A time-out ended the call, but not the attempt to connect: towards machines that are cut off or gone it hung on and held its socket for minutes. In a test on loopback 50 of 50 calls left theirs behind; none does now. Connections that wait to be accepted are counted in as well, and their number bounded.

--- a/src/main/java/io/quartzgw/http/HttpClient.java
+++ b/src/main/java/io/quartzgw/http/HttpClient.java
@@ -21,8 +21,10 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.xnio.ChannelListeners;
+import org.xnio.IoFuture;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
+import org.xnio.StreamConnection;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
@@ -38,6 +40,7 @@
     private static final long IDLE_MS = 30_000;
 
     private final XnioIoThread thread;
+    private final Connector connector;
     private final ByteBufferPool buffers;
     private final int mostIdle;
     /** Kept connections, those that wait longest first. */
@@ -47,6 +50,7 @@
     /** @param mostIdle how many connections are kept at the most: each takes one of the node's sockets */
     public HttpClient(XnioWorker worker, ByteBufferPool buffers, int mostIdle) {
         this.thread = worker.getIoThread(0);
+        this.connector = new Connector(thread);
         this.buffers = buffers;
         this.mostIdle = mostIdle;
     }
@@ -119,6 +123,7 @@
         private final Consumer<Reply> then;
         private final XnioExecutor.Key timeout;
         private final ByteArrayOutputStream received = new ByteArrayOutputStream();
+        private IoFuture<StreamConnection> opening;
         private ClientConnection connection;
         private boolean done;
 
@@ -135,7 +140,8 @@
                 return;
             }
             URI uri = URI.create("http://" + call.to());
-            UndertowClient.getInstance().connect(callback(this::connected), uri, thread, buffers, OptionMap.EMPTY);
+            UndertowClient.getInstance().connect(callback(this::connected), uri, connector, buffers, OptionMap.EMPTY);
+            opening = connector.lastOpened();
         }
 
         private void connected(ClientConnection open) {
@@ -233,6 +239,10 @@
             }
             done = true;
             timeout.remove();
+            if (opening != null) {
+                // Connecting to a machine that is cut off hangs, and would hold a socket long after the call.
+                opening.cancel();
+            }
             IoUtils.safeClose(connection);
             then.accept(Reply.lost());
         }
--- a/src/main/java/io/quartzgw/http/HttpServer.java
+++ b/src/main/java/io/quartzgw/http/HttpServer.java
@@ -50,8 +50,7 @@
                 .setWorker(worker)
                 .setByteBufferPool(buffers)
                 .setSocketOption(Options.REUSE_ADDRESSES, true)
-                // All that may be connected may come back at once, to a new leader.
-                .setSocketOption(Options.BACKLOG, sockets.client())
+                .setSocketOption(Options.BACKLOG, sockets.waiting())
                 .setSocketOption(Options.CONNECTION_HIGH_WATER, sockets.client())
                 .setSocketOption(Options.CONNECTION_LOW_WATER, sockets.client())
                 .setServerOption(UndertowOptions.ENABLE_STATISTICS, true)
--- /dev/null
+++ b/src/test/java/io/quartzgw/http/HttpClientTest.java
@@ -0,0 +1,77 @@
+package io.quartzgw.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.channels.SocketChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+class HttpClientTest {
+    private static final int CALLS = 50;
+
+    // Guards the sockets against machines that are cut off: an attempt to connect that hangs would hold one for
+    // minutes after its call was given up, and hundreds of silent machines are asked again and again.
+    @Test
+    void aCallThatIsGivenUpWhileConnectingKeepsNoSocket() throws Exception {
+        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+        HttpClient client = new HttpClient(worker, new DefaultByteBufferPool(true, 8 * 1024), 4);
+        List<SocketChannel> fillers = new ArrayList<>();
+        // A listener that accepts nothing and whose backlog is full: connecting to it hangs.
+        try (ServerSocket deaf = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            for (int i = 0; i < 4; i++) {
+                SocketChannel filler = SocketChannel.open();
+                filler.configureBlocking(false);
+                filler.connect(deaf.getLocalSocketAddress());
+                fillers.add(filler);
+            }
+            long before = sockets();
+            List<CompletableFuture<Reply>> replies = new ArrayList<>();
+            for (int i = 0; i < CALLS; i++) {
+                CompletableFuture<Reply> reply = new CompletableFuture<>();
+                replies.add(reply);
+                client.send(Call.get(new Endpoint("127.0.0.1", deaf.getLocalPort()), "/show", 300), reply::complete);
+            }
+            for (CompletableFuture<Reply> reply : replies) {
+                assertEquals(Reply.LOST, reply.get(60, TimeUnit.SECONDS).status());
+            }
+            long left = Long.MAX_VALUE;
+            for (int i = 0; i < 100 && left > 2; i++) {
+                Thread.sleep(50);
+                left = sockets() - before;
+            }
+            assertTrue(left <= 2, left + " sockets are left of " + CALLS + " calls");
+        } finally {
+            for (SocketChannel filler : fillers) {
+                filler.close();
+            }
+            worker.shutdownNow();
+        }
+    }
+
+    private static long sockets() throws IOException {
+        try (Stream<Path> open = Files.list(Path.of("/proc/self/fd"))) {
+            return open.filter(descriptor -> {
+                try {
+                    return Files.readSymbolicLink(descriptor).toString().startsWith("socket:");
+                } catch (IOException e) {
+                    return false;
+                }
+            }).count();
+        }
+    }
+}
--- a/src/test/java/io/quartzgw/http/HttpServerTest.java
+++ b/src/test/java/io/quartzgw/http/HttpServerTest.java
@@ -28,7 +28,7 @@
         XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
         HttpServer[] server = new HttpServer[1];
         server[0] = new HttpServer(worker, new DefaultByteBufferPool(true, 8 * 1024), new Endpoint("127.0.0.1", 0),
-                new Endpoint("127.0.0.1", 0), new Sockets(8, 6, 1, 1), PATIENCE_MS, request -> {
+                new Endpoint("127.0.0.1", 0), new Sockets(8, 8, 6, 1, 1), PATIENCE_MS, request -> {
                     server[0].answer(request.exchange(), Response.error(200, "none"));
                     return true;
                 });
