Holds, heartbeats and patience are parts of the lease, not of the report interval

Cause: report_s has doubled on the fleets and everything derived from it with it, while the leases grew by half and the aims not at all: a leader's hold of 8 s, 2 s beyond the lease before a silent machine's work goes elsewhere, 120 s before a job that has not begun goes first. The grace no longer grows beyond cancel_s - lease_s - 2 report_s where that is shorter than a hold; settings that leave no grace are named at the start. A takeover no longer sums the unexplained machines anew for each that answers.

--- a/src/main/java/io/quartzgw/app/Leader.java
+++ b/src/main/java/io/quartzgw/app/Leader.java
@@ -32,13 +32,15 @@
 import io.quartzgw.worker.Report;
 import io.quartzgw.worker.Workers;
 import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /** All that this node does as the leader of one term; a later term starts with a new one. */
 final class Leader {
     private static final Logger LOG = LoggerFactory.getLogger(Leader.class);
-    private static final double CHECK_REPORTS = 0.2;
+    private static final double CHECK_LEASES = 0.03;
     private static final int SILENT_REPORTS = 2;
     /** A takeover is short: it is worth more than the leases of so many workers. */
     private static final double CUT_PART = 0.25;
@@ -85,11 +87,12 @@
                 new FromProgress());
         double keptCpus = keptCpus(settings);
         Goals goals = new Goals(settings.finishGoals(), settings.startGoals());
-        this.scheduler = new Scheduler(kernel, cluster, settings.teams(), goals, keptCpus > 0, reportMs, new ToWorkers());
+        this.scheduler = new Scheduler(kernel, cluster, settings.teams(), goals, keptCpus > 0, settings.workers(),
+                new ToWorkers());
         this.records = new MachineRecords(kernel, store, leadership, cluster, leadership.termRevision(),
                 2 * (long) settings.timeBoundMs(), workers::startsDue);
         this.fleet = new Fleet(kernel, cloud, settings.cloudLimits(), leadership, cluster, types, records,
-                new Consolidation(cluster, scheduler::usable, new ToWorkers(), reportMs), keptCpus, holds.silentMs(),
+                new Consolidation(cluster, scheduler::usable, new ToWorkers(), settings.workers().leaseMs()), keptCpus, holds.silentMs(),
                 workers::forget);
         this.recovery = new Recovery(kernel, store, leadership, peers, types, cluster, workers, progress, records,
                 holds, reportMs, formerAnswersUntil, new OpenJobs());
@@ -115,7 +118,7 @@
             leadership.abdicate(ABSTAIN_REPORTS * settings.workers().reportMs());
         }
         if (current()) {
-            kernel.after((long) (CHECK_REPORTS * settings.workers().reportMs()), this::tick);
+            kernel.after((long) (CHECK_LEASES * settings.workers().leaseMs()), this::tick);
             recovery.releaseExpired();
             cluster.touch();
         }
@@ -251,7 +254,7 @@
                 }
                 List<OpenJob> open = listing.entries().stream()
                         .map(entry -> OpenJob.fromRecord(entry.value(), entry.revision())).toList();
-                List<String> ids = open.stream().map(job -> job.spec().id()).toList();
+                Set<String> ids = open.stream().map(job -> job.spec().id()).collect(Collectors.toSet());
                 cluster.jobs().stream().filter(job -> !job.over() && !ids.contains(job.id())
                         && job.open().revision() <= listing.revision()).map(Job::id).toList().forEach(Leader.this::over);
                 open.stream().filter(job -> jobs.cached(job.spec().id()) == null).forEach(cluster::add);
--- a/src/main/java/io/quartzgw/app/Node.java
+++ b/src/main/java/io/quartzgw/app/Node.java
@@ -150,7 +150,7 @@
     // reaches it, leaving the balancer would only reset everybody's connections.
     private void ready(Request request) {
         boolean able = leadership.knowsStore() && types.known()
-                && (!store.failingLongerThan(settings.workers().reportMs() * 2) || !peers.anotherReachesStore());
+                && (!store.failingLongerThan(times.holdMs()) || !peers.anotherReachesStore());
         kernel.answer(request.exchange(), able ? Response.json(200, Json.object().put("ready", true))
                 : Response.unavailable("not ready", 1));
     }
--- a/src/main/java/io/quartzgw/app/SettingsReader.java
+++ b/src/main/java/io/quartzgw/app/SettingsReader.java
@@ -6,6 +6,7 @@
 import io.quartzgw.fleet.CloudLimits;
 import io.quartzgw.http.Endpoint;
 import io.quartzgw.http.Sockets;
+import io.quartzgw.leadership.LeadershipTimes;
 import io.quartzgw.placement.Team;
 import io.quartzgw.store.StoreLimits;
 import io.quartzgw.worker.WorkerTimes;
@@ -53,6 +54,9 @@
         if (cancel <= lease) {
             throw new InvalidSettings("facts.workers.cancel_s: has to be longer than lease_s");
         }
+        if (LeadershipTimes.graceS(report, lease, cancel) < report / 2) {
+            throw new InvalidSettings("facts.workers.cancel_s: has to exceed lease_s by 2.5 times report_s");
+        }
         return new Settings(member, text(root, "site", "site"),
                 endpoint(root, "client_listen", "client_listen"), endpoint(root, "peer_listen", "peer_listen"),
                 peers, endpoint(root.path("external"), "cloud", "external.cloud"),
--- a/src/main/java/io/quartzgw/leadership/LeadershipTimes.java
+++ b/src/main/java/io/quartzgw/leadership/LeadershipTimes.java
@@ -8,20 +8,30 @@
  * @param heartbeatMs how often controllers tell each other what they know
  */
 public record LeadershipTimes(long holdMs, long graceMs, long heartbeatMs) {
-    /** Longer than a slow start or a pause of a controller with a quarter of a core. */
-    private static final double HOLD_REPORTS = 1.6;
-    private static final double HEARTBEAT_REPORTS = 0.4;
+    /**
+     * Longer than a pause of a controller with a quarter of a core; and it is the leases that a takeover must not
+     * outlast, so it is a part of them, however seldom workers report.
+     */
+    private static final double HOLD_LEASES = 0.22;
+    private static final int HEARTBEATS_PER_HOLD = 4;
     /**
      * What lies between the end of the grace and the cancel limit besides a lease: the last answered
      * report's own age, and the time that a kill takes.
      */
     private static final double MARGIN_REPORTS = 2;
 
+    /** What is left for the grace: less than half a report interval makes settings that nobody can lead with. */
+    public static double graceS(double reportS, double leaseS, double cancelS) {
+        return cancelS - leaseS - MARGIN_REPORTS * reportS;
+    }
+
     public static LeadershipTimes of(double reportS, double leaseS, double cancelS) {
-        long hold = Math.round(HOLD_REPORTS * reportS * 1000);
         // Grace + lease stays below the cancel limit: a task of a job that was cancelled through
         // another node ends in time even on a machine that only the cut-off leader reaches.
-        long grace = Math.round((cancelS - leaseS - MARGIN_REPORTS * reportS) * 1000);
-        return new LeadershipTimes(hold, Math.max(hold, grace), Math.round(HEARTBEAT_REPORTS * reportS * 1000));
+        double graceS = graceS(reportS, leaseS, cancelS);
+        // A leader is confirmed for its hold, and answers for its grace: that is never the shorter one.
+        double holdS = Math.min(HOLD_LEASES * leaseS, graceS);
+        return new LeadershipTimes(Math.round(holdS * 1000), Math.round(graceS * 1000),
+                Math.round(holdS * 1000 / HEARTBEATS_PER_HOLD));
     }
 }
--- a/src/main/java/io/quartzgw/placement/Cluster.java
+++ b/src/main/java/io/quartzgw/placement/Cluster.java
@@ -189,7 +189,10 @@
     /** Says whether something may be on a machine that the open jobs don't explain. */
     public void unexplained(Machine machine, boolean so) {
         if (so ? unexplained.add(machine) : unexplained.remove(machine)) {
-            unexplainedRoom = unexplained.stream().map(some -> some.type().size()).reduce(Resources.NONE, Resources::plus);
+            Resources size = machine.type().size();
+            // Not summed anew, but for none: at a takeover hundreds of machines are explained one by one.
+            unexplainedRoom = unexplained.isEmpty() ? Resources.NONE
+                    : so ? unexplainedRoom.plus(size) : unexplainedRoom.minus(size);
             changed = true;
         }
     }
--- a/src/main/java/io/quartzgw/placement/Consolidation.java
+++ b/src/main/java/io/quartzgw/placement/Consolidation.java
@@ -16,7 +16,7 @@
     /** Only a machine of which no more than this is in use is cleared. */
     private static final double LITTLE_USED = 0.6;
     /** A replica that has run for less stays: a start counts only when it lasts. */
-    private static final int SETTLED_REPORTS = 14;
+    private static final double SETTLED_LEASES = 2;
 
     private final Cluster cluster;
     private final Predicate<Machine> usable;
@@ -24,11 +24,11 @@
     private final long settledMs;
 
     /** @param usable whether something may be placed on a machine now */
-    public Consolidation(Cluster cluster, Predicate<Machine> usable, Starter starter, long reportMs) {
+    public Consolidation(Cluster cluster, Predicate<Machine> usable, Starter starter, long leaseMs) {
         this.cluster = cluster;
         this.usable = usable;
         this.starter = starter;
-        this.settledMs = SETTLED_REPORTS * reportMs;
+        this.settledMs = (long) (SETTLED_LEASES * leaseMs);
     }
 
     /**
--- a/src/main/java/io/quartzgw/placement/Scheduler.java
+++ b/src/main/java/io/quartzgw/placement/Scheduler.java
@@ -4,6 +4,7 @@
 import io.quartzgw.submission.JobSpec;
 import io.quartzgw.submission.Priority;
 import io.quartzgw.submission.Resources;
+import io.quartzgw.worker.WorkerTimes;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -31,15 +32,15 @@
 
     /** @param roomIsKept whether room is kept rented whatever the demand */
     public Scheduler(Kernel kernel, Cluster cluster, Map<String, Team> teams, Goals goals, boolean roomIsKept,
-            long reportMs, Starter starter) {
+            WorkerTimes times, Starter starter) {
         this.kernel = kernel;
         this.cluster = cluster;
         this.teams = teams;
         this.starter = starter;
         this.goals = goals;
-        this.queue = new Queue(cluster, teams, goals, reportMs);
+        this.queue = new Queue(cluster, teams, goals, times.leaseMs());
         this.bestFit = new BestFit(kernel.random(), roomIsKept);
-        this.freshMs = (long) (FRESH_REPORTS * reportMs);
+        this.freshMs = (long) (FRESH_REPORTS * times.reportMs());
     }
 
     /** What lacked room the last time. */
--- a/src/main/java/io/quartzgw/recovery/Holds.java
+++ b/src/main/java/io/quartzgw/recovery/Holds.java
@@ -11,11 +11,11 @@
 public record Holds(long windowMs, long silentMs) {
     private static final int WINDOW_REPORTS = 6;
     /** How much longer than the lease: a worker may be slow to notice that its lease has run out. */
-    private static final double BEYOND_LEASE_REPORTS = 0.4;
+    private static final double BEYOND_LEASE = 0.06;
 
     public static Holds of(WorkerTimes times) {
         // Never below the lease: before it has run out on the worker's clock, the tasks may be running.
         return new Holds(WINDOW_REPORTS * times.reportMs(),
-                times.longestLeaseMs() + (long) (BEYOND_LEASE_REPORTS * times.reportMs()));
+                times.longestLeaseMs() + (long) (BEYOND_LEASE * times.leaseMs()));
     }
 }
--- a/src/test/java/io/quartzgw/app/SettingsReaderTest.java
+++ b/src/test/java/io/quartzgw/app/SettingsReaderTest.java
@@ -64,6 +64,7 @@
     @CsvSource({
         "lease_s = 16.0, lease_s = 1.0, facts.workers.lease_s",
         "cancel_s = 36.0, cancel_s = 10.0, facts.workers.cancel_s",
+        "cancel_s = 36.0, cancel_s = 22.0, facts.workers.cancel_s",
         "report_s = 2.5, report_s = 0.0, facts.workers.report_s",
         "rps = 150.0, rps = nan, facts.state.rps",
         "txn_ops = 48, x = 1, facts.state.txn_ops",
--- a/src/test/java/io/quartzgw/placement/SchedulerTest.java
+++ b/src/test/java/io/quartzgw/placement/SchedulerTest.java
@@ -11,6 +11,7 @@
 import io.quartzgw.submission.Priority;
 import io.quartzgw.submission.Resources;
 import io.quartzgw.submission.Shape;
+import io.quartzgw.worker.WorkerTimes;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -29,7 +30,8 @@
     private final Kernel kernel = new Kernel(1);
     private final Cluster cluster = new Cluster(kernel, 1);
     private final List<Booking> stopped = new ArrayList<>();
-    private final Scheduler scheduler = new Scheduler(kernel, cluster, TEAMS, new Goals(Map.of(), Map.of()), false, 2_500, new Starter() {
+    private final Scheduler scheduler = new Scheduler(kernel, cluster, TEAMS, new Goals(Map.of(), Map.of()), false,
+            new WorkerTimes(2_500, 16_000, 36_000), new Starter() {
         @Override
         public void start(Booking booking) {
             booking.markOffered();
