--- a/src/main/java/io/quartzgw/app/Leader.java
+++ b/src/main/java/io/quartzgw/app/Leader.java
@@ -26,12 +26,15 @@
 import io.quartzgw.store.Change;
 import io.quartzgw.store.StoreClient;
 import io.quartzgw.submission.FinalPhase;
+import io.quartzgw.submission.JobCounts;
 import io.quartzgw.submission.JobKeys;
 import io.quartzgw.submission.JobStore;
 import io.quartzgw.submission.OpenJob;
 import io.quartzgw.worker.Report;
 import io.quartzgw.worker.Workers;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.slf4j.Logger;
@@ -67,6 +70,8 @@
     private boolean fleetDue;
     private boolean fleetPaused;
     private long followedTo = Long.MAX_VALUE;
+    /** The last job of the last page of counts. */
+    private String countedTo = "";
 
     Leader(Kernel kernel, Settings settings, Leadership leadership, Peers peers, StoreClient store, JobStore jobs,
             MachineTypes types, CloudClient cloud, long formerAnswersUntil) {
@@ -204,17 +209,27 @@
         progress.dropped(id);
     }
 
-    /** Counts for display, of every open job that has any. */
-    ObjectNode counts() {
-        ObjectNode counts = Json.object();
-        for (Job job : cluster.jobs()) {
+    /**
+     * Counts for display of the open jobs that have any, a page each time: thousands of jobs don't fit one message.
+     *
+     * @param most how many jobs a page may name
+     */
+    JobCounts counts(int most) {
+        String after = countedTo;
+        Map<String, JobCounts.Counts> page = new LinkedHashMap<>();
+        countedTo = "";
+        for (Job job : cluster.jobsAfter(after)) {
             int running = job.runningCount();
             if (running > 0 || job.doneCount() > 0) {
-                ArrayNode pair = counts.putArray(job.id());
-                pair.add(job.doneCount()).add(running);
+                if (page.size() == most) {
+                    return new JobCounts(after, countedTo, page);
+                }
+                page.put(job.id(), new JobCounts.Counts(job.doneCount(), running));
             }
+            countedTo = job.id();
         }
-        return counts;
+        countedTo = "";
+        return new JobCounts(after, null, page);
     }
 
     private final class OpenJobs implements StoreClient.Follower {
--- a/src/main/java/io/quartzgw/app/Node.java
+++ b/src/main/java/io/quartzgw/app/Node.java
@@ -14,12 +14,11 @@
 import io.quartzgw.loop.Kernel;
 import io.quartzgw.store.StoreClient;
 import io.quartzgw.submission.Admission;
+import io.quartzgw.submission.JobCounts;
 import io.quartzgw.submission.JobStore;
 import io.quartzgw.submission.OpenJob;
 import io.quartzgw.submission.Submissions;
 import io.quartzgw.worker.Report;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.function.Supplier;
 
 /** The deterministic core of one controller: all slices, wired around one kernel. */
@@ -71,7 +70,8 @@
         });
         types.start();
         leadership.start(new Elections());
-        peers.start(() -> leader == null ? null : leader.counts(), this::takeCounts, this::takeNotice);
+        peers.start(most -> leader == null ? null : leader.counts(most).toJson(),
+                told -> submissions.counts(JobCounts.fromJson(told)), this::takeNotice);
     }
 
     public boolean leading() {
@@ -176,13 +176,6 @@
 
     // ---- peers
 
-    private void takeCounts(JsonNode told) {
-        Map<String, Submissions.Counts> counts = new HashMap<>();
-        told.properties().forEach(entry -> counts.put(entry.getKey(),
-                new Submissions.Counts(entry.getValue().path(0).asInt(), entry.getValue().path(1).asInt())));
-        submissions.counts(counts);
-    }
-
     private void takeNotice(JsonNode notice) {
         if (leader == null) {
             return;
--- a/src/main/java/io/quartzgw/leadership/Peers.java
+++ b/src/main/java/io/quartzgw/leadership/Peers.java
@@ -15,7 +15,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
+import java.util.function.IntFunction;
 
 /**
  * What controllers tell each other, in CBOR: who runs as which process, who leads with which term,
@@ -26,6 +26,8 @@
     private static final int FORGET_HEARTBEATS = 4;
     /** How long a withdrawal is told, beyond the grace: a leader that missed it answers nobody by then. */
     private static final int WITHDRAWN_HOLDS = 4;
+    /** How many jobs a message may name: at 48 bytes each for the longest names, it stays below 64 KiB. */
+    private static final int MOST_JOBS = 1_200;
 
     private final Kernel kernel;
     private final Leadership leadership;
@@ -39,7 +41,7 @@
     private final TurnedAway turnedAway;
     private final Map<String, Long> withdrawn = new LinkedHashMap<>();
     private long messages;
-    private Supplier<JsonNode> countsToTell = () -> null;
+    private IntFunction<JsonNode> countsToTell = most -> null;
     private Consumer<JsonNode> countsTold = counts -> {};
     private Consumer<JsonNode> noticeTold = notice -> {};
 
@@ -76,11 +78,11 @@
     }
 
     /**
-     * @param toTell the leader's counts, or null when this node has none
-     * @param told receives the leader's counts
+     * @param toTell a page of the leader's counts, of so many jobs at the most, or null when this node has none
+     * @param told receives each page of the leader's counts, this node's own as well
      * @param notice receives a peer's notice about a job
      */
-    public void start(Supplier<JsonNode> toTell, Consumer<JsonNode> told, Consumer<JsonNode> notice) {
+    public void start(IntFunction<JsonNode> toTell, Consumer<JsonNode> told, Consumer<JsonNode> notice) {
         this.countsToTell = toTell;
         this.countsTold = told;
         this.noticeTold = notice;
@@ -115,8 +117,9 @@
     /** Tells every peer at once, for example that this node has been elected. */
     public void beat() {
         ObjectNode message = state();
-        JsonNode counts = countsToTell.get();
+        JsonNode counts = countsToTell.apply(Math.max(1, MOST_JOBS - withdrawn.size()));
         if (counts != null) {
+            countsTold.accept(counts);
             message.set("counts", counts);
         }
         others.forEach((name, endpoint) -> tell(name, endpoint, message));
--- a/src/main/java/io/quartzgw/placement/BestFit.java
+++ b/src/main/java/io/quartzgw/placement/BestFit.java
@@ -25,6 +25,7 @@
     private final SplittableRandom random;
     private final int sample;
     private Map<String, Double> zoneUse = Map.of();
+    private long looks;
 
     /** @param roomIsKept whether room is kept rented whatever the demand */
     public BestFit(SplittableRandom random, boolean roomIsKept) {
@@ -32,6 +33,13 @@
         this.sample = roomIsKept ? FEW : MANY;
     }
 
+    /** How many machines were looked at since this was last asked. */
+    long takeLooks() {
+        long taken = looks;
+        looks = 0;
+        return taken;
+    }
+
     /** Takes how much of each zone's room is in use, from 0 to 1. */
     void zoneUse(Map<String, Double> shares) {
         zoneUse = shares;
@@ -51,6 +59,7 @@
         while (found < candidates.size() && found < sample) {
             int pick = found + random.nextInt(candidates.size() - found);
             Machine machine = candidates.get(pick);
+            looks++;
             if (!job.spec().demand().fitsIn(machine.room()) || !allowed.test(machine)) {
                 Machine last = candidates.remove(candidates.size() - 1);
                 if (pick < candidates.size()) {
--- a/src/main/java/io/quartzgw/placement/Cluster.java
+++ b/src/main/java/io/quartzgw/placement/Cluster.java
@@ -17,7 +17,7 @@
  */
 public final class Cluster {
     private final Kernel kernel;
-    private final Map<String, Job> jobs = new TreeMap<>();
+    private final TreeMap<String, Job> jobs = new TreeMap<>();
     private final Map<String, Machine> machines = new TreeMap<>();
     private final Set<String> gone = new HashSet<>();
     private final Map<String, Resources> teamUse = new HashMap<>();
@@ -41,6 +41,11 @@
         return jobs.values();
     }
 
+    /** The jobs whose names come after one, in their order. */
+    public Collection<Job> jobsAfter(String id) {
+        return jobs.tailMap(id, false).values();
+    }
+
     public Job job(String id) {
         return jobs.get(id);
     }
--- a/src/main/java/io/quartzgw/placement/Scheduler.java
+++ b/src/main/java/io/quartzgw/placement/Scheduler.java
@@ -67,6 +67,7 @@
                 }
             }
         }
+        kernel.count("placement.looks", bestFit.takeLooks());
         unplaced = left;
         scheduleRetry();
     }
--- a/src/main/java/io/quartzgw/submission/Submissions.java
+++ b/src/main/java/io/quartzgw/submission/Submissions.java
@@ -9,8 +9,7 @@
 import io.quartzgw.loop.Kernel;
 import io.quartzgw.store.StoreClient;
 import io.quartzgw.store.TxnOutcome;
-import java.util.HashMap;
-import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 
 /** Serves the users: every request gets its answer as soon as the state service has told. */
@@ -28,18 +27,13 @@
         void withdrawn(String id);
     }
 
-    /** How many of a job's tasks are done and running, for display. */
-    public record Counts(int done, int running) {
-        static final Counts NONE = new Counts(0, 0);
-    }
-
     private final Kernel kernel;
     private final StoreClient store;
     private final JobStore jobs;
     private final MachineTypes types;
     private final Admission admission;
     private final Listener listener;
-    private Map<String, Counts> counts = new HashMap<>();
+    private final TreeMap<String, JobCounts.Counts> counts = new TreeMap<>();
 
     public Submissions(Kernel kernel, StoreClient store, JobStore jobs, MachineTypes types, Admission admission,
             Listener listener) {
@@ -52,8 +46,8 @@
     }
 
     /** Takes the leader's counts for display. */
-    public void counts(Map<String, Counts> told) {
-        this.counts = told;
+    public void counts(JobCounts page) {
+        page.into(counts);
     }
 
     /** Serves a request whose path begins with {@link #PATH}. */
@@ -166,9 +160,9 @@
 
     private Response state(String id, JobStore.Found found) {
         if (found instanceof JobStore.Found.Open) {
-            Counts now = counts.getOrDefault(id, Counts.NONE);
-            return Response.json(200, body(id, now.running > 0 ? "running" : "pending")
-                    .put("done", now.done).put("running", now.running));
+            JobCounts.Counts now = counts.getOrDefault(id, JobCounts.Counts.NONE);
+            return Response.json(200, body(id, now.running() > 0 ? "running" : "pending")
+                    .put("done", now.done()).put("running", now.running()));
         }
         if (found instanceof JobStore.Found.Over over) {
             return Response.json(200, body(id, over.phase().withdrawn() ? "withdrawn" : "done")
@@ -193,7 +187,7 @@
                 kernel.answer(request.exchange(), state(id, found));
                 return;
             }
-            jobs.withdraw(id, open.revision(), counts.getOrDefault(id, Counts.NONE).done, outcome -> {
+            jobs.withdraw(id, open.revision(), counts.getOrDefault(id, JobCounts.Counts.NONE).done(), outcome -> {
                 if (outcome instanceof TxnOutcome.Committed) {
                     kernel.answer(request.exchange(), Response.json(200, body(id, "withdrawn")));
                     listener.withdrawn(id);
--- a/src/test/java/io/quartzgw/leadership/PeersTest.java
+++ b/src/test/java/io/quartzgw/leadership/PeersTest.java
@@ -45,7 +45,7 @@
     void countsAreTakenThoughAnAnswerOvertookThemAndNeverOlderOnes() {
         kernel.handle(List.of(), new Time(1, 1));
         kernel.route(peers::serve);
-        peers.start(() -> null, told::add, notice -> { });
+        peers.start(most -> null, told::add, notice -> { });
         Effect.Send beat = (Effect.Send) kernel.handle(List.of(), new Time(1, 1)).get(0);
         kernel.handle(List.of(new Command.CallEnded(beat.call(), new Reply(200, Json.writeCbor(message(7, 11))))), new Time(2, 2));
         JsonNode newest = Json.object().set("j-1", Json.array().add(1).add(2));
--- a/src/test/java/io/quartzgw/standin/CloudStandIn.java
+++ b/src/test/java/io/quartzgw/standin/CloudStandIn.java
@@ -122,18 +122,17 @@
     }
 
     private Reply list(URI uri, long now) {
-        Map<String, Rented> seen = new TreeMap<>();
         long asOf = now - lagMs;
-        for (Snapshot snapshot : history) {
-            if (snapshot.at <= asOf) {
-                seen = new TreeMap<>(snapshot.machines);
-            }
-        }
-        ObjectNode body = Json.object().put("more", false);
+        Map<String, Rented> seen = new TreeMap<>(history.stream().filter(snapshot -> snapshot.at <= asOf)
+                .reduce((first, second) -> second).map(Snapshot::machines).orElse(Map.of()));
+        ObjectNode body = Json.object();
         ArrayNode list = body.putArray("hosts");
-        String since = StoreStandIn.query(uri).getOrDefault("since", "");
+        Map<String, String> query = StoreStandIn.query(uri);
+        String since = query.getOrDefault("since", "");
+        int most = Integer.parseInt(query.getOrDefault("most", "500"));
+        body.put("more", seen.keySet().stream().filter(id -> id.compareTo(since) > 0).count() > most);
         seen.forEach((id, machine) -> {
-            if (id.compareTo(since) > 0) {
+            if (id.compareTo(since) > 0 && list.size() < most) {
                 String phase = machine.failed ? "failed" : asOf - machine.since >= bootMs ? "running" : "booting";
                 list.addObject().put("id", id).put("address", addresses.apply(id)).put("host_type", machine.type)
                         .put("yard", machine.zone).put("loaner", machine.spot).put("phase", phase)
--- a/src/test/java/io/quartzgw/standin/SimWorld.java
+++ b/src/test/java/io/quartzgw/standin/SimWorld.java
@@ -46,7 +46,7 @@
 
     public final SplittableRandom random;
     public final StoreStandIn store = new StoreStandIn();
-    public final CloudStandIn cloud = new CloudStandIn(5_000, 8_000, 12, SimWorld::address);
+    public final CloudStandIn cloud;
     public final Rules rules = new Rules(CANCEL_MS);
     private final List<SimNode> nodes = new ArrayList<>();
     private final Map<String, SimWorker> workers = new TreeMap<>();
@@ -61,6 +61,8 @@
     private long now;
     private long sequence;
     private long processes;
+    /** How often a worker looks at its tasks. */
+    private final long stepMs;
 
     private record Event(long at, long order, Runnable run) implements Comparable<Event> {
         @Override
@@ -98,7 +100,14 @@
     }
 
     public SimWorld(long seed, int size) {
+        this(seed, size, 12, 50);
+    }
+
+    /** @param capacity how many machines the cloud has */
+    public SimWorld(long seed, int size, int capacity, long stepMs) {
         this.random = new SplittableRandom(seed);
+        this.stepMs = stepMs;
+        this.cloud = new CloudStandIn(5_000, 8_000, capacity, SimWorld::address);
         cloud.listener(new CloudStandIn.Listener() {
             @Override
             public void booted(String id, String type, String zone, boolean spot) {
@@ -193,6 +202,14 @@
         return nodes.stream().filter(sim -> sim.node != null).mapToLong(sim -> sim.kernel.failures()).sum();
     }
 
+    /** What the nodes that are up have counted since they started, by name, all together. */
+    public Map<String, Long> counts() {
+        Map<String, Long> counts = new TreeMap<>();
+        nodes.stream().filter(sim -> sim.node != null)
+                .forEach(sim -> sim.kernel.counts().forEach((name, count) -> counts.merge(name, count, Long::sum)));
+        return counts;
+    }
+
     /** The index of the node that leads with the highest term, or -1. */
     public int leader() {
         int best = -1;
@@ -389,7 +406,7 @@
                 report(sim);
             }
         }
-        at(now + 50, () -> workerStep(sim));
+        at(now + stepMs, () -> workerStep(sim));
     }
 
     private void report(SimWorker sim) {
