The queue's patience follows the report interval again; jobs are logged as they open and end

Parts of the lease made it shorter on the fleets (93 s instead of 120 s until a job that has not begun goes first, 278 s instead of 360 s of lateness).

--- a/src/main/java/io/quartzgw/placement/Cluster.java
+++ b/src/main/java/io/quartzgw/placement/Cluster.java
@@ -10,12 +10,16 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The leader's book: open jobs, machines, and which task has a place where. Only this class books and
  * releases, so that rooms, quotas and zones always add up.
  */
 public final class Cluster {
+    private static final Logger LOG = LoggerFactory.getLogger(Cluster.class);
+
     private final Kernel kernel;
     private final TreeMap<String, Job> jobs = new TreeMap<>();
     private final Map<String, Machine> machines = new TreeMap<>();
@@ -56,6 +60,7 @@
         long age = Math.max(0, kernel.wallClock() - open.acceptedAt());
         return jobs.computeIfAbsent(open.spec().id(), id -> {
             Job job = new Job(open, kernel.now() - age);
+            LOG.debug("{} is open since {} ms: {}", id, age, open.spec());
             waiting.put(id, job);
             return job;
         });
@@ -104,6 +109,7 @@
 
     /** Ends a job: nothing of it is started any more; it leaves the book with its last booking. */
     public void end(Job job) {
+        LOG.debug("{} is over", job.id());
         alter(job, Job::end);
         forgetIfGone(job);
     }
--- a/src/main/java/io/quartzgw/placement/Queue.java
+++ b/src/main/java/io/quartzgw/placement/Queue.java
@@ -15,22 +15,21 @@
  * not begun for a while goes first, work weighs less the longer it waits, and lateness counts only so long.
  */
 final class Queue {
-    // A lease is how long work may hang in the air on this cluster, whatever the workers' rhythm.
     /** A job that has no task running or done by now goes first. */
-    private static final double BEGUN_LEASES = 3.5;
+    private static final int BEGUN_REPORTS = 24;
     /** After so long, waiting work counts for a quarter, after twice as long for a ninth. */
-    private static final double WEIGHED_LEASES = 1.75;
+    private static final int WEIGHED_REPORTS = 12;
     /** After so long, a job that can't be in time any more waits no longer than others. */
-    private static final double LATE_LEASES = 10.5;
+    private static final int LATE_REPORTS = 72;
 
     private final Cluster cluster;
     private final Map<String, Team> teams;
     private final Goals goals;
-    private final long leaseMs;
+    private final long reportMs;
 
-    Queue(Cluster cluster, Map<String, Team> teams, Goals goals, long leaseMs) {
+    Queue(Cluster cluster, Map<String, Team> teams, Goals goals, long reportMs) {
         this.cluster = cluster;
-        this.leaseMs = leaseMs;
+        this.reportMs = reportMs;
         this.goals = goals;
         this.teams = teams;
     }
@@ -46,9 +45,9 @@
                 Team team = teams.get(job.spec().team());
                 boolean guaranteed = team != null && team.withinGuarantee(use.plus(job.spec().demand()));
                 long age = now - job.submittedAt();
-                boolean late = !goals.reachable(job, now) && age < LATE_LEASES * leaseMs;
-                boolean starved = age >= BEGUN_LEASES * leaseMs && job.doneCount() == 0 && job.mayRun() == 0;
-                double weight = 1 + Math.max(0.0, age) / (WEIGHED_LEASES * leaseMs);
+                boolean late = !goals.reachable(job, now) && age < LATE_REPORTS * reportMs;
+                boolean starved = age >= BEGUN_REPORTS * reportMs && job.doneCount() == 0 && job.mayRun() == 0;
+                double weight = 1 + Math.max(0.0, age) / (WEIGHED_REPORTS * reportMs);
                 ranked.add(new Ranked(job, guaranteed, starved, late, job.waitingWork() / (weight * weight), use.cpus()));
             }
         }
--- a/src/main/java/io/quartzgw/placement/Scheduler.java
+++ b/src/main/java/io/quartzgw/placement/Scheduler.java
@@ -38,7 +38,7 @@
         this.teams = teams;
         this.starter = starter;
         this.goals = goals;
-        this.queue = new Queue(cluster, teams, goals, times.leaseMs());
+        this.queue = new Queue(cluster, teams, goals, times.reportMs());
         this.bestFit = new BestFit(kernel.random(), roomIsKept);
         this.freshMs = (long) (FRESH_REPORTS * times.reportMs());
     }
