A rent plan costs a look per job and machine; a node that stood still reports no old news

The rent plan looked at every machine that is coming or wanted for each waiting task, some thousands by thousands; now once per job. ScaleTest bounds the looks.

--- a/src/main/java/io/quartzgw/fleet/Fleet.java
+++ b/src/main/java/io/quartzgw/fleet/Fleet.java
@@ -197,6 +197,8 @@
                         .mapToDouble(machine -> machine.type().size().cpus()).sum();
         Map<Offer, Integer> wanted = plan.plan(beyondSlack(unplaced), coming, asked, this::available, keptCpus - rented,
                 machinesPerZone());
+        kernel.count("fleet.plans", 1);
+        kernel.count("fleet.looks", plan.takeLooks());
         boolean more = rentFirst(wanted);
         if (all) {
             retireIdle(rented);
--- a/src/main/java/io/quartzgw/fleet/RentPlan.java
+++ b/src/main/java/io/quartzgw/fleet/RentPlan.java
@@ -15,6 +15,7 @@
 final class RentPlan {
     private final MachineTypes types;
     private Map<String, Integer> held = Map.of();
+    private long looks;
 
     RentPlan(MachineTypes types) {
         this.types = types;
@@ -68,8 +69,14 @@
         Job job = work.job();
         double added = 0;
         Map<String, Integer> perZone = new HashMap<>();
+        // The tasks of a job are alike: a bin that can't take one can't take a later one, so a job costs one look at
+        // each. With thousands of tasks waiting, one look per task and bin kept a leader from renewing its hold.
+        int next = 0;
         for (int left = work.count(); left > 0; left--) {
-            Bin bin = fitting(job, bins, perZone);
+            while (next < bins.size() && !fits(job, bins.get(next), perZone)) {
+                next++;
+            }
+            Bin bin = next < bins.size() ? bins.get(next) : null;
             if (bin == null) {
                 Offer offer = cheapest(job, left, perZone, available);
                 if (offer == null) {
@@ -87,14 +94,17 @@
         return added;
     }
 
-    private static Bin fitting(Job job, List<Bin> bins, Map<String, Integer> perZone) {
-        for (Bin bin : bins) {
-            if (job.spec().allows(bin.type.name(), bin.zone, bin.spot) && zoneAllowed(job, bin.zone, perZone)
-                    && job.spec().demand().fitsIn(bin.room)) {
-                return bin;
-            }
-        }
-        return null;
+    private boolean fits(Job job, Bin bin, Map<String, Integer> perZone) {
+        looks++;
+        return job.spec().demand().fitsIn(bin.room) && job.spec().allows(bin.type.name(), bin.zone, bin.spot)
+                && zoneAllowed(job, bin.zone, perZone);
+    }
+
+    /** How many machines, coming or wanted, were looked at since this was last asked. */
+    long takeLooks() {
+        long taken = looks;
+        looks = 0;
+        return taken;
     }
 
     private static boolean zoneAllowed(Job job, String zone, Map<String, Integer> perZone) {
--- a/src/main/java/io/quartzgw/leadership/TurnedAway.java
+++ b/src/main/java/io/quartzgw/leadership/TurnedAway.java
@@ -17,25 +17,40 @@
 final class TurnedAway {
     /** How long a worker counts: it tries the leader for some seconds in between. */
     private static final int COUNTED_HEARTBEATS = 6;
+    /** A node that has missed so many heartbeats stood still; what it reads for a while after that is old. */
+    private static final int STOOD_STILL_HEARTBEATS = 3;
+    private static final int OLD_NEWS_HEARTBEATS = 2;
 
     private final Kernel kernel;
     private final long heartbeatMs;
     private final Map<String, Seen> workers = new HashMap<>();
     private long reachedAt = Long.MIN_VALUE / 2;
+    private long probedAt;
+    private long oldNewsUntil = Long.MIN_VALUE / 2;
 
     private record Seen(Endpoint address, long at) {}
 
     TurnedAway(Kernel kernel, long heartbeatMs) {
         this.kernel = kernel;
         this.heartbeatMs = heartbeatMs;
+        this.probedAt = kernel.now();
     }
 
     void add(String machine, Endpoint address) {
-        workers.put(machine, new Seen(address, kernel.now()));
+        if (kernel.now() > oldNewsUntil) {
+            workers.put(machine, new Seen(address, kernel.now()));
+        }
     }
 
     /** Asks one of them; to be called once a heartbeat. */
     void probe() {
+        // Guards the leader that was elected meanwhile: to a node that stood still, reports that had waited for it
+        // look like workers that are turned away now, and with a wave of lost machines they would depose a healthy one.
+        if (kernel.now() - probedAt > STOOD_STILL_HEARTBEATS * heartbeatMs) {
+            workers.clear();
+            oldNewsUntil = kernel.now() + OLD_NEWS_HEARTBEATS * heartbeatMs;
+        }
+        probedAt = kernel.now();
         workers.values().removeIf(seen -> !lately(seen.at));
         if (workers.isEmpty()) {
             return;
--- a/src/test/java/io/quartzgw/app/ScaleTest.java
+++ b/src/test/java/io/quartzgw/app/ScaleTest.java
@@ -13,6 +13,7 @@
     private static final int MACHINES = 1_700;
     private static final int SERVICES = 30;
     private static final int REPLICAS = 50;
+    private static final int BURST = 60;
     private static final int ARRAYS = 20;
     private static final int TASKS = 10;
     /** A task of this size fills a machine of the cheaper type. */
@@ -40,6 +41,21 @@
 
         steadyLoadCostsLittle(world);
         aTakeoverAmongSilentMachinesKeepsWhatRuns(world);
+        aBurstThatHasNoRoomIsPlannedWithBoundedWork(world);
+    }
+
+    // Guards the leader's hold: a plan that looks at each machine for each waiting task takes seconds.
+    private void aBurstThatHasNoRoomIsPlannedWithBoundedWork(SimWorld world) {
+        long looks = of(world, "fleet.looks");
+        long plans = of(world, "fleet.plans");
+        for (int i = 0; i < BURST; i++) {
+            world.job(FailureTest.job(String.format("j-%06d", 3000 + i), "blue", "array", REPLICAS, CPUS, 20), null);
+        }
+        world.runUntil(world.now() + 10_000);
+        long perPlan = (of(world, "fleet.looks") - looks) / Math.max(1, of(world, "fleet.plans") - plans);
+        // Every job looks at every machine that is coming or wanted once at the most.
+        assertTrue(perPlan > 0 && perPlan < (long) BURST * BURST * REPLICAS, perPlan + " looks a plan");
+        assertEquals(List.of(), world.rules.broken());
     }
 
     private void steadyLoadCostsLittle(SimWorld world) {
--- /dev/null
+++ b/src/test/java/io/quartzgw/leadership/TurnedAwayTest.java
@@ -0,0 +1,55 @@
+package io.quartzgw.leadership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.quartzgw.http.Endpoint;
+import io.quartzgw.http.Reply;
+import io.quartzgw.loop.Command;
+import io.quartzgw.loop.Effect;
+import io.quartzgw.loop.Kernel;
+import io.quartzgw.loop.Time;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class TurnedAwayTest {
+    private static final long HEARTBEAT_MS = 1_000;
+    private static final Endpoint WORKER = new Endpoint("10.1.0.1", 9000);
+
+    private final Kernel kernel = new Kernel(1);
+    private final TurnedAway turnedAway = new TurnedAway(kernel, HEARTBEAT_MS);
+
+    /** A worker reports, a heartbeat later it is asked, and it answers. */
+    private int countAfterReportAndHeartbeat(long now) {
+        act(now, () -> turnedAway.add("i-000001", WORKER));
+        List<Command> answers = new ArrayList<>();
+        for (Effect effect : act(now + HEARTBEAT_MS, turnedAway::probe)) {
+            answers.add(new Command.CallEnded(((Effect.Send) effect).call(), new Reply(200, new byte[0])));
+        }
+        kernel.handle(answers, new Time(now + HEARTBEAT_MS, 0));
+        return turnedAway.count();
+    }
+
+    private List<Effect> act(long now, Runnable action) {
+        kernel.handle(List.of(), new Time(now, 0));
+        action.run();
+        return kernel.handle(List.of(), new Time(now, 0));
+    }
+
+    @Test
+    void aWorkerThatReportsHereAndIsReachedCounts() {
+        act(0, turnedAway::probe);
+        assertEquals(1, countAfterReportAndHeartbeat(HEARTBEAT_MS));
+    }
+
+    // Guards a healthy leader: reports that waited for a node that stood still are no sign of the present.
+    @Test
+    void whatWaitedForANodeThatStoodStillDoesNotCount() {
+        act(0, turnedAway::probe);
+        long awake = 30 * HEARTBEAT_MS;
+        act(awake, () -> turnedAway.add("i-000001", WORKER));
+        act(awake + 1, turnedAway::probe);
+        assertEquals(0, countAfterReportAndHeartbeat(awake + HEARTBEAT_MS));
+        assertEquals(1, countAfterReportAndHeartbeat(awake + 4 * HEARTBEAT_MS));
+    }
+}
