Cancellations are known by name at every controller, and bound who may renew leases

Now a slice of its own keeps the names of cancelled jobs at every controller until their tasks are gone, from whomever it has them, noted before any answer that tells a user; every answer that renews a lease stops what the report lists of jobs known to be over; and Horizon says up to when all cancellations are known, from answers of peers and from what the state service has told. The hold's renewals alone no longer count as that knowledge: the leader's follow of the open jobs does, which now answers every 0.6 report intervals at the latest.

CancellationTest brings the meetings about. The stand-ins gained: refusal of one controller alone, lost answers, slow answers, mute machines, held orders.

--- a/src/main/java/io/quartzgw/app/Leader.java
+++ b/src/main/java/io/quartzgw/app/Leader.java
@@ -2,6 +2,8 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.quartzgw.cancellation.Cancellations;
+import io.quartzgw.cancellation.Horizon;
 import io.quartzgw.fleet.CloudClient;
 import io.quartzgw.fleet.Fleet;
 import io.quartzgw.fleet.MachineRecords;
@@ -48,6 +50,8 @@
     /** A takeover is short: it is worth more than the leases of so many workers. */
     private static final double CUT_PART = 0.25;
     private static final double FLEET_REPORTS = 0.1;
+    /** How long a follow of the open jobs waits: what it has told is known up to when it was asked. */
+    private static final double FOLLOW_REPORTS = 0.6;
     /** After giving up for lack of reports, this node does not stand again for so long. */
     private static final int ABSTAIN_REPORTS = 6;
 
@@ -56,6 +60,9 @@
     private final Leadership leadership;
     private final StoreClient store;
     private final JobStore jobs;
+    private final Cancellations cancellations;
+    private final Horizon horizon;
+    private final long followMs;
     private final long term;
     private final long since;
     private final Peers peers;
@@ -74,12 +81,15 @@
     private String countedTo = "";
 
     Leader(Kernel kernel, Settings settings, Leadership leadership, Peers peers, StoreClient store, JobStore jobs,
-            MachineTypes types, CloudClient cloud, long formerAnswersUntil) {
+            Cancellations cancellations, Horizon horizon, MachineTypes types, CloudClient cloud, long formerAnswersUntil) {
         this.kernel = kernel;
         this.settings = settings;
         this.leadership = leadership;
         this.store = store;
         this.jobs = jobs;
+        this.cancellations = cancellations;
+        this.horizon = horizon;
+        this.followMs = (long) (FOLLOW_REPORTS * settings.workers().reportMs());
         this.term = leadership.term();
         this.peers = peers;
         this.since = kernel.now();
@@ -87,7 +97,7 @@
         Holds holds = Holds.of(settings.workers());
         this.cluster = new Cluster(kernel, term);
         this.workers = new Workers(kernel, leadership, cluster, types, settings.workers(),
-                Sockets.of(settings.sockets()).orders(), new FromWorkers());
+                Sockets.of(settings.sockets()).orders(), cancellations::knows, new FromWorkers());
         this.progress = new Progress(kernel, store, leadership, leadership.termRevision(), reportMs,
                 new FromProgress());
         double keptCpus = keptCpus(settings);
@@ -100,7 +110,7 @@
                 new Consolidation(cluster, scheduler::usable, new ToWorkers(), settings.workers().leaseMs()), keptCpus, holds.silentMs(),
                 workers::forget);
         this.recovery = new Recovery(kernel, store, leadership, peers, types, cluster, workers, progress, records,
-                holds, reportMs, formerAnswersUntil, new OpenJobs());
+                holds, reportMs, formerAnswersUntil, this::knownOver, new OpenJobs());
     }
 
     // Where the guarantee is an aim, its room is there before the work comes.
@@ -188,11 +198,22 @@
         // A notice may be held up and come late, when the job is over already: what the follow has
         // passed, it has told better.
         if (open.revision() > followedTo) {
+            add(open);
+        }
+    }
+
+    // What is known to be over comes no more: a follow or a notice may tell of the acceptance after the end.
+    private void add(OpenJob open) {
+        if (!knownOver(open.spec().id())) {
             cluster.add(open);
         }
     }
 
-    void withdrawn(String id) {
+    private boolean knownOver(String id) {
+        return jobs.cached(id) != null || cancellations.knows(id);
+    }
+
+    void cancelled(String id) {
         over(id);
     }
 
@@ -239,8 +260,14 @@
         }
 
         @Override
-        public void reached(long revision) {
+        public void reached(long revision, long at) {
             followedTo = revision;
+            horizon.read(at);
+        }
+
+        @Override
+        public long waitMs() {
+            return followMs;
         }
 
         @Override
@@ -249,10 +276,7 @@
                 if (change.value() == null) {
                     over(change.key().substring(JobKeys.OPEN.length()));
                 } else {
-                    OpenJob open = OpenJob.fromRecord(change.value(), change.revision());
-                    if (jobs.cached(open.spec().id()) == null) {
-                        cluster.add(open);
-                    }
+                    add(OpenJob.fromRecord(change.value(), change.revision()));
                 }
             }
         }
@@ -272,8 +296,8 @@
                 Set<String> ids = open.stream().map(job -> job.spec().id()).collect(Collectors.toSet());
                 cluster.jobs().stream().filter(job -> !job.over() && !ids.contains(job.id())
                         && job.open().revision() <= listing.revision()).map(Job::id).toList().forEach(Leader.this::over);
-                open.stream().filter(job -> jobs.cached(job.spec().id()) == null).forEach(cluster::add);
-                store.follow(JobKeys.OPEN, listing.revision(), this);
+                open.forEach(Leader.this::add);
+                store.follow(JobKeys.OPEN, listing.revision(), listing.at(), this);
             });
         }
     }
--- a/src/main/java/io/quartzgw/app/Node.java
+++ b/src/main/java/io/quartzgw/app/Node.java
@@ -2,6 +2,8 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.quartzgw.cancellation.Cancellations;
+import io.quartzgw.cancellation.Horizon;
 import io.quartzgw.fleet.CloudClient;
 import io.quartzgw.fleet.MachineTypes;
 import io.quartzgw.http.Door;
@@ -32,6 +34,8 @@
     private final StoreClient store;
     private final CloudClient cloud;
     private final LeadershipTimes times;
+    private final Cancellations cancellations;
+    private final Horizon horizon;
     private final Leadership leadership;
     private final Peers peers;
     private final MachineTypes types;
@@ -52,8 +56,12 @@
         this.cloud = new CloudClient(kernel, settings.cloud(), settings.cloudLimits());
         this.times = LeadershipTimes.of(settings.workers().reportMs() / 1000.0,
                 settings.workers().leaseMs() / 1000.0, settings.cancelS());
-        this.leadership = new Leadership(kernel, store, times, settings.member(), process);
-        this.peers = new Peers(kernel, leadership, store, times, settings.member(), process, settings.peers());
+        long cancelMs = settings.workers().cancelMs();
+        this.cancellations = new Cancellations(kernel, cancelMs);
+        this.horizon = new Horizon(kernel, cancelMs, settings.peers().keySet());
+        this.leadership = new Leadership(kernel, store, times, settings.member(), process, horizon);
+        this.peers = new Peers(kernel, leadership, store, times, settings.member(), process, settings.peers(),
+                cancellations, horizon);
         this.types = new MachineTypes(kernel, store, cloud, leadership::leading);
         this.jobs = new JobStore(store);
         this.submissions = new Submissions(kernel, store, jobs, types, new Admission(settings.teams()),
@@ -68,6 +76,11 @@
                 leader.afterBatch();
             }
         });
+        cancellations.listener(job -> {
+            if (leader != null) {
+                leader.cancelled(job);
+            }
+        });
         types.start();
         leadership.start(new Elections());
         peers.start(most -> leader == null ? null : leader.counts(most).toJson(),
@@ -161,9 +174,10 @@
         @Override
         public void elected(long term, long termRevision) {
             // A former leader answers for its grace from the last moment up to which it knew of all
-            // withdrawals; this node, for one, has told it of none since it was elected.
+            // cancellations; this node, for one, has told it of none since it was elected.
             long formerAnswersUntil = kernel.now() + times.graceMs();
-            leader = new Leader(kernel, settings, leadership, peers, store, jobs, types, cloud, formerAnswersUntil);
+            leader = new Leader(kernel, settings, leadership, peers, store, jobs, cancellations, horizon, types, cloud,
+                    formerAnswersUntil);
             leader.start();
             peers.beat();
         }
@@ -177,13 +191,8 @@
     // ---- peers
 
     private void takeNotice(JsonNode notice) {
-        if (leader == null) {
-            return;
-        }
-        if (notice.has("accepted")) {
+        if (leader != null && notice.has("accepted")) {
             leader.accepted(OpenJob.fromRecord(notice.path("accepted"), notice.path("revision").asLong()));
-        } else if (notice.has("withdrawn")) {
-            leader.withdrawn(notice.path("withdrawn").asText());
         }
     }
 
@@ -200,12 +209,9 @@
         }
 
         @Override
-        public void withdrawn(String id) {
-            peers.withdrew(id);
-            if (leader != null) {
-                leader.withdrawn(id);
-            } else {
-                peers.notifyLeader(Json.object().put("withdrawn", id));
+        public void cancelled(String id) {
+            if (cancellations.note(id) && leader == null) {
+                peers.tellLeader();
             }
         }
     }
--- a/src/main/java/io/quartzgw/leadership/Leadership.java
+++ b/src/main/java/io/quartzgw/leadership/Leadership.java
@@ -1,5 +1,6 @@
 package io.quartzgw.leadership;
 
+import io.quartzgw.cancellation.Horizon;
 import io.quartzgw.http.Json;
 import io.quartzgw.loop.Kernel;
 import io.quartzgw.store.Change;
@@ -11,7 +12,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.function.LongUnaryOperator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -48,8 +48,8 @@
     private final LeadershipTimes times;
     private final String member;
     private final long process;
+    private final Horizon horizon;
     private Listener listener;
-    private LongUnaryOperator withdrawalsKnown = confirmation -> confirmation;
 
     private boolean observed;
     private long generation;
@@ -67,12 +67,14 @@
     private long hold;
     private long confirmedAt;
 
-    public Leadership(Kernel kernel, StoreClient store, LeadershipTimes times, String member, long process) {
+    public Leadership(Kernel kernel, StoreClient store, LeadershipTimes times, String member, long process,
+            Horizon horizon) {
         this.kernel = kernel;
         this.store = store;
         this.times = times;
         this.member = member;
         this.process = process;
+        this.horizon = horizon;
     }
 
     public void start(Listener told) {
@@ -95,18 +97,12 @@
     }
 
     /**
-     * Whether this node may answer workers: confirmed, or within the grace. The grace bounds how long a
-     * withdrawal that another node has told a user may be unknown here, so it counts from the moment up
-     * to which this node knows them all: its last confirmation, or what the others have told since.
+     * Whether this node may answer workers, and so renew their leases. An answer has the orders that stop the tasks of
+     * every job that this node knows as cancelled; the grace bounds how long ago one may have been cancelled that it
+     * doesn't know. That holds from the election on, also while hard state is being read.
      */
     public boolean answering() {
-        return leading && kernel.now()
-                < Math.max(confirmedAt, withdrawalsKnown.applyAsLong(confirmedAt)) + times.graceMs();
-    }
-
-    /** @param known up to when all withdrawals told by others are known, given the last confirmation */
-    void withdrawalsKnown(LongUnaryOperator known) {
-        this.withdrawalsKnown = known;
+        return leading && kernel.now() < horizon.until(confirmedAt) + times.graceMs();
     }
 
     /** The revision of the term key under this node's term. */
@@ -191,7 +187,7 @@
             }
             observed = true;
             decide();
-            store.follow(PREFIX, listing.revision(), follower(mine));
+            store.follow(PREFIX, listing.revision(), listing.at(), follower(mine));
         });
     }
 
@@ -312,6 +308,7 @@
         term = won;
         hold = withHold;
         confirmedAt = since;
+        horizon.nothingRead();
         LOG.info("leading with term {}", term);
         renew();
         listener.elected(term, termRevision);
--- a/src/main/java/io/quartzgw/leadership/Peers.java
+++ b/src/main/java/io/quartzgw/leadership/Peers.java
@@ -2,6 +2,8 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.quartzgw.cancellation.Cancellations;
+import io.quartzgw.cancellation.Horizon;
 import io.quartzgw.http.Call;
 import io.quartzgw.http.Endpoint;
 import io.quartzgw.http.Json;
@@ -24,8 +26,6 @@
 public final class Peers {
     public static final String PATH = "/peer";
     private static final int FORGET_HEARTBEATS = 4;
-    /** How long a withdrawal is told, beyond the grace: a leader that missed it answers nobody by then. */
-    private static final int WITHDRAWN_HOLDS = 4;
     /** How many jobs a message may name: at 48 bytes each for the longest names, it stays below 64 KiB. */
     private static final int MOST_JOBS = 1_200;
 
@@ -39,7 +39,8 @@
     private final Map<String, Known> known = new HashMap<>();
     private final Set<String> busy = new HashSet<>();
     private final TurnedAway turnedAway;
-    private final Map<String, Long> withdrawn = new LinkedHashMap<>();
+    private final Cancellations cancellations;
+    private final Horizon horizon;
     private long messages;
     private IntFunction<JsonNode> countsToTell = most -> null;
     private Consumer<JsonNode> countsTold = counts -> {};
@@ -55,18 +56,12 @@
         private boolean storeReachable;
         private int workers;
         private long process;
-        /** When its present process was first heard of. */
-        private long processSince;
-        /** Up to when it has told this node of all withdrawals that it told its users. */
-        private long withdrawalsUntil = Long.MIN_VALUE / 2;
-        /** The same for its process before. */
-        private long formerUntil = Long.MIN_VALUE / 2;
         /** The highest term of others that the peer has seen, and so no longer answers below. */
         private long renouncedBelow;
     }
 
     public Peers(Kernel kernel, Leadership leadership, StoreClient store, LeadershipTimes times, String member,
-            long process, Map<String, Endpoint> others) {
+            long process, Map<String, Endpoint> others, Cancellations cancellations, Horizon horizon) {
         this.kernel = kernel;
         this.leadership = leadership;
         this.store = store;
@@ -74,6 +69,8 @@
         this.member = member;
         this.process = process;
         this.others = new LinkedHashMap<>(others);
+        this.cancellations = cancellations;
+        this.horizon = horizon;
         this.turnedAway = new TurnedAway(kernel, times.heartbeatMs());
     }
 
@@ -86,7 +83,6 @@
         this.countsToTell = toTell;
         this.countsTold = told;
         this.noticeTold = notice;
-        leadership.withdrawalsKnown(this::withdrawalsKnownSince);
         beat();
         kernel.every(times.heartbeatMs(), () -> {
             turnedAway.probe();
@@ -94,30 +90,10 @@
         });
     }
 
-    /** Notes that this node has told a user that a job is withdrawn; every message says so for a while. */
-    public void withdrew(String job) {
-        withdrawn.put(job, kernel.now());
-    }
-
-    // The answer to a message names all withdrawals that the peer told before, so they are known up to
-    // the moment when the message was sent. A peer's former process may have told of some between its
-    // last answer and its end: those are known only after this node's next confirmation.
-    private long withdrawalsKnownSince(long confirmation) {
-        long known = Long.MAX_VALUE;
-        for (String name : others.keySet()) {
-            Known peer = this.known.get(name);
-            if (peer == null) {
-                return Long.MIN_VALUE / 2;
-            }
-            known = Math.min(known, peer.processSince > confirmation ? peer.formerUntil : peer.withdrawalsUntil);
-        }
-        return others.isEmpty() ? confirmation : known;
-    }
-
     /** Tells every peer at once, for example that this node has been elected. */
     public void beat() {
         ObjectNode message = state();
-        JsonNode counts = countsToTell.apply(Math.max(1, MOST_JOBS - withdrawn.size()));
+        JsonNode counts = countsToTell.apply(Math.max(1, MOST_JOBS - Cancellations.named(message)));
         if (counts != null) {
             countsTold.accept(counts);
             message.set("counts", counts);
@@ -127,11 +103,18 @@
 
     /** Hands a notice about a job to the leader, if another node leads. */
     public void notifyLeader(ObjectNode notice) {
+        toLeader(state().set("notice", notice));
+    }
+
+    /** Tells the leader at once, if another node leads, what every message says: which jobs are cancelled. */
+    public void tellLeader() {
+        toLeader(state());
+    }
+
+    private void toLeader(ObjectNode message) {
         String leader = leadership.leaderMember();
         Endpoint endpoint = leader == null ? null : others.get(leader);
         if (endpoint != null) {
-            ObjectNode message = state();
-            message.set("notice", notice);
             kernel.call(Call.postCbor(endpoint, PATH, message, times.heartbeatMs()), reply -> {});
         }
     }
@@ -202,11 +185,10 @@
     }
 
     private ObjectNode state() {
-        withdrawn.values().removeIf(since -> kernel.now() - since > times.graceMs() + WITHDRAWN_HOLDS * times.holdMs());
         ObjectNode state = Json.object();
-        withdrawn.keySet().forEach(state.putArray("withdrawn")::add);
+        cancellations.tell(state);
         return state.put("member", member).put("sequence", ++messages).put("workers", turnedAway.count()).put("process", process)
-                .put("leading", leadership.leading() ? leadership.term() : 0)
+                .put("up_ms", horizon.upMs()).put("leading", leadership.leading() ? leadership.term() : 0)
                 .put("term", leadership.highestTerm())
                 .put("store", store.reachable() && store.answeredWithin(FORGET_HEARTBEATS * times.heartbeatMs()));
     }
@@ -217,15 +199,12 @@
         Known peer = known.computeIfAbsent(name, key -> new Known());
         if (peer.process != itsProcess) {
             peer.process = itsProcess;
-            peer.processSince = kernel.now();
-            peer.formerUntil = peer.withdrawalsUntil;
-            peer.withdrawalsUntil = Long.MIN_VALUE / 2;
             peer.sequence = 0;
             peer.countsSequence = 0;
         }
         heard(peer, answer);
-        takeForGood(answer);
-        peer.withdrawalsUntil = Math.max(peer.withdrawalsUntil, sent);
+        boolean whole = takeForGood(answer);
+        horizon.answered(name, itsProcess, answer.path("up_ms").asLong(), sent, whole);
         leadership.memberRuns(name, itsProcess, recordAtCall);
     }
 
@@ -250,9 +229,13 @@
         peer.renouncedBelow = Math.max(peer.renouncedBelow, message.path("term").asLong());
     }
 
-    /** Takes what stays true, however late it comes: withdrawals, and that a term was reached. */
-    private void takeForGood(JsonNode message) {
-        message.path("withdrawn").forEach(job -> noticeTold.accept(Json.object().put("withdrawn", job.asText())));
+    /**
+     * Takes what stays true, however late it comes: cancellations, and that a term was reached. Says whether all
+     * cancellations were named.
+     */
+    private boolean takeForGood(JsonNode message) {
+        boolean whole = cancellations.take(message);
         leadership.sawTerm(message.path("term").asLong());
+        return whole;
     }
 }
--- a/src/main/java/io/quartzgw/recovery/Recovery.java
+++ b/src/main/java/io/quartzgw/recovery/Recovery.java
@@ -19,6 +19,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -49,6 +50,7 @@
     private final long termRevision;
     private final long retryMs;
     private final long contactMs;
+    private final Predicate<String> knownOver;
     private final StoreClient.Follower openJobs;
     private final long electedAt;
     private long formerAnswersUntil;
@@ -59,11 +61,12 @@
 
     /**
      * @param formerAnswersUntil when a former leader can last answer a report, its grace included
+     * @param knownOver whether a job is known to have ended, whatever was read of it
      * @param openJobs follows the open jobs from the revision that they were read at
      */
     public Recovery(Kernel kernel, StoreClient store, Leadership leadership, Peers peers, MachineTypes types,
             Cluster cluster, Workers workers, Progress progress, MachineRecords records, Holds holds, long reportMs,
-            long formerAnswersUntil, StoreClient.Follower openJobs) {
+            long formerAnswersUntil, Predicate<String> knownOver, StoreClient.Follower openJobs) {
         this.kernel = kernel;
         this.store = store;
         this.leadership = leadership;
@@ -79,6 +82,7 @@
         this.retryMs = (long) (RETRY_REPORTS * reportMs);
         this.contactMs = (long) (CONTACT_REPORTS * reportMs);
         this.formerAnswersUntil = formerAnswersUntil;
+        this.knownOver = knownOver;
         this.openJobs = openJobs;
         this.electedAt = kernel.now();
     }
@@ -126,7 +130,11 @@
 
     private void loaded(StoreClient.Listing jobs, List<Entry> done, List<Entry> machines) {
         for (Entry entry : jobs.entries()) {
-            cluster.add(OpenJob.fromRecord(entry.value(), entry.revision()));
+            OpenJob open = OpenJob.fromRecord(entry.value(), entry.revision());
+            // Guards what was cancelled while it was being read.
+            if (!knownOver.test(open.spec().id())) {
+                cluster.add(open);
+            }
         }
         progress.load(done, cluster);
         records.load(machines, types, kernel.now(), machine -> {
@@ -144,7 +152,7 @@
         // Until a task is explained it may be on any machine that has not answered yet.
         List.copyOf(cluster.waitingJobs()).stream().filter(this::mayBeSilent).forEach(cluster::doubt);
         workers.openBooks();
-        store.follow(JobKeys.OPEN, jobs.revision(), openJobs);
+        store.follow(JobKeys.OPEN, jobs.revision(), jobs.at(), openJobs);
         List.copyOf(cluster.jobs()).stream().filter(Job::complete).forEach(progress::end);
         kernel.after(contactMs, this::contactSilent);
         check();
--- a/src/main/java/io/quartzgw/store/StoreClient.java
+++ b/src/main/java/io/quartzgw/store/StoreClient.java
@@ -92,15 +92,20 @@
         });
     }
 
-    /** Every entry with the prefix, read page by page, and the revision before the first page. */
-    public record Listing(List<Entry> entries, long revision) {}
+    /**
+     * Every entry with the prefix, read page by page.
+     *
+     * @param revision the one before the first page
+     * @param at when the first page was asked for: all changes made before are in it
+     */
+    public record Listing(List<Entry> entries, long revision, long at) {}
 
     /** The listing, or null when the service did not tell. */
     public void list(String prefix, Consumer<Listing> then) {
-        page(prefix, null, new ArrayList<>(), Long.MAX_VALUE, then);
+        page(prefix, null, new ArrayList<>(), Long.MAX_VALUE, kernel.now(), then);
     }
 
-    private void page(String prefix, String since, List<Entry> sofar, long revision, Consumer<Listing> then) {
+    private void page(String prefix, String since, List<Entry> sofar, long revision, long at, Consumer<Listing> then) {
         String path = "/keys?starts=" + prefix + (since == null ? "" : "&since=" + since) + "&most=" + PAGE;
         submit(Call.get(endpoint, path, TIMEOUT_MS), 0, Urgency.FIRST, reply -> {
             if (!reply.ok()) {
@@ -112,9 +117,9 @@
             // A follow from the first page's revision sees again what changed between the pages.
             long from = Math.min(revision, body.path("store_rev").asLong());
             if (body.path("more").asBoolean() && !sofar.isEmpty()) {
-                page(prefix, sofar.get(sofar.size() - 1).key(), sofar, from, then);
+                page(prefix, sofar.get(sofar.size() - 1).key(), sofar, from, at, then);
             } else {
-                then.accept(new Listing(sofar, from));
+                then.accept(new Listing(sofar, from, at));
             }
         });
     }
@@ -199,8 +204,13 @@
     public interface Follower {
         boolean wanted();
 
-        /** All changes up to a revision have been told. */
-        default void reached(long revision) {}
+        /** All changes up to a revision have been told, and so all that were made before a moment. */
+        default void reached(long revision, long at) {}
+
+        /** How long the service may wait for a change before it answers that there was none. */
+        default long waitMs() {
+            return FOLLOW_MS;
+        }
 
         void changed(List<Change> changes);
 
@@ -208,14 +218,19 @@
         void outdated();
     }
 
-    /** Follows a prefix from a revision until the follower wants no more or is outdated. */
-    public void follow(String prefix, long since, Follower follower) {
+    /**
+     * Follows a prefix from a revision until the follower wants no more or is outdated.
+     *
+     * @param at a moment before which nothing was changed that the revision lacks
+     */
+    public void follow(String prefix, long since, long at, Follower follower) {
         if (!follower.wanted()) {
             return;
         }
-        follower.reached(since);
-        String path = "/follow?starts=" + prefix + "&since=" + since + "&hold_ms=" + FOLLOW_MS;
-        submit(Call.get(endpoint, path, FOLLOW_MS + FOLLOW_SLACK_MS), 0, Urgency.FIRST, reply -> {
+        follower.reached(since, at);
+        long sent = kernel.now();
+        String path = "/follow?starts=" + prefix + "&since=" + since + "&hold_ms=" + follower.waitMs();
+        submit(Call.get(endpoint, path, follower.waitMs() + FOLLOW_SLACK_MS), 0, Urgency.FIRST, reply -> {
             if (!follower.wanted()) {
                 return;
             }
@@ -228,9 +243,9 @@
                 if (!changes.isEmpty()) {
                     follower.changed(changes);
                 }
-                follow(prefix, body.path("store_rev").asLong(), follower);
+                follow(prefix, body.path("store_rev").asLong(), sent, follower);
             } else {
-                kernel.after(AWAY_MS / 2, () -> follow(prefix, since, follower));
+                kernel.after(AWAY_MS / 2, () -> follow(prefix, since, at, follower));
             }
         });
     }
--- a/src/main/java/io/quartzgw/submission/FinalPhase.java
+++ b/src/main/java/io/quartzgw/submission/FinalPhase.java
@@ -9,10 +9,10 @@
  *
  * @param done how many tasks were done, for display
  */
-public record FinalPhase(boolean withdrawn, int done) {
+public record FinalPhase(boolean cancelled, int done) {
 
     public ObjectNode toJson() {
-        return Json.object().put("phase", withdrawn ? "withdrawn" : "done").put("done", done);
+        return Json.object().put("phase", cancelled ? "withdrawn" : "done").put("done", done);
     }
 
     static FinalPhase fromJson(JsonNode node) {
--- a/src/main/java/io/quartzgw/submission/JobStore.java
+++ b/src/main/java/io/quartzgw/submission/JobStore.java
@@ -204,8 +204,8 @@
         });
     }
 
-    /** Withdraws an open job, unless it has ended otherwise; says whether it was withdrawn by this. */
-    public void withdraw(String id, long revision, int done, Consumer<TxnOutcome> then) {
+    /** Cancels an open job, unless it has ended otherwise; says whether it was cancelled by this. */
+    public void cancel(String id, long revision, int done, Consumer<TxnOutcome> then) {
         FinalPhase phase = new FinalPhase(true, done);
         Txn txn = new Txn().guard(JobKeys.open(id), revision)
                 .drop(JobKeys.open(id)).put(JobKeys.over(id), phase.toJson());
--- a/src/main/java/io/quartzgw/submission/Submissions.java
+++ b/src/main/java/io/quartzgw/submission/Submissions.java
@@ -20,11 +20,12 @@
     private static final int AWAY_RETRY_S = 2;
     private static final int ABORT_TRIES = 4;
 
-    /** Told about jobs that this node accepted or withdrew; the leader wants to know at once. */
+    /** Told about jobs, before a user is; the leader wants to know at once. */
     public interface Listener {
         void accepted(OpenJob job);
 
-        void withdrawn(String id);
+        /** A user is about to be told that a job is cancelled, perhaps as the first one. */
+        void cancelled(String id);
     }
 
     private final Kernel kernel;
@@ -165,7 +166,11 @@
                     .put("done", now.done()).put("running", now.running()));
         }
         if (found instanceof JobStore.Found.Over over) {
-            return Response.json(200, body(id, over.phase().withdrawn() ? "withdrawn" : "done")
+            if (over.phase().cancelled()) {
+                // Guards the user whose abort was carried out while its answer got lost: this one may be the first to tell.
+                listener.cancelled(id);
+            }
+            return Response.json(200, body(id, over.phase().cancelled() ? "withdrawn" : "done")
                     .put("done", over.phase().done()).put("running", 0));
         }
         return Response.error(404, "no such job");
@@ -187,10 +192,10 @@
                 kernel.answer(request.exchange(), state(id, found));
                 return;
             }
-            jobs.withdraw(id, open.revision(), counts.getOrDefault(id, JobCounts.Counts.NONE).done(), outcome -> {
+            jobs.cancel(id, open.revision(), counts.getOrDefault(id, JobCounts.Counts.NONE).done(), outcome -> {
                 if (outcome instanceof TxnOutcome.Committed) {
+                    listener.cancelled(id);
                     kernel.answer(request.exchange(), Response.json(200, body(id, "withdrawn")));
-                    listener.withdrawn(id);
                 } else if (outcome instanceof TxnOutcome.Conflict && tries > 1) {
                     // The job has just ended some other way: the first end wins, read which.
                     abort(request, id, tries - 1);
--- a/src/main/java/io/quartzgw/worker/Workers.java
+++ b/src/main/java/io/quartzgw/worker/Workers.java
@@ -21,6 +21,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -56,6 +57,7 @@
     /** By job, the sessions that still report an ended attempt of it. */
     private final Map<String, Set<Session>> endedOn = new HashMap<>();
     private final Map<String, Report> early = new HashMap<>();
+    private final Predicate<String> cancelled;
     private final int mostCalls;
     private int calls;
     private boolean booksOpen;
@@ -72,15 +74,19 @@
         void needsRecord(Job job, int index);
     }
 
-    /** @param mostCalls how many direct calls may be under way at once */
+    /**
+     * @param mostCalls how many direct calls may be under way at once
+     * @param cancelled whether a job is known to be cancelled, also before the open jobs have been read
+     */
     public Workers(Kernel kernel, Leadership leadership, Cluster cluster, MachineTypes types, WorkerTimes times,
-            int mostCalls, Listener listener) {
+            int mostCalls, Predicate<String> cancelled, Listener listener) {
         this.kernel = kernel;
         this.leadership = leadership;
         this.cluster = cluster;
         this.types = types;
         this.times = times;
         this.mostCalls = mostCalls;
+        this.cancelled = cancelled;
         this.term = leadership.term();
         this.listener = listener;
     }
@@ -94,6 +100,7 @@
         if (!booksOpen) {
             // Hard state is still being read: keep the newest word of each machine for then.
             early.merge(report.machine(), report, (old, now) -> now.newerThan(old) ? now : old);
+            stopOver(report, orders);
             return response.put("baton", term);
         }
         Presence.Proof proof = apply(report, false);
@@ -101,6 +108,9 @@
         // Without a token in its answer, a worker drops it: see Presence.answered.
         if (proof != Presence.Proof.OVERTAKEN) {
             response.put("baton", term);
+            if (proof != Presence.Proof.VOUCHES) {
+                stopOver(report, orders);
+            }
             Machine machine = cluster.machine(report.machine());
             // Only in the session that is proved: a start offered to a later one would be executed there, while the proof
             // of that session, already on its way, gives the task to another machine.
@@ -111,6 +121,20 @@
         return response;
     }
 
+    // Guards against leaders that follow each other quickly: each renews the lease with its first answer, and where that
+    // stopped nothing, a cancelled task would live as long as they do. Every answer that renews a lease stops what the
+    // report lists of jobs that are known to be over, whether or not the report proves anything. Once the open jobs were
+    // read that is every job that the book doesn't have: only a leader starts tasks, and only of jobs that it has read.
+    private void stopOver(Report report, ArrayNode orders) {
+        for (Report.TaskReport task : report.tasks()) {
+            Attempt attempt = task.attempt();
+            if (task.state() != Report.State.ENDED
+                    && (cancelled.test(attempt.job()) || booksOpen && openJob(attempt) == null)) {
+                orders.add(new Order.Kill(attempt, 0).toJson());
+            }
+        }
+    }
+
     /** Hard state has been read: reports change the book from now on. */
     public void openBooks() {
         booksOpen = true;
--- /dev/null
+++ b/src/test/java/io/quartzgw/app/CancellationTest.java
@@ -0,0 +1,219 @@
+package io.quartzgw.app;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.quartzgw.http.Reply;
+import io.quartzgw.standin.SimWorld;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BiConsumer;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Jobs that are cancelled while their leader is in trouble. The tasks are gone within the cancel limit, whichever
+ * controller told the user, in whichever answer, and whatever becomes of the controllers next.
+ */
+class CancellationTest {
+    private static final String JOB = "j-000001";
+    private static final long OUTAGE_MS = 60_000;
+
+    private final List<Reply> told = new ArrayList<>();
+
+    private static void play(SimWorld world, long ms) {
+        for (long end = world.now() + ms; world.now() < end; ) {
+            world.runUntil(Math.min(end, world.now() + 500));
+            world.rules.sweep(world.now());
+        }
+    }
+
+    private void assertTold() {
+        assertTrue(told.stream().anyMatch(reply -> reply.ok() && reply.json().path("phase").asText().equals("withdrawn")),
+                "a user was told");
+    }
+
+    private static void assertGone(SimWorld world) {
+        assertGone(world, JOB);
+    }
+
+    private static void assertGone(SimWorld world, String job) {
+        assertEquals(List.of(), world.rules.broken());
+        assertTrue(world.rules.runningTasks().stream().noneMatch(task -> task.startsWith(job + "/")));
+        assertEquals(0, world.failures());
+    }
+
+    private static int other(int node, int by) {
+        return (node + by) % 3;
+    }
+
+    /** The state service refuses the leader alone, then something is done to the job, then it is out for all. */
+    private SimWorld gap(long refusedMs, BiConsumer<SimWorld, Integer> cancelling) {
+        SimWorld world = ScenarioTest.withServices();
+        int leader = world.leader();
+        world.refuse(leader, true);
+        play(world, 200);
+        cancelling.accept(world, leader);
+        play(world, refusedMs - 200);
+        world.store.outage(true);
+        assertEquals(leader, world.leader(), "workers report to the old leader");
+        return world;
+    }
+
+    private void afterOutage(SimWorld world, int leader) {
+        play(world, OUTAGE_MS);
+        assertTold();
+        assertGone(world);
+        world.refuse(leader, false);
+        world.store.outage(false);
+        play(world, 40_000);
+        assertGone(world);
+        assertEquals(List.of(), world.rules.missingReplicas(), "what was not cancelled runs");
+    }
+
+    @Test
+    void anotherControllerTellsTheUserAndThenNobodyReachesTheStateService() {
+        SimWorld world = gap(2_000, (w, leader) -> w.abort(other(leader, 1), JOB, told::add));
+        afterOutage(world, world.leader());
+    }
+
+    // Guards the first word: the transaction was carried out, its answer got lost, and the user hears of the end from
+    // another controller, in the answer to a repeated abort, to a poll, or to a repeated submission.
+    @Test
+    void theAnswerToTheAbortIsLostAndAnotherAnswerTellsTheUser() {
+        List<BiConsumer<SimWorld, Integer>> again = List.of((w, node) -> w.abort(node, JOB, told::add),
+                (w, node) -> w.poll(node, JOB, told::add), (w, node) -> w.submit(node, w.submitted(JOB), told::add));
+        for (BiConsumer<SimWorld, Integer> ask : again) {
+            for (int by = 1; by <= 2; by++) {
+                int teller = by;
+                told.clear();
+                SimWorld world = gap(1_500, (w, leader) -> {
+                    w.lostAnswers(1);
+                    w.abort(other(leader, 1), JOB, reply -> { });
+                    play(w, 300);
+                    w.lostAnswers(0);
+                    ask.accept(w, other(leader, teller));
+                });
+                afterOutage(world, world.leader());
+            }
+        }
+    }
+
+    // Guards what a process told between its last answer and its end, also where a second restart follows.
+    @Test
+    void theControllerThatToldTheUserIsRestartedOnceOrTwice() {
+        for (int restarts = 1; restarts <= 2; restarts++) {
+            told.clear();
+            SimWorld world = gap(2_000, (w, leader) -> {
+                // Nothing that the teller says reaches the others before it ends.
+                w.cut("rig-" + other(leader, 1), "rig-" + leader);
+                w.cut("rig-" + other(leader, 1), "rig-" + other(leader, 2));
+                w.abort(other(leader, 1), JOB, told::add);
+                play(w, 300);
+                w.crash(other(leader, 1));
+                w.drop("rig-" + other(leader, 1), "rig-" + leader);
+                w.drop("rig-" + other(leader, 1), "rig-" + other(leader, 2));
+            });
+            int leader = world.leader();
+            for (int i = 0; i < restarts; i++) {
+                world.crash(other(leader, 1));
+                play(world, 200);
+                world.start(other(leader, 1));
+                play(world, 2_500);
+            }
+            afterOutage(world, leader);
+        }
+    }
+
+    // Guards the memory of the others: the leader can't hear the teller for longer than the grace, and hears it again
+    // just before its workers' leases would end.
+    @Test
+    void theLeaderHearsTheTellerAgainOnlyAfterItsGrace() {
+        for (long silentMs = 28_000; silentMs <= 30_400; silentMs += 200) {
+            told.clear();
+            long cutMs = silentMs;
+            SimWorld world = gap(2_000, (w, leader) -> {
+                w.cut("rig-" + other(leader, 1), "rig-" + leader);
+                w.cut("rig-" + other(leader, 1), "rig-" + other(leader, 2));
+                w.abort(other(leader, 1), JOB, told::add);
+                w.at(w.now() + cutMs, () -> {
+                    w.drop("rig-" + other(leader, 1), "rig-" + leader);
+                    w.drop("rig-" + other(leader, 1), "rig-" + other(leader, 2));
+                });
+            });
+            afterOutage(world, world.leader());
+        }
+    }
+
+    // Guards a new leader that can't read: it renews leases without knowing what is open.
+    @Test
+    void aNewLeaderIsElectedAndTheOutageKeepsItFromReading() {
+        for (long seed = 5; seed < 9; seed++) {
+            told.clear();
+            SimWorld world = ScenarioTest.withServices(seed);
+            int former = world.leader();
+            world.cut("rig-" + former, "rig-" + other(former, 1));
+            world.refuse(former, true);
+            play(world, 200);
+            world.abort(other(former, 1), JOB, told::add);
+            world.runUntil(world.now() + 1_000);
+            while (world.leader() == former || world.leader() < 0) {
+                world.runUntil(world.now() + 1);
+            }
+            world.store.outage(true);
+            world.drop("rig-" + former, "rig-" + other(former, 1));
+            afterOutage(world, former);
+        }
+    }
+
+    // Guards chains of leaders none of which reads: each renews leases with its first answers.
+    @Test
+    void leadersFollowEachOtherWithoutReadingAnything() {
+        SimWorld world = ScenarioTest.withServices();
+        int first = world.leader();
+        world.crash(first);
+        world.abort(other(first, 1), JOB, told::add);
+        play(world, 500);
+        world.start(first);
+        for (int change = 0; change < 10; change++) {
+            for (int ms = 0; world.leader() < 0 && ms < 10_000; ms++) {
+                world.runUntil(world.now() + 1);
+            }
+            int leader = world.leader();
+            assertTrue(leader >= 0, "somebody is elected");
+            world.store.outage(true);
+            play(world, 4_500);
+            world.crash(leader);
+            world.store.outage(false);
+            world.start(leader);
+        }
+        play(world, 60_000);
+        assertTold();
+        assertGone(world);
+    }
+
+    // Guards an acceptance that is told after the end, by a notice that was held up, while no follow tells of either.
+    @Test
+    void anAcceptanceThatComesAfterTheCancellationStartsNothing() {
+        for (long seed = 5; seed < 13; seed++) {
+            told.clear();
+            SimWorld world = ScenarioTest.withServices(seed);
+            int leader = world.leader();
+            int teller = other(leader, 1);
+            world.store.holdFollows(true);
+            world.cut("rig-" + teller, "rig-" + leader);
+            world.submit(teller, FailureTest.job("j-000070", "blue", "daemon", 2, 2, 0), reply -> { });
+            play(world, 400);
+            world.abort(teller, "j-000070", told::add);
+            play(world, 300);
+            int before = world.rules.started();
+            // Held back, and delivered in any order now.
+            world.heal("rig-" + teller, "rig-" + leader);
+            play(world, 10_000);
+            world.store.holdFollows(false);
+            play(world, 30_000);
+            assertTold();
+            assertEquals(before, world.rules.started(), "nothing starts after the confirmation");
+            assertGone(world, "j-000070");
+        }
+    }
+}
--- a/src/test/java/io/quartzgw/app/ScenarioTest.java
+++ b/src/test/java/io/quartzgw/app/ScenarioTest.java
@@ -11,10 +11,15 @@
 
 /** Single failures, each with what users notice of it. */
 class ScenarioTest {
-    private static final int SERVICES = 5;
+    static final int SERVICES = 5;
 
-    private static SimWorld withServices() {
-        SimWorld world = new SimWorld(5, 3);
+    static SimWorld withServices() {
+        return withServices(5);
+    }
+
+    /** A world in which five services of two replicas each run. */
+    static SimWorld withServices(long seed) {
+        SimWorld world = new SimWorld(seed, 3);
         for (int i = 0; i < SERVICES; i++) {
             ObjectNode spec = FailureTest.job("j-00000" + i, "blue", "daemon", 2, 2, 0);
             world.at(1_000, () -> world.job(spec, null));
@@ -55,7 +60,7 @@
         assertNothingRestarted(world);
     }
 
-    // Guards the grace: it counts from the moment up to which the leader knows all withdrawals.
+    // Guards the grace: it counts from the moment up to which the leader knows all cancellations.
     @Test
     void anOutageLongerThanGraceAndLeaseRestartsNothing() {
         SimWorld world = withServices();
@@ -221,9 +226,9 @@
         assertEquals(List.of(), world.rules.broken());
     }
 
-    // Guards withdrawals that the leader can't hear of: it answers its workers for the grace at the most.
+    // Guards cancellations that the leader can't hear of: it answers its workers for the grace at the most.
     @Test
-    void aJobThatIsWithdrawnBehindACutOffLeadersBackEndsInTime() {
+    void aJobThatIsCancelledBehindACutOffLeadersBackEndsInTime() {
         SimWorld world = withServices();
         int leader = world.leader();
         for (String other : List.of("rig-0", "rig-1", "rig-2", SimWorld.STORE)) {
--- a/src/test/java/io/quartzgw/leadership/PeersTest.java
+++ b/src/test/java/io/quartzgw/leadership/PeersTest.java
@@ -4,6 +4,8 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.quartzgw.cancellation.Cancellations;
+import io.quartzgw.cancellation.Horizon;
 import io.quartzgw.http.Door;
 import io.quartzgw.http.Endpoint;
 import io.quartzgw.http.Json;
@@ -18,6 +20,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 class PeersTest {
@@ -25,9 +28,10 @@
 
     private final Kernel kernel = new Kernel(1);
     private final StoreClient store = new StoreClient(kernel, new Endpoint("10.2.0.1", 1), new StoreLimits(10, 10, 8192, 16));
-    private final Leadership leadership = new Leadership(kernel, store, TIMES, "rig-0", 1);
+    private final Horizon horizon = new Horizon(kernel, 36_000, Set.of("rig-1"));
+    private final Leadership leadership = new Leadership(kernel, store, TIMES, "rig-0", 1, horizon);
     private final Peers peers = new Peers(kernel, leadership, store, TIMES, "rig-0", 1,
-            Map.of("rig-1", new Endpoint("10.0.0.2", 8081)));
+            Map.of("rig-1", new Endpoint("10.0.0.2", 8081)), new Cancellations(kernel, 36_000), horizon);
     private final List<JsonNode> told = new ArrayList<>();
 
     private static ObjectNode message(long process, long sequence) {
--- a/src/test/java/io/quartzgw/progress/ProgressTest.java
+++ b/src/test/java/io/quartzgw/progress/ProgressTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.quartzgw.cancellation.Horizon;
 import io.quartzgw.http.Endpoint;
 import io.quartzgw.leadership.Leadership;
 import io.quartzgw.leadership.LeadershipTimes;
@@ -19,6 +20,7 @@
 import io.quartzgw.submission.Priority;
 import io.quartzgw.submission.Resources;
 import io.quartzgw.submission.Shape;
+import java.util.List;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 
@@ -31,7 +33,8 @@
     private final LossyLink link = new LossyLink(kernel, new StoreStandIn(), random);
     private final StoreClient store = new StoreClient(kernel, new Endpoint("10.2.0.1", 1),
             new StoreLimits(100_000, 100_000, 8192, 16));
-    private final Leadership leadership = new Leadership(kernel, store, LeadershipTimes.of(2.5, 16, 36), "rig-0", 1);
+    private final Leadership leadership = new Leadership(kernel, store, LeadershipTimes.of(2.5, 16, 36), "rig-0", 1,
+            new Horizon(kernel, 36_000, List.of()));
 
     private Progress progress() {
         return new Progress(kernel, store, leadership, leadership.termRevision(), REPORT_MS, new Progress.Listener() {
--- a/src/test/java/io/quartzgw/standin/SimWorld.java
+++ b/src/test/java/io/quartzgw/standin/SimWorld.java
@@ -56,7 +56,15 @@
     private final Map<String, List<Runnable>> held = new LinkedHashMap<>();
     /** Machines whose reports arrive, while answers and orders don't reach them. */
     private final Set<String> deaf = new HashSet<>();
+    /** Controllers that the state service refuses while it serves the others. */
+    private final Set<String> refused = new HashSet<>();
+    private final Map<String, List<Runnable>> refusedWatches = new HashMap<>();
+    /** Machines that can open no connection to a controller, while orders reach them. */
+    private final Set<String> mute = new HashSet<>();
     private double lateTransactions;
+    private double lostAnswers;
+    private long slowStoreMs;
+    private double heldOrders;
     private double lateCopies;
     private long now;
     private long sequence;
@@ -281,10 +289,54 @@
         held.clear();
     }
 
+    /** Ends a cut whose packets are lost for good: both sides had given up and closed. */
+    public void drop(String one, String other) {
+        cuts.remove(one + "|" + other);
+        held.remove(one + "|" + other);
+        held.remove(other + "|" + one);
+    }
+
     public void lateTransactions(double share) {
         lateTransactions = share;
     }
 
+    /** The share of transactions that are carried out at once and whose answer is lost. */
+    public void lostAnswers(double share) {
+        lostAnswers = share;
+    }
+
+    /** The state service takes up to so long for each answer. */
+    public void slowStore(long mostMs) {
+        slowStoreMs = mostMs;
+    }
+
+    /** The share of direct orders that are held up for seconds, or whose answers are. */
+    public void heldOrders(double share) {
+        heldOrders = share;
+    }
+
+    /** The state service refuses one controller alone, whose leases run out; its open watches wait. */
+    public void refuse(int node, boolean on) {
+        if (on) {
+            refused.add("rig-" + node);
+        } else {
+            refused.remove("rig-" + node);
+            List<Runnable> watches = refusedWatches.remove("rig-" + node);
+            if (watches != null) {
+                watches.forEach(Runnable::run);
+            }
+        }
+    }
+
+    /** A machine's reports reach no controller: it can't connect. Orders reach it, and are answered. */
+    public void mute(String machine, boolean on) {
+        if (on) {
+            mute.add(machine);
+        } else {
+            mute.remove(machine);
+        }
+    }
+
     /** The share of reports, peers' messages and users' requests of which a copy comes late. */
     public void lateCopies(double share) {
         lateCopies = share;
@@ -323,12 +375,18 @@
         };
         at(now + call.timeoutMs(), () -> once.accept(Reply.lost()));
         boolean late = call.path().equals("/multi") && random.nextDouble() < lateTransactions;
+        boolean answerLost = lostAnswers > 0 && call.path().equals("/multi") && random.nextDouble() < lostAnswers
+                && Json.readOrNull(call.body()).has("apply");
+        long heldTo = call.path().equals("/orders") && heldOrders > 0 && random.nextDouble() < heldOrders
+                ? 1_000 + random.nextInt(8_000) : 0;
+        long heldBack = heldTo > 0 && random.nextBoolean() ? heldTo : 0;
+        long slow = to.equals(STORE) && slowStoreMs > 0 ? random.nextLong(slowStoreMs) : 0;
         if (to.startsWith("rig-")) {
-            perhapsCopy(() -> serve(to, call, reply -> { }));
+            perhapsCopy(() -> serve(from, to, call, reply -> { }));
         }
-        Runnable arrive = () -> serve(to, call, reply -> {
-            if (!isCut(from, to)) {
-                at(now + 1 + random.nextInt(3), () -> once.accept(reply));
+        Runnable arrive = () -> serve(from, to, call, reply -> {
+            if (!isCut(from, to) && !answerLost) {
+                at(now + 1 + random.nextInt(3) + slow + heldBack, () -> once.accept(reply));
             }
         });
         if (late) {
@@ -336,7 +394,7 @@
         } else if (isCut(from, to) || deaf.contains(to)) {
             held.computeIfAbsent(from + "|" + to, key -> new ArrayList<>()).add(arrive);
         } else {
-            at(now + 1 + random.nextInt(3), arrive);
+            at(now + 1 + random.nextInt(3) + heldTo - heldBack, arrive);
         }
     }
 
@@ -353,9 +411,18 @@
         return String.format("i-%06d", to.port() - 10_000);
     }
 
-    private void serve(String to, Call call, Consumer<Reply> then) {
-        if (to.equals(STORE)) {
-            store.handle(call, now, then);
+    private void serve(String from, String to, Call call, Consumer<Reply> then) {
+        if (to.equals(STORE) && refused.contains(from)) {
+            then.accept(StoreStandIn.reply(503, Json.object().put("error", "trouble")));
+        } else if (to.equals(STORE)) {
+            store.handle(call, now, reply -> {
+                if (refused.contains(from)) {
+                    // Asked before: an open watch.
+                    refusedWatches.computeIfAbsent(from, key -> new ArrayList<>()).add(() -> then.accept(reply));
+                } else {
+                    then.accept(reply);
+                }
+            });
         } else if (to.equals(CLOUD)) {
             cloud.handle(call, now, then);
         } else if (to.startsWith("rig-")) {
@@ -425,7 +492,7 @@
             }
         };
         at(now + WORKER_TIMEOUT_MS, () -> end.accept(Reply.lost()));
-        if (!isCut(sim.worker.id, name)) {
+        if (!isCut(sim.worker.id, name) && !mute.contains(sim.worker.id)) {
             perhapsCopy(() -> deliver(target, Door.CLIENT, call, reply -> { }));
         }
         Runnable arrive = () -> deliver(target, Door.CLIENT, call, reply -> {
@@ -433,7 +500,9 @@
                 at(now + 1, () -> end.accept(reply));
             }
         });
-        if (isCut(sim.worker.id, name)) {
+        if (mute.contains(sim.worker.id)) {
+            at(now + 1, () -> end.accept(Reply.lost()));
+        } else if (isCut(sim.worker.id, name)) {
             held.computeIfAbsent(sim.worker.id, key -> new ArrayList<>()).add(arrive);
         } else if (nodes.get(target).node == null) {
             at(now + 1, () -> end.accept(Reply.lost()));
@@ -521,8 +590,12 @@
 
     /** A user's request about a job, whose answer the rules watch. */
     private void ask(String id, String method, String path, JsonNode body, Consumer<Reply> then) {
+        ask(anyNode(), id, method, path, body, then);
+    }
+
+    private void ask(int node, String id, String method, String path, JsonNode body, Consumer<Reply> then) {
         long asked = now;
-        user(anyNode(), method, path, body, reply -> {
+        user(node, method, path, body, reply -> {
             if (reply.status() / 100 == 2 || reply.status() == 404) {
                 rules.told(id, reply, asked, now);
             }
@@ -562,6 +635,29 @@
                 () -> ask(id, "GET", "/submissions/" + id, null, reply -> poll(id)));
     }
 
+    /** Calls a job off through one controller, once; the rules watch the answer. */
+    public void abort(int node, String id, Consumer<Reply> then) {
+        ask(node, id, "POST", "/submissions/" + id + "/abort", Json.object(), then);
+    }
+
+    /** Asks one controller about a job, once; the rules watch the answer. */
+    public void poll(int node, String id, Consumer<Reply> then) {
+        ask(node, id, "GET", "/submissions/" + id, null, then);
+    }
+
+    /** Submits a job through one controller, once and perhaps again; the rules watch the answer. */
+    public void submit(int node, JsonNode spec, Consumer<Reply> then) {
+        String id = spec.path("id").asText();
+        submitted.put(id, spec);
+        rules.submitted(spec);
+        ask(node, id, "POST", "/submissions", spec, then);
+    }
+
+    /** The description of a job that was submitted. */
+    public JsonNode submitted(String id) {
+        return submitted.get(id);
+    }
+
     private void abort(String id) {
         perhapsCopy(() -> ask(id, "POST", "/submissions/" + id + "/abort", Json.object(), reply -> { }));
         ask(id, "POST", "/submissions/" + id + "/abort", Json.object(), reply -> {
--- a/src/test/java/io/quartzgw/standin/StoreStandIn.java
+++ b/src/test/java/io/quartzgw/standin/StoreStandIn.java
@@ -27,6 +27,7 @@
     private long forgottenTo;
     private long permits;
     private boolean outage;
+    private boolean followsHeld;
     private long now;
 
     private record Item(JsonNode value, long revision, Long permit) {}
@@ -53,6 +54,11 @@
         outage = on;
     }
 
+    /** Answers no follow for a while, while all else is answered. */
+    public void holdFollows(boolean on) {
+        followsHeld = on;
+    }
+
     /** Ends every open follow without an answer of use. */
     public void breakFollows() {
         List<Follow> open = List.copyOf(follows);
@@ -85,7 +91,7 @@
                 end(permit);
             }
         }
-        for (Follow follow : List.copyOf(follows)) {
+        for (Follow follow : followsHeld ? List.<Follow>of() : List.copyOf(follows)) {
             if (!changes(follow).isEmpty() || now >= follow.until) {
                 follows.remove(follow);
                 follow.then.accept(followed(follow));
@@ -104,7 +110,7 @@
                     now + Long.parseLong(query.getOrDefault("hold_ms", "0")), then);
             if (follow.since < forgottenTo) {
                 then.accept(reply(410, Json.object()));
-            } else if (changes(follow).isEmpty()) {
+            } else if (followsHeld || changes(follow).isEmpty()) {
                 follows.add(follow);
             } else {
                 then.accept(followed(follow));
