--- a/src/test/java/io/quartzgw/app/FailureTest.java
+++ b/src/test/java/io/quartzgw/app/FailureTest.java
@@ -20,6 +20,8 @@
 class FailureTest {
     private static final long END = 420_000;
     private static final long TROUBLES_END = 215_000;
+    /** Where teams are at their limits and one zone has most of the work, arrays need longer. */
+    private static final long LONG_END = 560_000;
 
     static ObjectNode job(String id, String crew, String shape, int tasks, double cpus, double runS) {
         ObjectNode job = Json.object().put("id", id).put("workload", shape).put("crew", crew).put("shape", shape)
@@ -125,6 +127,135 @@
         }
     }
 
+    /** Jobs of two or three tasks that end far apart, jobs bound to a zone, teams at their limit, more work than room. */
+    private static List<String> moreLoad(SimWorld world, SplittableRandom random) {
+        List<String> arrays = new ArrayList<>();
+        for (int i = 0; i < 24; i++) {
+            String id = String.format("j-%06d", 2000 + i);
+            boolean service = i % 4 == 0;
+            // Services stay: in a team with a small limit they could fill it for good.
+            String crew = service ? "blue" : List.of("red", "blue", "green", "green").get(random.nextInt(4));
+            ObjectNode spec = service ? job(id, crew, "daemon", 1 + random.nextInt(3), 2, 0)
+                    : job(id, crew, "array", 1 + random.nextInt(i % 4 == 1 ? 3 : 9), 4, 4 + random.nextInt(20));
+            if (i % 4 == 1) {
+                spec.put("each_longer_s", 10 + random.nextInt(20));
+            }
+            if (random.nextInt(3) == 0) {
+                spec.put("yard", random.nextBoolean() ? "a" : "b");
+            } else {
+                spec.put("together", !service && random.nextInt(3) == 0).put("scatter", service && random.nextBoolean());
+            }
+            spec.put("loaner", !service && random.nextBoolean());
+            if (!service) {
+                spec.put("urgency", List.of("standard", "urgent", "low").get(random.nextInt(3)));
+                arrays.add(id);
+            }
+            long at = random.nextInt(150_000);
+            Long abort = random.nextInt(4) == 0 ? (Long) (at + 5_000 + random.nextInt(80_000)) : null;
+            world.at(at, () -> world.job(spec, abort));
+        }
+        return arrays;
+    }
+
+    /** The troubles that operators saw meet, in any order and over each other; those of {@link #faults} go on beside them. */
+    private static void meetings(SimWorld world, SplittableRandom random) {
+        for (long at = 15_000; at < 180_000; at += 3_000 + random.nextInt(14_000)) {
+            long start = at;
+            long lasts = Math.min(2_000 + random.nextInt(58_000), TROUBLES_END - at);
+            int kind = random.nextInt(14);
+            int pick = random.nextInt(1_000);
+            world.at(start, () -> {
+                LoggerFactory.getLogger("world").info("{} ms: meeting {} for {} ms", start, kind, lasts);
+                int leader = Math.max(0, world.leader());
+                List<String> machines = world.machines();
+                String machine = machines.isEmpty() ? null : machines.get(pick % machines.size());
+                long end = start + lasts;
+                switch (kind) {
+                    case 0 -> {
+                        refuse(world, leader, end);
+                        world.at(start + pick * 4L, () -> outage(world, end));
+                        world.at(start + pick * 2L, () -> world.cancelNow(4, 0));
+                    }
+                    case 1 -> {
+                        world.slowStore(4 * pick);
+                        world.at(end, () -> world.slowStore(0));
+                    }
+                    case 2 -> {
+                        world.lostAnswers(0.3);
+                        world.at(end, () -> world.lostAnswers(0));
+                        world.at(start + pick, () -> world.cancelNow(6, 0));
+                    }
+                    case 3 -> {
+                        for (String some : machines.subList(0, (machines.size() + 1) / 2)) {
+                            world.mute(some, true);
+                            world.at(end, () -> world.mute(some, false));
+                        }
+                    }
+                    case 4 -> {
+                        world.heldOrders(0.4);
+                        world.at(end, () -> world.heldOrders(0));
+                    }
+                    case 5 -> world.cancelNow(8, pick * 25L);
+                    case 6 -> {
+                        world.cancelAtEnd(0.5);
+                        world.at(end, () -> world.cancelAtEnd(0));
+                    }
+                    case 7 -> world.oddRequests();
+                    case 8 -> {
+                        // Leaders change again and again, also inside an outage.
+                        for (long change = start; change < Math.min(start + 40_000, end); change += 4_000) {
+                            world.at(change, () -> crash(world, Math.max(0, world.leader()), 200 + pick % 3_000));
+                        }
+                        if (pick % 3 == 0) {
+                            world.at(start + 10_000, () -> outage(world, Math.min(start + 25_000, end)));
+                        }
+                    }
+                    case 9 -> {
+                        for (int i = 0; i < 3; i++) {
+                            crash(world, i, lasts + 300L * i);
+                        }
+                    }
+                    case 10 -> refuse(world, leader, end);
+                    case 11 -> {
+                        for (String far : List.of("rig-0", "rig-1", "rig-2", SimWorld.STORE)) {
+                            if (!far.equals("rig-" + leader)) {
+                                world.cut("rig-" + leader, far);
+                                world.at(end, () -> world.heal("rig-" + leader, far));
+                            }
+                        }
+                        world.at(start + 5_000 + pick, () -> world.cancelNow(4, 0));
+                    }
+                    case 12 -> {
+                        // A leader ends while machines can't be reached, and something is called off meanwhile.
+                        for (String some : machines.subList(0, (machines.size() + 2) / 3)) {
+                            world.cut(some, "*");
+                            world.at(end, () -> world.heal(some, "*"));
+                        }
+                        world.at(start + pick, () -> crash(world, leader, 1_000));
+                        world.at(start + 2L * pick, () -> world.cancelNow(4, 0));
+                    }
+                    default -> {
+                        if (machine != null) {
+                            world.deafen(machine, true);
+                            world.at(end, () -> world.deafen(machine, false));
+                            world.at(start + pick, () -> crash(world, leader, pick));
+                        }
+                    }
+                }
+            });
+        }
+    }
+
+    private static void refuse(SimWorld world, int node, long until) {
+        world.refuse(node, true);
+        world.at(until, () -> world.refuse(node, false));
+    }
+
+    private static void outage(SimWorld world, long until) {
+        world.store.outage(true);
+        world.at(until, () -> world.store.outage(false));
+    }
+
     private static void crash(SimWorld world, int node, long downMs) {
         if (world.isUp(node)) {
             world.crash(node);
@@ -183,4 +314,38 @@
         List<String> unfinished = arrays.stream().filter(id -> world.rules.finalPhase(id) == null).toList();
         assertEquals(List.of(), unfinished, "every array is over, long after the last failure");
     }
+
+    /** Fixed seeds; {@code -Dquartzgw.firstMeeting=1000 -Dquartzgw.meetings=500} tries others by hand. */
+    static LongStream meetingSeeds() {
+        long first = Long.getLong("quartzgw.firstMeeting", 1);
+        return LongStream.range(first, first + Integer.getInteger("quartzgw.meetings", 40));
+    }
+
+    @ParameterizedTest
+    @MethodSource("meetingSeeds")
+    void rulesHoldWhenTroublesMeet(long seed) {
+        SimWorld world = new SimWorld(seed, 3);
+        world.lateTransactions(0.01);
+        world.lateCopies(0.02);
+        SplittableRandom random = new SplittableRandom(seed);
+        List<String> arrays = moreLoad(world, random);
+        if (random.nextBoolean()) {
+            arrays.addAll(load(world, random));
+        }
+        meetings(world, random);
+        if (random.nextInt(3) == 0) {
+            faults(world, random);
+        }
+        world.at(TROUBLES_END, () -> world.rules.troublesOver(TROUBLES_END));
+        play(world, TROUBLES_END);
+        while (world.now() < LONG_END) {
+            play(world, world.now() + 1_000);
+            world.sweepWaiting();
+        }
+        assertEquals(List.of(), world.rules.broken());
+        assertEquals(0, world.failures(), "commands that failed inside a node");
+        assertEquals(List.of(), world.rules.missingReplicas(), "every service runs");
+        List<String> unfinished = arrays.stream().filter(id -> world.rules.finalPhase(id) == null).toList();
+        assertEquals(List.of(), unfinished, "every array is over, long after the last failure");
+    }
 }
--- a/src/test/java/io/quartzgw/standin/LoopbackWorld.java
+++ b/src/test/java/io/quartzgw/standin/LoopbackWorld.java
@@ -150,7 +150,7 @@
     private WorkerStandIn.Description description(String job) {
         JsonNode spec = jobs.get(job);
         return spec == null ? null : new WorkerStandIn.Description(spec.path("cpus").asDouble(),
-                spec.path("runtime_guess_s").asDouble(), 0.1, spec.path("shape").asText().equals("daemon"), false);
+                spec.path("runtime_guess_s").asDouble(), 0, 0.1, spec.path("shape").asText().equals("daemon"), false);
     }
 
     private void reportForever(WorkerStandIn worker) {
--- a/src/test/java/io/quartzgw/standin/Rules.java
+++ b/src/test/java/io/quartzgw/standin/Rules.java
@@ -3,27 +3,35 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.quartzgw.http.Reply;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
 /** Watches machines and users' answers, and notes every breach of the protocol's rules. */
 public final class Rules implements WorkerStandIn.Watcher {
-    private static final double RED_LIMIT = 40;
     /** Once all troubles are over, every job has an answered question in such a time. */
     private static final long ANSWERED_MS = 75_000;
+    /** Once all troubles are over, no job waits so long while a machine that fits has room. */
+    private static final long WAITING_MS = 90_000;
 
     private final long cancelMs;
+    private final Map<String, Double> limits;
     private final List<String> broken = new ArrayList<>();
     private final Map<String, JsonNode> specs = new HashMap<>();
     private final Map<String, WorkerStandIn> running = new HashMap<>();
     private final Map<String, Integer> starts = new HashMap<>();
     private final Map<String, Set<Integer>> completed = new HashMap<>();
     private final Map<String, String> lastFinal = new HashMap<>();
-    private final Map<String, Long> withdrawnAt = new HashMap<>();
+    private final Map<String, Long> cancelledAt = new HashMap<>();
+    private final Set<String> abortAsked = new HashSet<>();
+    private final Map<String, Long> waitingSince = new HashMap<>();
+    private int startsAfterCancellation;
+    private Consumer<String> lastTaskEnded = job -> { };
     private final Set<String> accepted = new HashSet<>();
     private final Map<String, Long> acceptedAt = new HashMap<>();
     private final Map<String, Long> finalAt = new HashMap<>();
@@ -31,8 +39,10 @@
     private long troublesOverAt = Long.MAX_VALUE;
     private LongSupplier clock = () -> 0;
 
-    Rules(long cancelMs) {
+    /** @param limits how many CPUs the tasks of a team may take at once; no entry: as many as there are */
+    Rules(long cancelMs, Map<String, Double> limits) {
         this.cancelMs = cancelMs;
+        this.limits = limits;
     }
 
     void now(LongSupplier told) {
@@ -47,6 +57,25 @@
         return starts.values().stream().mapToInt(Integer::intValue).sum();
     }
 
+    /** Tasks that began to run after a user was told that their job is cancelled. */
+    public int startsAfterCancellation() {
+        return startsAfterCancellation;
+    }
+
+    /** @param told hears of each job whose last task has just completed */
+    void lastTaskEnded(Consumer<String> told) {
+        this.lastTaskEnded = told;
+    }
+
+    void abortAsked(String job) {
+        abortAsked.add(job);
+    }
+
+    /** Open jobs of which a task runs, in the order of their names. */
+    public List<String> runningJobs() {
+        return running.keySet().stream().map(Rules::job).distinct().filter(job -> !lastFinal.containsKey(job)).sorted().toList();
+    }
+
     public String finalPhase(String job) {
         return lastFinal.get(job);
     }
@@ -60,7 +89,7 @@
         troublesOverAt = now;
     }
 
-    /** Tasks of accepted services that run nowhere, though nobody has withdrawn them. */
+    /** Tasks of accepted services that run nowhere, though nobody has cancelled them. */
     public List<String> missingReplicas() {
         List<String> missing = new ArrayList<>();
         for (String job : accepted) {
@@ -94,9 +123,12 @@
         if (running.containsKey(task)) {
             breach("ran_twice", task + " on " + on.id + " and " + running.get(task).id);
         }
-        Long withdrawn = withdrawnAt.get(job(task));
-        if (withdrawn != null && clock.getAsLong() - withdrawn > cancelMs) {
-            breach("ran_cancelled", task + " starts");
+        Long cancelled = cancelledAt.get(job(task));
+        if (cancelled != null) {
+            startsAfterCancellation++;
+            if (clock.getAsLong() - cancelled > cancelMs) {
+                breach("ran_cancelled", task + " starts");
+            }
         }
         if (on.spot && !spec.path("loaner").asBoolean()
                 || spec.hasNonNull("yard") && !spec.path("yard").asText().equals(on.zone)) {
@@ -113,13 +145,18 @@
             breach("wrong_place", task + " is not with the others in " + on.zone);
         }
         running.put(task, on);
-        double used = running.keySet().stream().filter(other -> specs.get(job(other)).path("crew").asText().equals("red"))
-                .mapToDouble(other -> specs.get(job(other)).path("cpus").asDouble()).sum();
-        if (used > RED_LIMIT + 1e-6) {
-            breach("quota", "red uses " + used);
+        String team = spec.path("crew").asText();
+        if (limits.containsKey(team) && used(team) > limits.get(team) + 1e-6) {
+            breach("quota", team + " uses " + used(team));
         }
     }
 
+    private double used(String team) {
+        return running.keySet().stream().map(other -> specs.get(job(other)))
+                .filter(other -> other.path("crew").asText().equals(team))
+                .mapToDouble(other -> other.path("cpus").asDouble()).sum();
+    }
+
     @Override
     public void ended(WorkerStandIn on, String task) {
         if (running.get(task) == on) {
@@ -129,8 +166,11 @@
 
     @Override
     public void completed(String task) {
-        completed.computeIfAbsent(job(task), id -> new HashSet<>())
-                .add(Integer.parseInt(task.substring(task.indexOf('/') + 1)));
+        Set<Integer> ended = completed.computeIfAbsent(job(task), id -> new HashSet<>());
+        if (ended.add(Integer.parseInt(task.substring(task.indexOf('/') + 1)))
+                && ended.size() == specs.get(job(task)).path("shards").asInt()) {
+            lastTaskEnded.accept(job(task));
+        }
     }
 
     void refused(String id, int status) {
@@ -139,6 +179,20 @@
         }
     }
 
+    /** A job that can't run, or is no job, was answered. */
+    void toldOfBadJob(String what, int status) {
+        if (status / 100 == 2 || status == 404) {
+            breach("accepted", what + " is answered " + status);
+        }
+    }
+
+    /** Somebody asked about a job that nobody submitted. */
+    void toldOfNoJob(String id, int status) {
+        if (status / 100 == 2) {
+            breach("invented", id);
+        }
+    }
+
     /** @param asked when the question was asked: an answer that was overtaken on its way is no older one */
     void told(String id, Reply reply, long asked, long now) {
         if (reply.status() == 404 && accepted.contains(id) && asked > acceptedAt.get(id)) {
@@ -160,26 +214,61 @@
             finalAt.putIfAbsent(id, now);
         }
         if (phase.equals("withdrawn")) {
-            withdrawnAt.putIfAbsent(id, now);
+            cancelledAt.putIfAbsent(id, now);
+            if (!abortAsked.contains(id)) {
+                breach("went_back", id + " is cancelled though nobody asked for it");
+            }
         }
         if (phase.equals("done") && completed.getOrDefault(id, Set.of()).size() < specs.get(id).path("shards").asInt()) {
             breach("not_done", id);
         }
     }
 
-    /** Looks for tasks that are on a machine too long after their job was withdrawn. */
+    /** Looks for tasks that are on a machine too long after their job was cancelled. */
     public void sweep(long now) {
         for (String job : accepted) {
-            if (now > troublesOverAt && !withdrawnAt.containsKey(job)
+            if (now > troublesOverAt && !cancelledAt.containsKey(job)
                     && now - Math.max(troublesOverAt, answeredAt.get(job)) > ANSWERED_MS) {
                 breach("forgotten", job + " gets no answer");
             }
         }
         for (String task : running.keySet()) {
-            Long withdrawn = withdrawnAt.get(job(task));
-            if (withdrawn != null && now - withdrawn > cancelMs) {
+            Long cancelled = cancelledAt.get(job(task));
+            if (cancelled != null && now - cancelled > cancelMs) {
                 breach("ran_cancelled", task + " is still there");
             }
         }
     }
+
+    /** Looks for jobs that wait though a machine that fits has room; to be called once all troubles are over. */
+    public void sweepWaiting(Collection<WorkerStandIn> machines, long now) {
+        for (String job : accepted) {
+            boolean could = !lastFinal.containsKey(job) && specs.get(job).path("shards").asInt()
+                    > completed.getOrDefault(job, Set.of()).size() + runningTasks(job).size()
+                    && machines.stream().anyMatch(machine -> fits(job, machine));
+            if (!could) {
+                waitingSince.remove(job);
+            } else if (now - waitingSince.computeIfAbsent(job, id -> now) > WAITING_MS) {
+                breach("waiting", job + " waits though there is room");
+                waitingSince.put(job, now);
+            }
+        }
+    }
+
+    private List<Map.Entry<String, WorkerStandIn>> runningTasks(String job) {
+        return running.entrySet().stream().filter(entry -> job(entry.getKey()).equals(job)).toList();
+    }
+
+    private boolean fits(String job, WorkerStandIn machine) {
+        JsonNode spec = specs.get(job);
+        double cpus = spec.path("cpus").asDouble();
+        String team = spec.path("crew").asText();
+        List<Map.Entry<String, WorkerStandIn>> others = runningTasks(job);
+        long inZone = others.stream().filter(entry -> entry.getValue().zone.equals(machine.zone)).count();
+        return machine.freeCpus() >= cpus && (!machine.spot || spec.path("loaner").asBoolean())
+                && (!spec.hasNonNull("yard") || spec.path("yard").asText().equals(machine.zone))
+                && (!spec.path("together").asBoolean() || inZone == others.size())
+                && (!spec.path("scatter").asBoolean() || inZone + 1 <= (spec.path("shards").asInt() + 1) / 2)
+                && (!limits.containsKey(team) || used(team) + cpus <= limits.get(team));
+    }
 }
--- a/src/test/java/io/quartzgw/standin/SimWorld.java
+++ b/src/test/java/io/quartzgw/standin/SimWorld.java
@@ -1,6 +1,7 @@
 package io.quartzgw.standin;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.quartzgw.app.Node;
 import io.quartzgw.app.Settings;
 import io.quartzgw.fleet.CloudLimits;
@@ -43,11 +44,13 @@
     private static final long LEASE_MS = 16_000;
     private static final long CANCEL_MS = 36_000;
     private static final long WORKER_TIMEOUT_MS = 4_000;
+    /** Within such a time after its last task a job is called off, while its end is being written. */
+    private static final int CANCEL_AT_END_MS = 60;
 
     public final SplittableRandom random;
     public final StoreStandIn store = new StoreStandIn();
     public final CloudStandIn cloud;
-    public final Rules rules = new Rules(CANCEL_MS);
+    public final Rules rules = new Rules(CANCEL_MS, Map.of("red", 40.0, "green", 24.0));
     private final List<SimNode> nodes = new ArrayList<>();
     private final Map<String, SimWorker> workers = new TreeMap<>();
     private final Map<String, JsonNode> submitted = new HashMap<>();
@@ -65,6 +68,7 @@
     private double lostAnswers;
     private long slowStoreMs;
     private double heldOrders;
+    private double cancelAtEnd;
     private double lateCopies;
     private long now;
     private long sequence;
@@ -138,6 +142,11 @@
         }
         repeat(50, () -> store.tick(now));
         repeat(200, () -> cloud.tick(now));
+        rules.lastTaskEnded(job -> {
+            if (cancelAtEnd > 0 && random.nextDouble() < cancelAtEnd) {
+                at(now + random.nextInt(CANCEL_AT_END_MS), () -> abort(job));
+            }
+        });
     }
 
     // ---- time
@@ -177,7 +186,8 @@
         }
         return new Settings("rig-" + index, "a", new Endpoint("10.0.0." + (index + 1), 8080),
                 new Endpoint("10.0.0." + (index + 1), 8081), peers, CLOUD_AT, STORE_AT, nodes.size(),
-                List.of("a", "b"), 100, Map.of("red", new Team("red", 0, 40, 0, 0), "blue", new Team("blue", 0, 0, 0, 0)),
+                List.of("a", "b"), 100, Map.of("red", new Team("red", 0, 40, 0, 0), "blue", new Team("blue", 0, 0, 0, 0),
+                        "green", new Team("green", 8, 24, 0, 0)),
                 List.of(), new WorkerTimes(REPORT_MS, LEASE_MS, CANCEL_MS), CANCEL_MS / 1000.0,
                 new StoreLimits(300, 120, StoreStandIn.VALUE_BYTES, StoreStandIn.TXN_OPS), new CloudLimits(4, 5_000), 1000);
     }
@@ -328,6 +338,59 @@
         }
     }
 
+    /** The share of jobs that are called off at the moment when their last task ends. */
+    public void cancelAtEnd(double share) {
+        cancelAtEnd = share;
+    }
+
+    /**
+     * Users call off so many of the jobs that run, at once.
+     *
+     * @param hangMs for how long the machines of the first ones hang; 0 for not at all
+     */
+    public void cancelNow(int count, long hangMs) {
+        List<String> open = rules.runningJobs();
+        for (String job : open.subList(0, Math.min(count, open.size()))) {
+            at(now + random.nextInt(200), () -> abort(job));
+        }
+        if (hangMs > 0) {
+            List<String> some = machines().subList(0, Math.min(4, machines().size()));
+            some.forEach(machine -> hang(machine, true));
+            at(now + hangMs, () -> some.forEach(machine -> hang(machine, false)));
+        }
+    }
+
+    /** Users send what is no job or can't run, repeat what was accepted, and ask for what nobody submitted. */
+    public void oddRequests() {
+        for (JsonNode spec : List.copyOf(submitted.values())) {
+            if (random.nextInt(4) == 0) {
+                String id = spec.path("id").asText();
+                ask(id, "POST", "/submissions", spec, reply -> rules.refused(id, reply.status()));
+            }
+        }
+        String id = "j-9" + now;
+        ObjectNode good = Json.object().put("id", id).put("workload", "odd").put("crew", "blue").put("shape", "array")
+                .put("urgency", "standard").put("shards", 1).put("cpus", 1.0).put("gpus", 0.0).put("ram_gb", 1.0)
+                .put("bundle", "img-0").put("pull_gb", 1.0).put("together", false).put("scatter", false)
+                .put("loaner", false).put("runtime_guess_s", 1.0).put("snapshot_every_s", 0.0).put("snapshot_cost_s", 0.0);
+        List<ObjectNode> bad = new ArrayList<>();
+        good.fieldNames().forEachRemaining(field -> bad.add(good.deepCopy().without(field)));
+        bad.add(good.deepCopy().put("cpus", 99.0));
+        bad.add(good.deepCopy().put("crew", "nobody"));
+        bad.add(good.deepCopy().put("crew", "red").put("shape", "daemon").put("shards", 30).put("cpus", 4.0));
+        bad.add(good.deepCopy().put("shards", "one"));
+        bad.add(good.deepCopy().put("yard", "nowhere"));
+        bad.forEach(spec -> user(anyNode(), "POST", "/submissions", spec, reply ->
+                rules.toldOfBadJob(spec.toString(), reply.status())));
+        user(anyNode(), "GET", "/submissions/" + id, null, reply -> rules.toldOfNoJob(id, reply.status()));
+        user(anyNode(), "POST", "/submissions/" + id + "/abort", Json.object(), reply -> rules.toldOfNoJob(id, reply.status()));
+    }
+
+    /** Looks for jobs that wait though there is room, now that all troubles are over. */
+    public void sweepWaiting() {
+        rules.sweepWaiting(workers.values().stream().map(sim -> sim.worker).toList(), now);
+    }
+
     /** A machine's reports reach no controller: it can't connect. Orders reach it, and are answered. */
     public void mute(String machine, boolean on) {
         if (on) {
@@ -566,7 +629,7 @@
     private WorkerStandIn.Description description(String job) {
         JsonNode spec = submitted.get(job);
         return spec == null ? null : new WorkerStandIn.Description(spec.path("cpus").asDouble(),
-                spec.path("runtime_guess_s").asDouble(), spec.path("pull_gb").asDouble() / 2,
+                spec.path("runtime_guess_s").asDouble(), spec.path("each_longer_s").asDouble(), spec.path("pull_gb").asDouble() / 2,
                 spec.path("shape").asText().equals("daemon"), spec.path("bundle").asText().equals("broken"));
     }
 
@@ -637,6 +700,7 @@
 
     /** Calls a job off through one controller, once; the rules watch the answer. */
     public void abort(int node, String id, Consumer<Reply> then) {
+        rules.abortAsked(id);
         ask(node, id, "POST", "/submissions/" + id + "/abort", Json.object(), then);
     }
 
@@ -659,6 +723,7 @@
     }
 
     private void abort(String id) {
+        rules.abortAsked(id);
         perhapsCopy(() -> ask(id, "POST", "/submissions/" + id + "/abort", Json.object(), reply -> { }));
         ask(id, "POST", "/submissions/" + id + "/abort", Json.object(), reply -> {
             if (!reply.ok()) {
--- a/src/test/java/io/quartzgw/standin/WorkerStandIn.java
+++ b/src/test/java/io/quartzgw/standin/WorkerStandIn.java
@@ -15,8 +15,12 @@
     private static final double CPUS_SMALL = 8;
     private static final double CPUS_LARGE = 16;
 
-    /** What a worker learns of a job; null where no such job was submitted. */
-    public record Description(double cpus, double runS, double imageS, boolean service, boolean faulty) {}
+    /**
+     * What a worker learns of a job; null where no such job was submitted.
+     *
+     * @param longerS how much longer each task runs than the one before it
+     */
+    public record Description(double cpus, double runS, double longerS, double imageS, boolean service, boolean faulty) {}
 
     /** Told when a task begins to be, and ceases to be, on the machine. */
     public interface Watcher {
@@ -93,6 +97,15 @@
         return was;
     }
 
+    /** The room that is left beside all that was started here. */
+    double freeCpus() {
+        return size() - tasks.values().stream().filter(task -> task.cause == null).mapToDouble(task -> task.job.cpus()).sum();
+    }
+
+    private double size() {
+        return type.equals("large") ? CPUS_LARGE : CPUS_SMALL;
+    }
+
     public List<String> running() {
         return tasks.values().stream().filter(task -> task.running).map(task -> task.name).toList();
     }
@@ -216,18 +229,17 @@
     private void run(String name, long attempt, long now) {
         Description job = jobs.apply(name.substring(0, name.indexOf('/')));
         Task task = new Task(name, attempt, job);
-        double used = tasks.values().stream().filter(other -> other.cause == null)
-                .mapToDouble(other -> other.job.cpus()).sum();
         boolean busy = tasks.values().stream().anyMatch(other -> other.name.equals(name));
         if (job == null) {
             task.cause = "unknown";
         } else if (busy) {
             task.cause = "busy";
-        } else if (used + job.cpus() > (type.equals("large") ? CPUS_LARGE : CPUS_SMALL)) {
+        } else if (job.cpus() > freeCpus()) {
             task.cause = "no_room";
         } else {
             task.runsAt = now + (long) (job.imageS() * 1000);
-            task.doneAt = task.runsAt + (long) (job.runS() * 1000);
+            int index = Integer.parseInt(name.substring(name.indexOf('/') + 1));
+            task.doneAt = task.runsAt + (long) ((job.runS() + index * job.longerS()) * 1000);
         }
         tasks.put(name + "#" + attempt, task);
         changed = true;
