A test for each meeting that had none

MeetingsTest: all away for over a lease, ends far apart across leaders, zone-bound jobs that lose machines, mute workers, late transactions, what meets a job's end, held orders, more work than room over slow links, ten changes of leader, a zone cut off, leaders that end beside silent or deaf machines, a team at its limit, hand-overs and returns within a second.

--- /dev/null
+++ b/src/test/java/io/quartzgw/app/MeetingsTest.java
@@ -0,0 +1,362 @@
+package io.quartzgw.app;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.quartzgw.standin.SimWorld;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** Two troubles at once, as operators have met them; docs/design.md lists them all. */
+class MeetingsTest {
+    private static final long LEASE_MS = 16_000;
+
+    private static void play(SimWorld world, long ms) {
+        for (long end = world.now() + ms; world.now() < end; ) {
+            world.runUntil(Math.min(end, world.now() + 500));
+            world.rules.sweep(world.now());
+        }
+    }
+
+    private static void assertAllWell(SimWorld world) {
+        assertEquals(List.of(), world.rules.broken());
+        assertEquals(List.of(), world.rules.missingReplicas());
+        assertEquals(0, world.failures());
+    }
+
+    private static List<String> arrays(SimWorld world, int jobs, int tasks, double runS, String crew) {
+        List<String> ids = new ArrayList<>();
+        for (int i = 0; i < jobs; i++) {
+            String id = String.format("j-%06d", 300 + i);
+            ids.add(id);
+            world.job(FailureTest.job(id, crew, "array", tasks, 4, runS), null);
+        }
+        return ids;
+    }
+
+    private static void assertDone(SimWorld world, List<String> jobs) {
+        assertEquals(List.of(), jobs.stream().filter(id -> !"done".equals(world.rules.finalPhase(id))).toList());
+    }
+
+    private static List<String> firstHalf(List<String> machines) {
+        return machines.subList(0, (machines.size() + 1) / 2);
+    }
+
+    @Test
+    void allControllersAreAwayForLongerThanALease() {
+        SimWorld world = ScenarioTest.withServices();
+        List<String> jobs = arrays(world, 4, 5, 25, "red");
+        play(world, 10_000);
+        IntStream.range(0, 3).forEach(world::crash);
+        play(world, LEASE_MS + 9_000);
+        IntStream.range(0, 3).forEach(world::start);
+        play(world, 30_000);
+        assertAllWell(world);
+        play(world, 90_000);
+        assertDone(world, jobs);
+    }
+
+    // Guards ends that are in nobody's record yet: a worker tells of them until they are, whoever leads.
+    @Test
+    void tasksOfOneJobEndFarApartAcrossAChangeOfLeader() {
+        for (long crashAt = 4_000; crashAt <= 40_000; crashAt += 2_000) {
+            SimWorld world = ScenarioTest.withServices();
+            List<String> jobs = new ArrayList<>();
+            for (int i = 0; i < 6; i++) {
+                ObjectNode spec = FailureTest.job("j-00040" + i, "blue", "array", 2 + i % 2, 4, 3);
+                world.job(spec.put("each_longer_s", 10 + 2 * i), null);
+                jobs.add("j-00040" + i);
+            }
+            play(world, crashAt);
+            int leader = world.leader();
+            world.crash(leader);
+            world.at(world.now() + 5_000, () -> world.start(leader));
+            play(world, 75_000);
+            assertAllWell(world);
+            assertDone(world, jobs);
+        }
+    }
+
+    @Test
+    void jobsBoundToAZoneLoseMachines() {
+        SimWorld world = ScenarioTest.withServices();
+        List<String> jobs = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            ObjectNode spec = FailureTest.job("j-00040" + i, "blue", "array", 4 + i, 4, 15);
+            world.job(i % 2 == 0 ? spec.put("yard", i % 4 == 0 ? "a" : "b") : spec.put("together", true), null);
+            jobs.add("j-00040" + i);
+        }
+        world.job(FailureTest.job("j-000410", "blue", "daemon", 3, 2, 0).put("yard", "a"), null);
+        play(world, 14_000);
+        List<String> lost = world.machines();
+        for (int i = 0; i < lost.size(); i += 2) {
+            String machine = lost.get(i);
+            if (i % 4 == 0) {
+                world.cloud.fail(machine, world.now());
+            } else {
+                world.cut(machine, "*");
+                world.at(world.now() + 2 * LEASE_MS, () -> world.heal(machine, "*"));
+            }
+            if (i == 4) {
+                world.crash(world.leader());
+            }
+        }
+        play(world, 10_000);
+        IntStream.range(0, 3).filter(node -> !world.isUp(node)).forEach(world::start);
+        play(world, 120_000);
+        assertAllWell(world);
+        assertDone(world, jobs);
+    }
+
+    // Guards leases that end while every order is answered: what was on such a machine runs elsewhere, once.
+    @Test
+    void workersThatReachNoControllerStillTakeOrders() {
+        for (boolean leaderEnds : List.of(false, true)) {
+            SimWorld world = ScenarioTest.withServices();
+            List<String> jobs = arrays(world, 5, 4, 30, "red");
+            play(world, 8_000);
+            List<String> mute = firstHalf(world.machines());
+            mute.forEach(machine -> world.mute(machine, true));
+            world.cancelNow(2, 0);
+            if (leaderEnds) {
+                play(world, 1_000);
+                int leader = world.leader();
+                world.crash(leader);
+                world.at(world.now() + 5_000, () -> world.start(leader));
+            }
+            play(world, 3 * LEASE_MS);
+            assertEquals(List.of(), world.rules.missingReplicas(), "replicas run where reports arrive");
+            mute.forEach(machine -> world.mute(machine, false));
+            play(world, 90_000);
+            assertAllWell(world);
+            assertTrue(jobs.stream().allMatch(id -> world.rules.finalPhase(id) != null));
+        }
+    }
+
+    @Test
+    void transactionsAreCarriedOutLateAfterNewerOnes() {
+        SimWorld world = ScenarioTest.withServices();
+        world.lateTransactions(0.3);
+        List<String> jobs = arrays(world, 8, 5, 6, "red");
+        play(world, 8_000);
+        int leader = world.leader();
+        world.crash(leader);
+        world.at(world.now() + 700, () -> world.start(leader));
+        play(world, 10_000);
+        world.cancelNow(2, 0);
+        play(world, 20_000);
+        world.lateTransactions(0);
+        play(world, 100_000);
+        assertAllWell(world);
+        assertTrue(jobs.stream().allMatch(id -> world.rules.finalPhase(id) != null));
+    }
+
+    // Guards the first end: whatever meets the last task's end is told the same by every controller from then on.
+    @Test
+    void cancellationsQuestionsAndRepeatsMeetTheEndOfTheLastTask() {
+        SimWorld world = ScenarioTest.withServices();
+        world.cancelAtEnd(1);
+        List<String> jobs = new ArrayList<>();
+        for (int i = 0; i < 24; i++) {
+            String id = String.format("j-%06d", 500 + i);
+            int tasks = i % 3;
+            world.at(world.now() + 700L * i, () -> world.job(FailureTest.job(id, "blue", "array", 1 + tasks, 2, 4), null));
+            jobs.add(id);
+        }
+        for (int step = 0; step < 1_500; step++) {
+            world.runUntil(world.now() + 20);
+            String id = jobs.get(step % jobs.size());
+            if (world.submitted(id) != null) {
+                world.poll(step % 3, id, reply -> { });
+                if (step % 7 == 0) {
+                    world.submit((step + 1) % 3, world.submitted(id), reply -> { });
+                }
+            }
+        }
+        play(world, 60_000);
+        assertAllWell(world);
+        assertTrue(jobs.stream().allMatch(id -> world.rules.finalPhase(id) != null), "every end is told");
+        assertTrue(jobs.stream().anyMatch(id -> "withdrawn".equals(world.rules.finalPhase(id))), "some were called off in time");
+        assertTrue(jobs.stream().anyMatch(id -> "done".equals(world.rules.finalPhase(id))), "some were not");
+    }
+
+    @Test
+    void ordersAndTheirAnswersAreHeldUpAndTheMachinesGoOn() {
+        SimWorld world = ScenarioTest.withServices();
+        world.heldOrders(0.5);
+        List<String> jobs = arrays(world, 8, 4, 8, "red");
+        play(world, 12_000);
+        world.cancelNow(3, 3_000);
+        play(world, 8_000);
+        int leader = world.leader();
+        world.crash(leader);
+        world.at(world.now() + 5_000, () -> world.start(leader));
+        play(world, 30_000);
+        world.heldOrders(0);
+        play(world, 90_000);
+        assertAllWell(world);
+        assertTrue(jobs.stream().allMatch(id -> world.rules.finalPhase(id) != null));
+    }
+
+    // Guards the order of stops and starts where every message takes long.
+    @Test
+    void thereIsMoreWorkThanRoomUrgentAndNotOverSlowLinks() {
+        SimWorld world = ScenarioTest.withServices();
+        world.slowLinks(600);
+        List<String> jobs = new ArrayList<>();
+        for (int i = 0; i < 24; i++) {
+            String id = String.format("j-%06d", 500 + i);
+            int level = i % 3;
+            ObjectNode spec = FailureTest.job(id, i % 2 == 0 ? "blue" : "red", "array", 12, 4, 12);
+            world.at(world.now() + 900L * i, () ->
+                    world.job(spec.put("urgency", List.of("low", "standard", "urgent").get(level)), null));
+            jobs.add(id);
+        }
+        play(world, 300_000);
+        for (int second = 0; second < 100; second++) {
+            play(world, 1_000);
+            world.sweepWaiting();
+        }
+        assertAllWell(world);
+        assertDone(world, jobs);
+    }
+
+    // Guards work that is placed twice or never: in each term something is accepted, started, stopped and ended.
+    @Test
+    void leadersChangeTenTimesInTwoMinutesAlsoInsideAnOutage() {
+        for (boolean outage : List.of(false, true)) {
+            SimWorld world = ScenarioTest.withServices();
+            List<String> jobs = new ArrayList<>();
+            for (int change = 0; change < 10; change++) {
+                String id = "j-00060" + change;
+                world.job(FailureTest.job(id, "red", "array", 5, 4, 6), change % 4 == 3 ? world.now() + 9_000 : null);
+                jobs.add(id);
+                play(world, 6_000);
+                if (outage && change == 4) {
+                    world.store.outage(true);
+                } else if (outage && change == 7) {
+                    world.store.outage(false);
+                }
+                int leader = Math.max(0, world.leader());
+                world.crash(leader);
+                play(world, change % 2 == 0 ? 300 : 6_000);
+                world.start(leader);
+            }
+            play(world, 100_000);
+            assertAllWell(world);
+            assertTrue(jobs.stream().allMatch(id -> world.rules.finalPhase(id) != null));
+        }
+    }
+
+    // Guards the other side of a cut: there a controller answers the workers for its grace, here their room is held.
+    @Test
+    void aZoneWithWorkersAndAControllerIsCutOffForLongerThanALease() {
+        for (boolean leads : List.of(true, false)) {
+            SimWorld world = ScenarioTest.withServices();
+            List<String> jobs = arrays(world, 5, 4, 20, "red");
+            play(world, 10_000);
+            int inside = leads ? world.leader() : (world.leader() + 1) % 3;
+            List<String> zone = firstHalf(world.machines());
+            List<String> outside = new ArrayList<>(world.machines());
+            outside.removeAll(zone);
+            outside.addAll(List.of("rig-" + (inside + 1) % 3, "rig-" + (inside + 2) % 3, SimWorld.STORE, SimWorld.CLOUD));
+            outside.forEach(far -> {
+                world.cut("rig-" + inside, far);
+                zone.forEach(machine -> world.cut(machine, far));
+            });
+            play(world, 3_000);
+            world.cancelNow(3, 0);
+            play(world, 3 * LEASE_MS);
+            outside.forEach(far -> {
+                world.heal("rig-" + inside, far);
+                zone.forEach(machine -> world.heal(machine, far));
+            });
+            play(world, 120_000);
+            assertAllWell(world);
+            assertTrue(jobs.stream().allMatch(id -> world.rules.finalPhase(id) != null));
+        }
+    }
+
+    @Test
+    void aLeaderEndsWhileMachinesWithLongTasksAreSilentOrDeaf() {
+        for (boolean deaf : List.of(true, false)) {
+            for (long goneMs : List.of(6_000L, 14_000L, 40_000L)) {
+                SimWorld world = ScenarioTest.withServices();
+                List<String> jobs = arrays(world, 4, 4, 45, "red");
+                play(world, 12_000);
+                List<String> some = firstHalf(world.machines());
+                int leader = world.leader();
+                some.forEach(machine -> {
+                    if (deaf) {
+                        world.deafen(machine, true);
+                    } else {
+                        world.cut(machine, "*");
+                    }
+                });
+                play(world, 500);
+                world.crash(leader);
+                world.at(world.now() + 5_000, () -> world.start(leader));
+                play(world, goneMs);
+                some.forEach(machine -> {
+                    if (deaf) {
+                        world.deafen(machine, false);
+                    } else {
+                        world.heal(machine, "*");
+                    }
+                });
+                play(world, 150_000);
+                assertAllWell(world);
+                assertDone(world, jobs);
+            }
+        }
+    }
+
+    // Guards the quota: a job that is called off leaves the open jobs at once, and its tasks run on where nobody asks.
+    @Test
+    void aTeamAtItsLimitLosesItsLeaderWhileMachinesAreSilentAndAJobIsCancelled() {
+        for (long cancelAfterMs : List.of(-300L, 200L, 1_500L, 6_000L)) {
+            SimWorld world = ScenarioTest.withServices();
+            List<String> jobs = arrays(world, 6, 5, 25, "green");
+            play(world, 20_000);
+            List<String> silent = firstHalf(world.machines());
+            silent.forEach(machine -> world.cut(machine, "*"));
+            int leader = world.leader();
+            long crashAt = world.now() + 500;
+            world.at(crashAt + cancelAfterMs, () -> world.cancelNow(3, 0));
+            world.at(crashAt, () -> world.crash(leader));
+            world.at(crashAt + 5_000, () -> world.start(leader));
+            play(world, 12_000);
+            silent.forEach(machine -> world.heal(machine, "*"));
+            play(world, 250_000);
+            assertAllWell(world);
+            assertTrue(jobs.stream().allMatch(id -> world.rules.finalPhase(id) != null));
+        }
+    }
+
+    @Test
+    void controllersHandOverAndBackThenAllEndAndOneReturnsWithinASecond() {
+        for (int returns = 0; returns < 3; returns++) {
+            for (long downMs : List.of(50L, 400L, 900L)) {
+                SimWorld world = ScenarioTest.withServices();
+                int back = returns;
+                play(world, 1_000);
+                for (int i = 0; i < 3; i++) {
+                    int leader = Math.max(0, world.leader());
+                    world.crash(leader);
+                    world.at(world.now() + downMs, () -> world.start(leader));
+                    play(world, 2_000);
+                }
+                IntStream.range(0, 3).forEach(world::crash);
+                world.at(world.now() + downMs, () -> world.start(back));
+                play(world, 10_000);
+                IntStream.range(0, 3).filter(node -> node != back).forEach(world::start);
+                play(world, 60_000);
+                assertAllWell(world);
+                assertEquals(2 * ScenarioTest.SERVICES, world.rules.started(), "nothing was started anew");
+            }
+        }
+    }
+}
--- a/src/test/java/io/quartzgw/standin/SimWorld.java
+++ b/src/test/java/io/quartzgw/standin/SimWorld.java
@@ -68,6 +68,7 @@
     private double lostAnswers;
     private long slowStoreMs;
     private double heldOrders;
+    private long slowLinkMs;
     private double cancelAtEnd;
     private double lateCopies;
     private long now;
@@ -320,6 +321,15 @@
         slowStoreMs = mostMs;
     }
 
+    /** Messages between controllers and machines take up to so long, each way. */
+    public void slowLinks(long mostMs) {
+        slowLinkMs = mostMs;
+    }
+
+    private long link() {
+        return slowLinkMs > 0 ? random.nextLong(slowLinkMs) : 0;
+    }
+
     /** The share of direct orders that are held up for seconds, or whose answers are. */
     public void heldOrders(double share) {
         heldOrders = share;
@@ -443,7 +453,8 @@
         long heldTo = call.path().equals("/orders") && heldOrders > 0 && random.nextDouble() < heldOrders
                 ? 1_000 + random.nextInt(8_000) : 0;
         long heldBack = heldTo > 0 && random.nextBoolean() ? heldTo : 0;
-        long slow = to.equals(STORE) && slowStoreMs > 0 ? random.nextLong(slowStoreMs) : 0;
+        long slow = to.equals(STORE) ? slowStoreMs > 0 ? random.nextLong(slowStoreMs) : 0 : to.startsWith("i-") ? link() : 0;
+        long slowThere = to.startsWith("i-") ? link() : 0;
         if (to.startsWith("rig-")) {
             perhapsCopy(() -> serve(from, to, call, reply -> { }));
         }
@@ -457,7 +468,7 @@
         } else if (isCut(from, to) || deaf.contains(to)) {
             held.computeIfAbsent(from + "|" + to, key -> new ArrayList<>()).add(arrive);
         } else {
-            at(now + 1 + random.nextInt(3) + heldTo - heldBack, arrive);
+            at(now + 1 + random.nextInt(3) + heldTo - heldBack + slowThere, arrive);
         }
     }
 
@@ -560,7 +571,7 @@
         }
         Runnable arrive = () -> deliver(target, Door.CLIENT, call, reply -> {
             if (!isCut(sim.worker.id, name) && !deaf.contains(sim.worker.id)) {
-                at(now + 1, () -> end.accept(reply));
+                at(now + 1 + link(), () -> end.accept(reply));
             }
         });
         if (mute.contains(sim.worker.id)) {
@@ -570,7 +581,7 @@
         } else if (nodes.get(target).node == null) {
             at(now + 1, () -> end.accept(Reply.lost()));
         } else {
-            at(now + 1 + random.nextInt(3), arrive);
+            at(now + 1 + random.nextInt(3) + link(), arrive);
         }
     }
 
