--- a/src/test/java/io/quartzgw/app/CancellationTest.java
+++ b/src/test/java/io/quartzgw/app/CancellationTest.java
@@ -5,8 +5,10 @@
 
 import io.quartzgw.http.Reply;
 import io.quartzgw.standin.SimWorld;
+import io.quartzgw.worker.WorkerTimes;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.function.BiConsumer;
 import org.junit.jupiter.api.Test;
 
@@ -76,6 +78,90 @@
         afterOutage(world, world.leader());
     }
 
+    // Times around the lease, the grace and the cancel limit, machines that hang or hear nothing meanwhile, messages
+    // between controllers that come late, and both operators' figures: there cancel limit less lease is 20 and 30 s.
+    @Test
+    void neighboursOfTheGap() {
+        List<WorkerTimes> figures = List.of(new WorkerTimes(2_500, 16_000, 36_000), new WorkerTimes(2_500, 18_000, 48_000));
+        SplittableRandom random = new SplittableRandom(4);
+        for (int i = 0; i < 40; i++) {
+            told.clear();
+            SimWorld world = ScenarioTest.withServices(new SimWorld(i, 3, 12, 50, figures.get(i % 2)));
+            world.lateCopies(i % 3 == 0 ? 0.2 : 0);
+            int leader = world.leader();
+            List<String> some = world.machines().subList(0, 2);
+            world.refuse(leader, true);
+            long outageAt = world.now() + random.nextInt(5_000);
+            long outageEnds = outageAt + 10_000 + random.nextInt(60_000);
+            world.at(outageAt, () -> world.store.outage(true));
+            world.at(outageEnds, () -> world.store.outage(false));
+            world.at(outageEnds + random.nextInt(4_000), () -> world.refuse(leader, false));
+            for (int job = 0; job < 4; job++) {
+                String id = "j-00000" + job;
+                int node = other(leader, 1 + job % 2);
+                world.at(world.now() + random.nextInt(5_000), () -> world.abort(node, id, told::add));
+            }
+            long trouble = world.now() + random.nextInt(6_000);
+            long lasts = 1_000 + random.nextInt(15_000);
+            switch (i % 5) {
+                case 0 -> some.forEach(machine -> {
+                    world.at(trouble, () -> world.hang(machine, true));
+                    world.at(trouble + lasts, () -> world.hang(machine, false));
+                });
+                case 1 -> some.forEach(machine -> {
+                    world.at(trouble, () -> world.deafen(machine, true));
+                    world.at(trouble + lasts, () -> world.deafen(machine, false));
+                });
+                case 2 -> {
+                    world.at(trouble, () -> world.cut("rig-" + leader, "rig-" + other(leader, 1)));
+                    world.at(trouble + lasts, () -> world.heal("rig-" + leader, "rig-" + other(leader, 1)));
+                }
+                case 3 -> {
+                    world.at(trouble, () -> world.crash(other(leader, 1)));
+                    world.at(trouble + lasts, () -> world.start(other(leader, 1)));
+                }
+                default -> world.heldOrders(0.5);
+            }
+            play(world, 150_000);
+            assertEquals(List.of(), world.rules.broken(), "world " + i);
+            assertEquals(List.of(), world.rules.missingReplicas(), "world " + i);
+            assertEquals(0, world.failures());
+        }
+    }
+
+    // Guards answers that come after they were given up: to the abort, to the leader's renewals, to its follow.
+    @Test
+    void theStateServiceAnswersSlowlyThenRefusesTheLeaderThenEverybody() {
+        for (long mostMs : List.of(1_000L, 2_500L, 5_000L)) {
+            told.clear();
+            SimWorld world = ScenarioTest.withServices();
+            world.slowStore(mostMs);
+            for (int second = 0; second < 12; second++) {
+                for (int node = 0; node < 3; node++) {
+                    world.poll(node, "j-00000" + second % 3, reply -> { });
+                    if (second % 4 == 0) {
+                        world.abort(node, "j-00000" + second % 3, told::add);
+                    }
+                }
+                play(world, 1_000);
+            }
+            int leader = Math.max(0, world.leader());
+            world.refuse(leader, true);
+            world.abort(other(leader, 1), "j-000002", told::add);
+            play(world, 2_000);
+            world.store.outage(true);
+            play(world, OUTAGE_MS);
+            world.slowStore(0);
+            world.refuse(leader, false);
+            world.store.outage(false);
+            play(world, 40_000);
+            assertTold();
+            assertEquals(List.of(), world.rules.broken());
+            assertEquals(List.of(), world.rules.missingReplicas());
+            assertEquals(0, world.failures());
+        }
+    }
+
     // Guards the first word: the transaction was carried out, its answer got lost, and the user hears of the end from
     // another controller, in the answer to a repeated abort, to a poll, or to a repeated submission.
     @Test
--- a/src/test/java/io/quartzgw/app/ScenarioTest.java
+++ b/src/test/java/io/quartzgw/app/ScenarioTest.java
@@ -19,7 +19,10 @@
 
     /** A world in which five services of two replicas each run. */
     static SimWorld withServices(long seed) {
-        SimWorld world = new SimWorld(seed, 3);
+        return withServices(new SimWorld(seed, 3));
+    }
+
+    static SimWorld withServices(SimWorld world) {
         for (int i = 0; i < SERVICES; i++) {
             ObjectNode spec = FailureTest.job("j-00000" + i, "blue", "daemon", 2, 2, 0);
             world.at(1_000, () -> world.job(spec, null));
--- a/src/test/java/io/quartzgw/standin/SimWorld.java
+++ b/src/test/java/io/quartzgw/standin/SimWorld.java
@@ -41,8 +41,7 @@
     private static final Endpoint STORE_AT = new Endpoint("10.2.0.1", 2379);
     private static final Endpoint CLOUD_AT = new Endpoint("10.2.0.2", 8443);
     private static final long REPORT_MS = 2_500;
-    private static final long LEASE_MS = 16_000;
-    private static final long CANCEL_MS = 36_000;
+    private static final WorkerTimes TIMES = new WorkerTimes(REPORT_MS, 16_000, 36_000);
     private static final long WORKER_TIMEOUT_MS = 4_000;
     /** Within such a time after its last task a job is called off, while its end is being written. */
     private static final int CANCEL_AT_END_MS = 60;
@@ -50,7 +49,8 @@
     public final SplittableRandom random;
     public final StoreStandIn store = new StoreStandIn();
     public final CloudStandIn cloud;
-    public final Rules rules = new Rules(CANCEL_MS, Map.of("red", 40.0, "green", 24.0));
+    public final Rules rules;
+    private final WorkerTimes times;
     private final List<SimNode> nodes = new ArrayList<>();
     private final Map<String, SimWorker> workers = new TreeMap<>();
     private final Map<String, JsonNode> submitted = new HashMap<>();
@@ -118,6 +118,13 @@
 
     /** @param capacity how many machines the cloud has */
     public SimWorld(long seed, int size, int capacity, long stepMs) {
+        this(seed, size, capacity, stepMs, TIMES);
+    }
+
+    /** @param times the workers' figures */
+    public SimWorld(long seed, int size, int capacity, long stepMs, WorkerTimes times) {
+        this.times = times;
+        this.rules = new Rules(times.cancelMs(), Map.of("red", 40.0, "green", 24.0));
         this.random = new SplittableRandom(seed);
         this.stepMs = stepMs;
         this.cloud = new CloudStandIn(5_000, 8_000, capacity, SimWorld::address);
@@ -189,7 +196,7 @@
                 new Endpoint("10.0.0." + (index + 1), 8081), peers, CLOUD_AT, STORE_AT, nodes.size(),
                 List.of("a", "b"), 100, Map.of("red", new Team("red", 0, 40, 0, 0), "blue", new Team("blue", 0, 0, 0, 0),
                         "green", new Team("green", 8, 24, 0, 0)),
-                List.of(), new WorkerTimes(REPORT_MS, LEASE_MS, CANCEL_MS), CANCEL_MS / 1000.0,
+                List.of(), times, times.cancelMs() / 1000.0,
                 new StoreLimits(300, 120, StoreStandIn.VALUE_BYTES, StoreStandIn.TXN_OPS), new CloudLimits(4, 5_000), 1000);
     }
 
@@ -428,7 +435,7 @@
     // A copy comes by seconds to well over a lease late, and nobody waits for its answer.
     private void perhapsCopy(Runnable arrive) {
         if (lateCopies > 0 && random.nextDouble() < lateCopies) {
-            at(now + 1_000 + random.nextInt((int) (3 * LEASE_MS)), arrive);
+            at(now + 1_000 + random.nextInt((int) (3 * times.leaseMs())), arrive);
         }
     }
 
@@ -522,7 +529,7 @@
     // ---- workers
 
     private void boot(String id, String type, String zone, boolean spot) {
-        SimWorker sim = new SimWorker(new WorkerStandIn(id, address(id), type, zone, spot, LEASE_MS, now, this::description, rules));
+        SimWorker sim = new SimWorker(new WorkerStandIn(id, address(id), type, zone, spot, times.leaseMs(), now, this::description, rules));
         sim.home = random.nextInt(nodes.size());
         workers.put(id, sim);
         rules.now(() -> now);
