--- a/src/test/java/io/quartzgw/app/FailureTest.java
+++ b/src/test/java/io/quartzgw/app/FailureTest.java
@@ -162,7 +162,7 @@
         for (long at = 15_000; at < 180_000; at += 3_000 + random.nextInt(14_000)) {
             long start = at;
             long lasts = Math.min(2_000 + random.nextInt(58_000), TROUBLES_END - at);
-            int kind = random.nextInt(14);
+            int kind = random.nextInt(15);
             int pick = random.nextInt(1_000);
             world.at(start, () -> {
                 LoggerFactory.getLogger("world").info("{} ms: meeting {} for {} ms", start, kind, lasts);
@@ -225,6 +225,10 @@
                         }
                         world.at(start + 5_000 + pick, () -> world.cancelNow(4, 0));
                     }
+                    case 14 -> {
+                        world.freeze(pick % 2 == 0 ? leader : pick % 3, lasts);
+                        world.at(start + lasts / 2, () -> world.cancelNow(4, 0));
+                    }
                     case 12 -> {
                         // A leader ends while machines can't be reached, and something is called off meanwhile.
                         for (String some : machines.subList(0, (machines.size() + 2) / 3)) {
--- a/src/test/java/io/quartzgw/app/MeetingsTest.java
+++ b/src/test/java/io/quartzgw/app/MeetingsTest.java
@@ -359,4 +359,26 @@
             }
         }
     }
+
+    // Guards what a controller read before it stood still: on waking it answers nobody by it, and deposes nobody.
+    @Test
+    void aControllerStandsStillWhileJobsAreCancelledAndGoesOn() {
+        for (boolean leads : List.of(true, false)) {
+            for (long stillMs : List.of(3_000L, 9_000L, 20_000L, 70_000L)) {
+                SimWorld world = ScenarioTest.withServices();
+                List<String> jobs = arrays(world, 4, 4, 12, "red");
+                play(world, 5_000);
+                int node = leads ? world.leader() : (world.leader() + 1) % 3;
+                world.freeze(node, stillMs);
+                world.at(world.now() + stillMs / 2, () -> world.cancelNow(3, 2_000));
+                play(world, stillMs);
+                int leader = world.leader();
+                play(world, 15_000);
+                assertTrue(leads || world.leader() == leader, "who wakes deposes nobody");
+                play(world, 75_000);
+                assertAllWell(world);
+                assertTrue(jobs.stream().allMatch(id -> world.rules.finalPhase(id) != null));
+            }
+        }
+    }
 }
--- a/src/test/java/io/quartzgw/standin/SimWorld.java
+++ b/src/test/java/io/quartzgw/standin/SimWorld.java
@@ -93,6 +93,8 @@
         private long wake = Long.MAX_VALUE;
         private final Map<Long, Consumer<Response>> inbound = new HashMap<>();
         private long exchanges;
+        private boolean frozen;
+        private final List<Command> whileFrozen = new ArrayList<>();
 
         SimNode(String name) {
             this.name = name;
@@ -205,6 +207,8 @@
         sim.epoch++;
         sim.wake = Long.MAX_VALUE;
         sim.inbound.clear();
+        sim.frozen = false;
+        sim.whileFrozen.clear();
         long process = ++processes;
         sim.kernel = new Kernel(random.nextLong());
         sim.kernel.handle(List.of(), time());
@@ -219,6 +223,24 @@
         sim.node = null;
     }
 
+    /** A controller stands still while its clocks run; what came meanwhile is read when it goes on. */
+    public void freeze(int index, long ms) {
+        SimNode sim = nodes.get(index);
+        if (sim.node == null || sim.frozen) {
+            return;
+        }
+        sim.frozen = true;
+        long epoch = sim.epoch;
+        at(now + ms, () -> {
+            if (sim.epoch == epoch) {
+                sim.frozen = false;
+                List<Command> batch = List.copyOf(sim.whileFrozen);
+                sim.whileFrozen.clear();
+                handle(sim, batch);
+            }
+        });
+    }
+
     public boolean isUp(int index) {
         return nodes.get(index).node != null;
     }
@@ -253,6 +275,10 @@
     }
 
     private void handle(SimNode sim, List<Command> batch) {
+        if (sim.frozen) {
+            sim.whileFrozen.addAll(batch);
+            return;
+        }
         // Shown by the log's lines: which node, and when.
         Thread.currentThread().setName(now + " " + sim.name);
         for (Effect effect : sim.kernel.handle(batch, time())) {
