--- a/src/test/java/io/quartzgw/app/CancellationTest.java
+++ b/src/test/java/io/quartzgw/app/CancellationTest.java
@@ -22,13 +22,6 @@
 
     private final List<Reply> told = new ArrayList<>();
 
-    private static void play(SimWorld world, long ms) {
-        for (long end = world.now() + ms; world.now() < end; ) {
-            world.runUntil(Math.min(end, world.now() + 500));
-            world.rules.sweep(world.now());
-        }
-    }
-
     private void assertTold() {
         assertTrue(told.stream().anyMatch(reply -> reply.ok() && reply.json().path("phase").asText().equals("withdrawn")),
                 "a user was told");
@@ -53,21 +46,21 @@
         SimWorld world = ScenarioTest.withServices();
         int leader = world.leader();
         world.refuse(leader, true);
-        play(world, 200);
+        world.play(200);
         cancelling.accept(world, leader);
-        play(world, refusedMs - 200);
+        world.play(refusedMs - 200);
         world.store.outage(true);
         assertEquals(leader, world.leader(), "workers report to the old leader");
         return world;
     }
 
     private void afterOutage(SimWorld world, int leader) {
-        play(world, OUTAGE_MS);
+        world.play(OUTAGE_MS);
         assertTold();
         assertGone(world);
         world.refuse(leader, false);
         world.store.outage(false);
-        play(world, 40_000);
+        world.play(40_000);
         assertGone(world);
         assertEquals(List.of(), world.rules.missingReplicas(), "what was not cancelled runs");
     }
@@ -122,7 +115,7 @@
                 }
                 default -> world.heldOrders(0.5);
             }
-            play(world, 150_000);
+            world.play(150_000);
             assertEquals(List.of(), world.rules.broken(), "world " + i);
             assertEquals(List.of(), world.rules.missingReplicas(), "world " + i);
             assertEquals(0, world.failures());
@@ -143,18 +136,18 @@
                         world.abort(node, "j-00000" + second % 3, told::add);
                     }
                 }
-                play(world, 1_000);
+                world.play(1_000);
             }
             int leader = Math.max(0, world.leader());
             world.refuse(leader, true);
             world.abort(other(leader, 1), "j-000002", told::add);
-            play(world, 2_000);
+            world.play(2_000);
             world.store.outage(true);
-            play(world, OUTAGE_MS);
+            world.play(OUTAGE_MS);
             world.slowStore(0);
             world.refuse(leader, false);
             world.store.outage(false);
-            play(world, 40_000);
+            world.play(40_000);
             assertTold();
             assertEquals(List.of(), world.rules.broken());
             assertEquals(List.of(), world.rules.missingReplicas());
@@ -175,7 +168,7 @@
                 SimWorld world = gap(1_500, (w, leader) -> {
                     w.lostAnswers(1);
                     w.abort(other(leader, 1), JOB, reply -> { });
-                    play(w, 300);
+                    w.play(300);
                     w.lostAnswers(0);
                     ask.accept(w, other(leader, teller));
                 });
@@ -194,7 +187,7 @@
                 w.cut("rig-" + other(leader, 1), "rig-" + leader);
                 w.cut("rig-" + other(leader, 1), "rig-" + other(leader, 2));
                 w.abort(other(leader, 1), JOB, told::add);
-                play(w, 300);
+                w.play(300);
                 w.crash(other(leader, 1));
                 w.drop("rig-" + other(leader, 1), "rig-" + leader);
                 w.drop("rig-" + other(leader, 1), "rig-" + other(leader, 2));
@@ -202,9 +195,9 @@
             int leader = world.leader();
             for (int i = 0; i < restarts; i++) {
                 world.crash(other(leader, 1));
-                play(world, 200);
+                world.play(200);
                 world.start(other(leader, 1));
-                play(world, 2_500);
+                world.play(2_500);
             }
             afterOutage(world, leader);
         }
@@ -243,7 +236,7 @@
                 world.cut("rig-" + former, "rig-" + other(former, 2));
             }
             world.refuse(former, true);
-            play(world, 200);
+            world.play(200);
             world.abort(other(former, 1), JOB, told::add);
             world.runUntil(world.now() + 1_000);
             while (world.leader() == former || world.leader() < 0) {
@@ -263,7 +256,7 @@
         int first = world.leader();
         world.crash(first);
         world.abort(other(first, 1), JOB, told::add);
-        play(world, 500);
+        world.play(500);
         world.start(first);
         for (int change = 0; change < 10; change++) {
             for (int ms = 0; world.leader() < 0 && ms < 10_000; ms++) {
@@ -272,12 +265,12 @@
             int leader = world.leader();
             assertTrue(leader >= 0, "somebody is elected");
             world.store.outage(true);
-            play(world, 4_500);
+            world.play(4_500);
             world.crash(leader);
             world.store.outage(false);
             world.start(leader);
         }
-        play(world, 60_000);
+        world.play(60_000);
         assertTold();
         assertGone(world);
     }
@@ -293,15 +286,15 @@
             world.store.holdFollows(true);
             world.cut("rig-" + teller, "rig-" + leader);
             world.submit(teller, FailureTest.job("j-000070", "blue", "daemon", 2, 2, 0), reply -> { });
-            play(world, 400);
+            world.play(400);
             world.abort(teller, "j-000070", told::add);
-            play(world, 300);
+            world.play(300);
             int before = world.rules.started();
             // Held back, and delivered in any order now.
             world.heal("rig-" + teller, "rig-" + leader);
-            play(world, 10_000);
+            world.play(10_000);
             world.store.holdFollows(false);
-            play(world, 30_000);
+            world.play(30_000);
             assertTold();
             assertEquals(before, world.rules.started(), "nothing starts after the confirmation");
             assertGone(world, "j-000070");
--- a/src/test/java/io/quartzgw/app/FailureTest.java
+++ b/src/test/java/io/quartzgw/app/FailureTest.java
@@ -66,10 +66,10 @@
                 List<String> machines = world.machines();
                 String machine = machines.isEmpty() ? null : machines.get((int) (start % machines.size()));
                 switch (kind) {
-                    case 0 -> crash(world, node, 5_000);
+                    case 0 -> world.crash(node, 5_000);
                     case 1 -> {
                         for (int i = 0; i < 3; i++) {
-                            crash(world, i, 4_000 + 700L * i);
+                            world.crash(i, 4_000 + 700L * i);
                         }
                     }
                     case 2 -> {
@@ -103,11 +103,11 @@
                             world.at(start + lasts, () -> world.deafen(deaf, false));
                         }
                     }
-                    case 8 -> crash(world, node, 100 + lasts % 400);
+                    case 8 -> world.crash(node, 100 + lasts % 400);
                     case 9 -> {
                         // The leader goes, and the one that stands for it is back in the middle of the election.
-                        crash(world, node, 200);
-                        world.at(start + 3_900 + lasts % 300, () -> crash(world, (node + 1) % 3, 100 + lasts % 200));
+                        world.crash(node, 200);
+                        world.at(start + 3_900 + lasts % 300, () -> world.crash((node + 1) % 3, 100 + lasts % 200));
                     }
                     case 10 -> {
                         if (machine != null) {
@@ -204,7 +204,7 @@
                     case 8 -> {
                         // Leaders change again and again, also inside an outage.
                         for (long change = start; change < Math.min(start + 40_000, end); change += 4_000) {
-                            world.at(change, () -> crash(world, Math.max(0, world.leader()), 200 + pick % 3_000));
+                            world.at(change, () -> world.crash(Math.max(0, world.leader()), 200 + pick % 3_000));
                         }
                         if (pick % 3 == 0) {
                             world.at(start + 10_000, () -> outage(world, Math.min(start + 25_000, end)));
@@ -212,7 +212,7 @@
                     }
                     case 9 -> {
                         for (int i = 0; i < 3; i++) {
-                            crash(world, i, lasts + 300L * i);
+                            world.crash(i, lasts + 300L * i);
                         }
                     }
                     case 10 -> refuse(world, leader, end);
@@ -235,14 +235,14 @@
                             world.cut(some, "*");
                             world.at(end, () -> world.heal(some, "*"));
                         }
-                        world.at(start + pick, () -> crash(world, leader, 1_000));
+                        world.at(start + pick, () -> world.crash(leader, 1_000));
                         world.at(start + 2L * pick, () -> world.cancelNow(4, 0));
                     }
                     default -> {
                         if (machine != null) {
                             world.deafen(machine, true);
                             world.at(end, () -> world.deafen(machine, false));
-                            world.at(start + pick, () -> crash(world, leader, pick));
+                            world.at(start + pick, () -> world.crash(leader, pick));
                         }
                     }
                 }
@@ -260,25 +260,11 @@
         world.at(until, () -> world.store.outage(false));
     }
 
-    private static void crash(SimWorld world, int node, long downMs) {
-        if (world.isUp(node)) {
-            world.crash(node);
-            world.at(world.now() + downMs, () -> world.start(node));
-        }
-    }
-
-    private static void play(SimWorld world, long end) {
-        while (world.now() < end) {
-            world.runUntil(world.now() + 1_000);
-            world.rules.sweep(world.now());
-        }
-    }
-
     @Test
     void aQuietDayEndsWithEveryArrayDone() {
         SimWorld world = new SimWorld(1, 3);
         List<String> arrays = load(world, new SplittableRandom(1));
-        play(world, END);
+        world.play(END);
         assertEquals(List.of(), world.rules.broken());
         assertTrue(arrays.stream().allMatch(id -> world.rules.finalPhase(id) != null), "every array is over");
     }
@@ -310,7 +296,7 @@
         List<String> arrays = load(world, random);
         faults(world, random);
         world.at(TROUBLES_END, () -> world.rules.troublesOver(TROUBLES_END));
-        play(world, END);
+        world.play(END);
         assertEquals(List.of(), world.rules.broken());
         assertEquals(0, world.failures(), "commands that failed inside a node");
         assertEquals(List.of(), world.rules.missingReplicas(), "every service runs");
@@ -341,9 +327,9 @@
             faults(world, random);
         }
         world.at(TROUBLES_END, () -> world.rules.troublesOver(TROUBLES_END));
-        play(world, TROUBLES_END);
+        world.play(TROUBLES_END);
         while (world.now() < LONG_END) {
-            play(world, world.now() + 1_000);
+            world.play(1_000);
             world.sweepWaiting();
         }
         assertEquals(List.of(), world.rules.broken());
--- a/src/test/java/io/quartzgw/app/MeetingsTest.java
+++ b/src/test/java/io/quartzgw/app/MeetingsTest.java
@@ -14,13 +14,6 @@
 class MeetingsTest {
     private static final long LEASE_MS = 16_000;
 
-    private static void play(SimWorld world, long ms) {
-        for (long end = world.now() + ms; world.now() < end; ) {
-            world.runUntil(Math.min(end, world.now() + 500));
-            world.rules.sweep(world.now());
-        }
-    }
-
     private static void assertAllWell(SimWorld world) {
         assertEquals(List.of(), world.rules.broken());
         assertEquals(List.of(), world.rules.missingReplicas());
@@ -49,13 +42,13 @@
     void allControllersAreAwayForLongerThanALease() {
         SimWorld world = ScenarioTest.withServices();
         List<String> jobs = arrays(world, 4, 5, 25, "red");
-        play(world, 10_000);
+        world.play(10_000);
         IntStream.range(0, 3).forEach(world::crash);
-        play(world, LEASE_MS + 9_000);
+        world.play(LEASE_MS + 9_000);
         IntStream.range(0, 3).forEach(world::start);
-        play(world, 30_000);
+        world.play(30_000);
         assertAllWell(world);
-        play(world, 90_000);
+        world.play(90_000);
         assertDone(world, jobs);
     }
 
@@ -70,11 +63,9 @@
                 world.job(spec.put("each_longer_s", 10 + 2 * i), null);
                 jobs.add("j-00040" + i);
             }
-            play(world, crashAt);
-            int leader = world.leader();
-            world.crash(leader);
-            world.at(world.now() + 5_000, () -> world.start(leader));
-            play(world, 75_000);
+            world.play(crashAt);
+            world.crash(world.leader(), 5_000);
+            world.play(75_000);
             assertAllWell(world);
             assertDone(world, jobs);
         }
@@ -90,7 +81,7 @@
             jobs.add("j-00040" + i);
         }
         world.job(FailureTest.job("j-000410", "blue", "daemon", 3, 2, 0).put("yard", "a"), null);
-        play(world, 14_000);
+        world.play(14_000);
         List<String> lost = world.machines();
         for (int i = 0; i < lost.size(); i += 2) {
             String machine = lost.get(i);
@@ -104,9 +95,9 @@
                 world.crash(world.leader());
             }
         }
-        play(world, 10_000);
+        world.play(10_000);
         IntStream.range(0, 3).filter(node -> !world.isUp(node)).forEach(world::start);
-        play(world, 120_000);
+        world.play(120_000);
         assertAllWell(world);
         assertDone(world, jobs);
     }
@@ -117,20 +108,18 @@
         for (boolean leaderEnds : List.of(false, true)) {
             SimWorld world = ScenarioTest.withServices();
             List<String> jobs = arrays(world, 5, 4, 30, "red");
-            play(world, 8_000);
+            world.play(8_000);
             List<String> mute = firstHalf(world.machines());
             mute.forEach(machine -> world.mute(machine, true));
             world.cancelNow(2, 0);
             if (leaderEnds) {
-                play(world, 1_000);
-                int leader = world.leader();
-                world.crash(leader);
-                world.at(world.now() + 5_000, () -> world.start(leader));
+                world.play(1_000);
+                world.crash(world.leader(), 5_000);
             }
-            play(world, 3 * LEASE_MS);
+            world.play(3 * LEASE_MS);
             assertEquals(List.of(), world.rules.missingReplicas(), "replicas run where reports arrive");
             mute.forEach(machine -> world.mute(machine, false));
-            play(world, 90_000);
+            world.play(90_000);
             assertAllWell(world);
             assertTrue(jobs.stream().allMatch(id -> world.rules.finalPhase(id) != null));
         }
@@ -141,15 +130,13 @@
         SimWorld world = ScenarioTest.withServices();
         world.lateTransactions(0.3);
         List<String> jobs = arrays(world, 8, 5, 6, "red");
-        play(world, 8_000);
-        int leader = world.leader();
-        world.crash(leader);
-        world.at(world.now() + 700, () -> world.start(leader));
-        play(world, 10_000);
+        world.play(8_000);
+        world.crash(world.leader(), 700);
+        world.play(10_000);
         world.cancelNow(2, 0);
-        play(world, 20_000);
+        world.play(20_000);
         world.lateTransactions(0);
-        play(world, 100_000);
+        world.play(100_000);
         assertAllWell(world);
         assertTrue(jobs.stream().allMatch(id -> world.rules.finalPhase(id) != null));
     }
@@ -176,7 +163,7 @@
                 }
             }
         }
-        play(world, 60_000);
+        world.play(60_000);
         assertAllWell(world);
         assertTrue(jobs.stream().allMatch(id -> world.rules.finalPhase(id) != null), "every end is told");
         assertTrue(jobs.stream().anyMatch(id -> "withdrawn".equals(world.rules.finalPhase(id))), "some were called off in time");
@@ -188,15 +175,13 @@
         SimWorld world = ScenarioTest.withServices();
         world.heldOrders(0.5);
         List<String> jobs = arrays(world, 8, 4, 8, "red");
-        play(world, 12_000);
+        world.play(12_000);
         world.cancelNow(3, 3_000);
-        play(world, 8_000);
-        int leader = world.leader();
-        world.crash(leader);
-        world.at(world.now() + 5_000, () -> world.start(leader));
-        play(world, 30_000);
+        world.play(8_000);
+        world.crash(world.leader(), 5_000);
+        world.play(30_000);
         world.heldOrders(0);
-        play(world, 90_000);
+        world.play(90_000);
         assertAllWell(world);
         assertTrue(jobs.stream().allMatch(id -> world.rules.finalPhase(id) != null));
     }
@@ -215,9 +200,9 @@
                     world.job(spec.put("urgency", List.of("low", "standard", "urgent").get(level)), null));
             jobs.add(id);
         }
-        play(world, 300_000);
+        world.play(300_000);
         for (int second = 0; second < 100; second++) {
-            play(world, 1_000);
+            world.play(1_000);
             world.sweepWaiting();
         }
         assertAllWell(world);
@@ -234,7 +219,7 @@
                 String id = "j-00060" + change;
                 world.job(FailureTest.job(id, "red", "array", 5, 4, 6), change % 4 == 3 ? world.now() + 9_000 : null);
                 jobs.add(id);
-                play(world, 6_000);
+                world.play(6_000);
                 if (outage && change == 4) {
                     world.store.outage(true);
                 } else if (outage && change == 7) {
@@ -242,10 +227,10 @@
                 }
                 int leader = Math.max(0, world.leader());
                 world.crash(leader);
-                play(world, change % 2 == 0 ? 300 : 6_000);
+                world.play(change % 2 == 0 ? 300 : 6_000);
                 world.start(leader);
             }
-            play(world, 100_000);
+            world.play(100_000);
             assertAllWell(world);
             assertTrue(jobs.stream().allMatch(id -> world.rules.finalPhase(id) != null));
         }
@@ -257,7 +242,7 @@
         for (boolean leads : List.of(true, false)) {
             SimWorld world = ScenarioTest.withServices();
             List<String> jobs = arrays(world, 5, 4, 20, "red");
-            play(world, 10_000);
+            world.play(10_000);
             int inside = leads ? world.leader() : (world.leader() + 1) % 3;
             List<String> zone = firstHalf(world.machines());
             List<String> outside = new ArrayList<>(world.machines());
@@ -267,14 +252,14 @@
                 world.cut("rig-" + inside, far);
                 zone.forEach(machine -> world.cut(machine, far));
             });
-            play(world, 3_000);
+            world.play(3_000);
             world.cancelNow(3, 0);
-            play(world, 3 * LEASE_MS);
+            world.play(3 * LEASE_MS);
             outside.forEach(far -> {
                 world.heal("rig-" + inside, far);
                 zone.forEach(machine -> world.heal(machine, far));
             });
-            play(world, 120_000);
+            world.play(120_000);
             assertAllWell(world);
             assertTrue(jobs.stream().allMatch(id -> world.rules.finalPhase(id) != null));
         }
@@ -286,7 +271,7 @@
             for (long goneMs : List.of(6_000L, 14_000L, 40_000L)) {
                 SimWorld world = ScenarioTest.withServices();
                 List<String> jobs = arrays(world, 4, 4, 45, "red");
-                play(world, 12_000);
+                world.play(12_000);
                 List<String> some = firstHalf(world.machines());
                 int leader = world.leader();
                 some.forEach(machine -> {
@@ -296,10 +281,9 @@
                         world.cut(machine, "*");
                     }
                 });
-                play(world, 500);
-                world.crash(leader);
-                world.at(world.now() + 5_000, () -> world.start(leader));
-                play(world, goneMs);
+                world.play(500);
+                world.crash(leader, 5_000);
+                world.play(goneMs);
                 some.forEach(machine -> {
                     if (deaf) {
                         world.deafen(machine, false);
@@ -307,7 +291,7 @@
                         world.heal(machine, "*");
                     }
                 });
-                play(world, 150_000);
+                world.play(150_000);
                 assertAllWell(world);
                 assertDone(world, jobs);
             }
@@ -320,17 +304,16 @@
         for (long cancelAfterMs : List.of(-300L, 200L, 1_500L, 6_000L)) {
             SimWorld world = ScenarioTest.withServices();
             List<String> jobs = arrays(world, 6, 5, 25, "green");
-            play(world, 20_000);
+            world.play(20_000);
             List<String> silent = firstHalf(world.machines());
             silent.forEach(machine -> world.cut(machine, "*"));
             int leader = world.leader();
             long crashAt = world.now() + 500;
             world.at(crashAt + cancelAfterMs, () -> world.cancelNow(3, 0));
-            world.at(crashAt, () -> world.crash(leader));
-            world.at(crashAt + 5_000, () -> world.start(leader));
-            play(world, 12_000);
+            world.at(crashAt, () -> world.crash(leader, 5_000));
+            world.play(12_000);
             silent.forEach(machine -> world.heal(machine, "*"));
-            play(world, 250_000);
+            world.play(250_000);
             assertAllWell(world);
             assertTrue(jobs.stream().allMatch(id -> world.rules.finalPhase(id) != null));
         }
@@ -342,18 +325,16 @@
             for (long downMs : List.of(50L, 400L, 900L)) {
                 SimWorld world = ScenarioTest.withServices();
                 int back = returns;
-                play(world, 1_000);
+                world.play(1_000);
                 for (int i = 0; i < 3; i++) {
-                    int leader = Math.max(0, world.leader());
-                    world.crash(leader);
-                    world.at(world.now() + downMs, () -> world.start(leader));
-                    play(world, 2_000);
+                    world.crash(Math.max(0, world.leader()), downMs);
+                    world.play(2_000);
                 }
                 IntStream.range(0, 3).forEach(world::crash);
                 world.at(world.now() + downMs, () -> world.start(back));
-                play(world, 10_000);
+                world.play(10_000);
                 IntStream.range(0, 3).filter(node -> node != back).forEach(world::start);
-                play(world, 60_000);
+                world.play(60_000);
                 assertAllWell(world);
                 assertEquals(2 * ScenarioTest.SERVICES, world.rules.started(), "nothing was started anew");
             }
@@ -367,15 +348,15 @@
             for (long stillMs : List.of(3_000L, 9_000L, 20_000L, 70_000L)) {
                 SimWorld world = ScenarioTest.withServices();
                 List<String> jobs = arrays(world, 4, 4, 12, "red");
-                play(world, 5_000);
+                world.play(5_000);
                 int node = leads ? world.leader() : (world.leader() + 1) % 3;
                 world.freeze(node, stillMs);
                 world.at(world.now() + stillMs / 2, () -> world.cancelNow(3, 2_000));
-                play(world, stillMs);
+                world.play(stillMs);
                 int leader = world.leader();
-                play(world, 15_000);
+                world.play(15_000);
                 assertTrue(leads || world.leader() == leader, "who wakes deposes nobody");
-                play(world, 75_000);
+                world.play(75_000);
                 assertAllWell(world);
                 assertTrue(jobs.stream().allMatch(id -> world.rules.finalPhase(id) != null));
             }
--- a/src/test/java/io/quartzgw/standin/SimWorld.java
+++ b/src/test/java/io/quartzgw/standin/SimWorld.java
@@ -43,6 +43,7 @@
     private static final long REPORT_MS = 2_500;
     private static final WorkerTimes TIMES = new WorkerTimes(REPORT_MS, 16_000, 36_000);
     private static final long WORKER_TIMEOUT_MS = 4_000;
+    private static final long SWEEP_MS = 500;
     /** Within such a time after its last task a job is called off, while its end is being written. */
     private static final int CANCEL_AT_END_MS = 60;
 
@@ -185,6 +186,14 @@
         now = end;
     }
 
+    /** Lets time pass, looking every half second for tasks and jobs that break a rule by being there. */
+    public void play(long ms) {
+        for (long end = now + ms; now < end; ) {
+            runUntil(Math.min(end, now + SWEEP_MS));
+            rules.sweep(now);
+        }
+    }
+
     // ---- nodes
 
     public Settings settings(int index) {
@@ -241,6 +250,14 @@
         });
     }
 
+    /** A controller crashes and is started again after a while; one that is down already is left as it is. */
+    public void crash(int index, long downMs) {
+        if (isUp(index)) {
+            crash(index);
+            at(now + downMs, () -> start(index));
+        }
+    }
+
     public boolean isUp(int index) {
         return nodes.get(index).node != null;
     }
