--- a/src/test/java/io/quartzgw/app/ScenarioTest.java
+++ b/src/test/java/io/quartzgw/app/ScenarioTest.java
@@ -239,7 +239,7 @@
         }
         world.runUntil(world.now() + 1_000);
         int[] status = new int[1];
-        world.user((leader + 1) % 3, "POST", "/submissions/j-000001/abort", Json.object(), reply -> status[0] = reply.status());
+        world.abort((leader + 1) % 3, "j-000001", reply -> status[0] = reply.status());
         for (int second = 0; second < 60; second++) {
             world.runUntil(world.now() + 1_000);
             world.rules.sweep(world.now());
