--- a/src/test/java/io/quartzgw/app/FailureTest.java
+++ b/src/test/java/io/quartzgw/app/FailureTest.java
@@ -260,6 +260,14 @@
         world.at(until, () -> world.store.outage(false));
     }
 
+    private static void assertAllWell(SimWorld world, List<String> arrays) {
+        assertEquals(List.of(), world.rules.broken());
+        assertEquals(0, world.failures(), "commands that failed inside a node");
+        assertEquals(List.of(), world.rules.missingReplicas(), "every service runs");
+        List<String> unfinished = arrays.stream().filter(id -> world.rules.finalPhase(id) == null).toList();
+        assertEquals(List.of(), unfinished, "every array is over, long after the last failure");
+    }
+
     @Test
     void aQuietDayEndsWithEveryArrayDone() {
         SimWorld world = new SimWorld(1, 3);
@@ -297,12 +305,8 @@
         faults(world, random);
         world.at(TROUBLES_END, () -> world.rules.troublesOver(TROUBLES_END));
         world.play(END);
-        assertEquals(List.of(), world.rules.broken());
-        assertEquals(0, world.failures(), "commands that failed inside a node");
-        assertEquals(List.of(), world.rules.missingReplicas(), "every service runs");
+        assertAllWell(world, arrays);
         assertTrue(world.rules.started() > 50, "tasks were started");
-        List<String> unfinished = arrays.stream().filter(id -> world.rules.finalPhase(id) == null).toList();
-        assertEquals(List.of(), unfinished, "every array is over, long after the last failure");
     }
 
     /** Fixed seeds; {@code -Dquartzgw.firstMeeting=1000 -Dquartzgw.meetings=500} tries others by hand. */
@@ -332,10 +336,6 @@
             world.play(1_000);
             world.sweepWaiting();
         }
-        assertEquals(List.of(), world.rules.broken());
-        assertEquals(0, world.failures(), "commands that failed inside a node");
-        assertEquals(List.of(), world.rules.missingReplicas(), "every service runs");
-        List<String> unfinished = arrays.stream().filter(id -> world.rules.finalPhase(id) == null).toList();
-        assertEquals(List.of(), unfinished, "every array is over, long after the last failure");
+        assertAllWell(world, arrays);
     }
 }
