--- a/src/main/java/io/quartzgw/app/Leader.java
+++ b/src/main/java/io/quartzgw/app/Leader.java
@@ -1,6 +1,5 @@
 package io.quartzgw.app;
 
-import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.quartzgw.cancellation.Cancellations;
 import io.quartzgw.cancellation.Horizon;
@@ -8,7 +7,6 @@
 import io.quartzgw.fleet.Fleet;
 import io.quartzgw.fleet.MachineRecords;
 import io.quartzgw.fleet.MachineTypes;
-import io.quartzgw.http.Json;
 import io.quartzgw.http.Sockets;
 import io.quartzgw.leadership.Leadership;
 import io.quartzgw.leadership.Peers;
@@ -49,6 +47,7 @@
     private static final int SILENT_REPORTS = 2;
     /** A takeover is short: it is worth more than the leases of so many workers. */
     private static final double CUT_PART = 0.25;
+
     private static final double FLEET_REPORTS = 0.1;
     /** How long a follow of the open jobs waits: what it has told is known up to when it was asked. */
     private static final double FOLLOW_REPORTS = 0.6;
@@ -80,8 +79,18 @@
     /** The last job of the last page of counts. */
     private String countedTo = "";
 
-    Leader(Kernel kernel, Settings settings, Leadership leadership, Peers peers, StoreClient store, JobStore jobs,
-            Cancellations cancellations, Horizon horizon, MachineTypes types, CloudClient cloud, long formerAnswersUntil) {
+    Leader(
+            Kernel kernel,
+            Settings settings,
+            Leadership leadership,
+            Peers peers,
+            StoreClient store,
+            JobStore jobs,
+            Cancellations cancellations,
+            Horizon horizon,
+            MachineTypes types,
+            CloudClient cloud,
+            long formerAnswersUntil) {
         this.kernel = kernel;
         this.settings = settings;
         this.leadership = leadership;
@@ -96,26 +105,67 @@
         long reportMs = settings.workers().reportMs();
         Holds holds = Holds.of(settings.workers());
         this.cluster = new Cluster(kernel, term);
-        this.workers = new Workers(kernel, leadership, cluster, types, settings.workers(),
-                Sockets.of(settings.sockets()).orders(), cancellations::knows, new FromWorkers());
-        this.progress = new Progress(kernel, store, leadership, leadership.termRevision(), reportMs,
-                new FromProgress());
+        this.workers = new Workers(
+                kernel,
+                leadership,
+                cluster,
+                types,
+                settings.workers(),
+                Sockets.of(settings.sockets()).orders(),
+                cancellations::knows,
+                new FromWorkers());
+        this.progress =
+                new Progress(kernel, store, leadership, leadership.termRevision(), reportMs, new FromProgress());
         double keptCpus = keptCpus(settings);
         Goals goals = new Goals(settings.finishGoals(), settings.startGoals());
-        this.scheduler = new Scheduler(kernel, cluster, settings.teams(), goals, keptCpus > 0, settings.workers(),
-                new ToWorkers());
-        this.records = new MachineRecords(kernel, store, leadership, cluster, leadership.termRevision(),
-                2 * (long) settings.timeBoundMs(), workers::startsDue);
-        this.fleet = new Fleet(kernel, cloud, settings.cloudLimits(), leadership, cluster, types, records,
-                new Consolidation(cluster, scheduler::usable, new ToWorkers(), settings.workers().leaseMs()), keptCpus, holds.silentMs(),
+        this.scheduler = new Scheduler(
+                kernel, cluster, settings.teams(), goals, keptCpus > 0, settings.workers(), new ToWorkers());
+        this.records = new MachineRecords(
+                kernel,
+                store,
+                leadership,
+                cluster,
+                leadership.termRevision(),
+                2 * (long) settings.timeBoundMs(),
+                workers::startsDue);
+        this.fleet = new Fleet(
+                kernel,
+                cloud,
+                settings.cloudLimits(),
+                leadership,
+                cluster,
+                types,
+                records,
+                new Consolidation(
+                        cluster,
+                        scheduler::usable,
+                        new ToWorkers(),
+                        settings.workers().leaseMs()),
+                keptCpus,
+                holds.silentMs(),
                 workers::forget);
-        this.recovery = new Recovery(kernel, store, leadership, peers, types, cluster, workers, progress, records,
-                holds, reportMs, formerAnswersUntil, this::knownOver, new OpenJobs());
+        this.recovery = new Recovery(
+                kernel,
+                store,
+                leadership,
+                peers,
+                types,
+                cluster,
+                workers,
+                progress,
+                records,
+                holds,
+                reportMs,
+                formerAnswersUntil,
+                this::knownOver,
+                new OpenJobs());
     }
 
     // Where the guarantee is an aim, its room is there before the work comes.
     private static double keptCpus(Settings settings) {
-        return settings.aimsAt("guarantee") ? settings.teams().values().stream().mapToDouble(Team::cpus).sum() : 0;
+        return settings.aimsAt("guarantee")
+                ? settings.teams().values().stream().mapToDouble(Team::cpus).sum()
+                : 0;
     }
 
     void start() {
@@ -148,7 +198,9 @@
             if (machine.status() == Machine.Status.UP && !machine.released()) {
                 up++;
                 silent += kernel.now() - Math.max(machine.presence().lastAnswered(), since)
-                        < SILENT_REPORTS * settings.workers().reportMs() ? 0 : 1;
+                                < SILENT_REPORTS * settings.workers().reportMs()
+                        ? 0
+                        : 1;
             }
         }
         return silent > CUT_PART * up && peers.workersAtOthers() > silent / 2;
@@ -292,10 +344,16 @@
                     return;
                 }
                 List<OpenJob> open = listing.entries().stream()
-                        .map(entry -> OpenJob.fromRecord(entry.value(), entry.revision())).toList();
+                        .map(entry -> OpenJob.fromRecord(entry.value(), entry.revision()))
+                        .toList();
                 Set<String> ids = open.stream().map(job -> job.spec().id()).collect(Collectors.toSet());
-                cluster.jobs().stream().filter(job -> !job.over() && !ids.contains(job.id())
-                        && job.open().revision() <= listing.revision()).map(Job::id).toList().forEach(Leader.this::over);
+                cluster.jobs().stream()
+                        .filter(job -> !job.over()
+                                && !ids.contains(job.id())
+                                && job.open().revision() <= listing.revision())
+                        .map(Job::id)
+                        .toList()
+                        .forEach(Leader.this::over);
                 open.forEach(Leader.this::add);
                 store.follow(JobKeys.OPEN, listing.revision(), listing.at(), this);
             });
--- a/src/main/java/io/quartzgw/app/Main.java
+++ b/src/main/java/io/quartzgw/app/Main.java
@@ -9,7 +9,10 @@
 import picocli.CommandLine.Option;
 
 /** The command line. */
-@Command(name = "quartzgw", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
+@Command(
+        name = "quartzgw",
+        mixinStandardHelpOptions = true,
+        versionProvider = Main.Version.class,
         description = "Runs one controller of a quartzgw cluster until it is killed.",
         footer = {"", "The variable LOG_LEVEL (error, info, debug) says how much is logged to standard error."})
 public final class Main implements Callable<Integer> {
@@ -50,8 +53,11 @@
         Logger log = LoggerFactory.getLogger(Main.class);
         Service service = new Service(settings, processNumber(settings.member()));
         service.start();
-        log.info("{} serves users and workers on {}, controllers on {}", settings.member(),
-                settings.clientListen(), settings.peerListen());
+        log.info(
+                "{} serves users and workers on {}, controllers on {}",
+                settings.member(),
+                settings.clientListen(),
+                settings.peerListen());
         service.join();
         return 0;
     }
@@ -60,7 +66,9 @@
     // draw different numbers. A member may be back within a fraction of a second while its time of day
     // wanders, so the steady clock goes in as well.
     private static long processNumber(String member) {
-        long mixed = System.currentTimeMillis() * 1_000_003 + System.nanoTime() * 31 + ProcessHandle.current().pid();
+        long mixed = System.currentTimeMillis() * 1_000_003
+                + System.nanoTime() * 31
+                + ProcessHandle.current().pid();
         return (mixed * 31 + member.hashCode()) & Long.MAX_VALUE;
     }
 
--- a/src/main/java/io/quartzgw/app/Metrics.java
+++ b/src/main/java/io/quartzgw/app/Metrics.java
@@ -20,17 +20,22 @@
     private static final double[] PERCENTILES = {0.5, 0.9, 0.99};
 
     private final SimpleMeterRegistry registry = new SimpleMeterRegistry();
-    private final Timer requests = Timer.builder("requests").publishPercentiles(PERCENTILES)
-            .percentilePrecision(1).distributionStatisticExpiry(Duration.ofMinutes(5))
-            .distributionStatisticBufferLength(2).register(registry);
+    private final Timer requests = Timer.builder("requests")
+            .publishPercentiles(PERCENTILES)
+            .percentilePrecision(1)
+            .distributionStatisticExpiry(Duration.ofMinutes(5))
+            .distributionStatisticBufferLength(2)
+            .register(registry);
     private final Timer batches = Timer.builder("batches").register(registry);
     private final Counter refused = Counter.builder("requests.refused").register(registry);
     private final Map<Integer, Counter> statuses = new ConcurrentHashMap<>();
 
     void served(int status, long nanos) {
         requests.record(nanos, TimeUnit.NANOSECONDS);
-        statuses.computeIfAbsent(status, key ->
-                Counter.builder("responses").tag("status", Integer.toString(key)).register(registry)).increment();
+        statuses.computeIfAbsent(status, key -> Counter.builder("responses")
+                        .tag("status", Integer.toString(key))
+                        .register(registry))
+                .increment();
     }
 
     void batch(long nanos) {
--- a/src/main/java/io/quartzgw/app/Node.java
+++ b/src/main/java/io/quartzgw/app/Node.java
@@ -52,20 +52,20 @@
         this.kernel = kernel;
         this.settings = settings;
         this.metrics = metrics;
-        this.store = new StoreClient(kernel, settings.state(), settings.storeLimits().share(settings.size()));
+        this.store =
+                new StoreClient(kernel, settings.state(), settings.storeLimits().share(settings.size()));
         this.cloud = new CloudClient(kernel, settings.cloud(), settings.cloudLimits());
-        this.times = LeadershipTimes.of(settings.workers().reportMs() / 1000.0,
-                settings.workers().leaseMs() / 1000.0, settings.cancelS());
+        this.times = LeadershipTimes.of(
+                settings.workers().reportMs() / 1000.0, settings.workers().leaseMs() / 1000.0, settings.cancelS());
         long cancelMs = settings.workers().cancelMs();
         this.cancellations = new Cancellations(kernel, cancelMs);
         this.horizon = new Horizon(kernel, cancelMs, settings.peers().keySet());
         this.leadership = new Leadership(kernel, store, times, settings.member(), process, horizon);
-        this.peers = new Peers(kernel, leadership, store, times, settings.member(), process, settings.peers(),
-                cancellations, horizon);
+        this.peers = new Peers(
+                kernel, leadership, store, times, settings.member(), process, settings.peers(), cancellations, horizon);
         this.types = new MachineTypes(kernel, store, cloud, leadership::leading);
         this.jobs = new JobStore(store);
-        this.submissions = new Submissions(kernel, store, jobs, types, new Admission(settings.teams()),
-                new JobNews());
+        this.submissions = new Submissions(kernel, store, jobs, types, new Admission(settings.teams()), new JobNews());
     }
 
     /** Starts all slices; to be called inside the first batch. */
@@ -83,8 +83,10 @@
         });
         types.start();
         leadership.start(new Elections());
-        peers.start(most -> leader == null ? null : leader.counts(most).toJson(),
-                told -> submissions.counts(JobCounts.fromJson(told)), this::takeNotice);
+        peers.start(
+                most -> leader == null ? null : leader.counts(most).toJson(),
+                told -> submissions.counts(JobCounts.fromJson(told)),
+                this::takeNotice);
     }
 
     public boolean leading() {
@@ -162,10 +164,12 @@
     // True to what users get: without the state service nothing is accepted or told. But when no node
     // reaches it, leaving the balancer would only reset everybody's connections.
     private void ready(Request request) {
-        boolean able = leadership.knowsStore() && types.known()
+        boolean able = leadership.knowsStore()
+                && types.known()
                 && (!store.failingLongerThan(times.holdMs()) || !peers.anotherReachesStore());
-        kernel.answer(request.exchange(), able ? Response.json(200, Json.object().put("ready", true))
-                : Response.unavailable("not ready", 1));
+        kernel.answer(
+                request.exchange(),
+                able ? Response.json(200, Json.object().put("ready", true)) : Response.unavailable("not ready", 1));
     }
 
     // ---- leadership
@@ -176,7 +180,17 @@
             // A former leader answers for its grace from the last moment up to which it knew of all
             // cancellations; this node, for one, has told it of none since it was elected.
             long formerAnswersUntil = kernel.now() + times.graceMs();
-            leader = new Leader(kernel, settings, leadership, peers, store, jobs, cancellations, horizon, types, cloud,
+            leader = new Leader(
+                    kernel,
+                    settings,
+                    leadership,
+                    peers,
+                    store,
+                    jobs,
+                    cancellations,
+                    horizon,
+                    types,
+                    cloud,
                     formerAnswersUntil);
             leader.start();
             peers.beat();
@@ -192,7 +206,8 @@
 
     private void takeNotice(JsonNode notice) {
         if (leader != null && notice.has("accepted")) {
-            leader.accepted(OpenJob.fromRecord(notice.path("accepted"), notice.path("revision").asLong()));
+            leader.accepted(OpenJob.fromRecord(
+                    notice.path("accepted"), notice.path("revision").asLong()));
         }
     }
 
--- a/src/main/java/io/quartzgw/app/Service.java
+++ b/src/main/java/io/quartzgw/app/Service.java
@@ -26,6 +26,7 @@
     private static final int POOLED_BUFFERS = 128;
     /** Workers and users that live ask far more often; a dead one's connection only holds a socket. */
     private static final int IDLE_REPORTS = 6;
+
     private static final long STACK_BYTES = 256 * 1024;
 
     private final Metrics metrics = new Metrics();
@@ -46,17 +47,24 @@
         // them is better served by a refusal that sends it to another node first.
         this.owner = new OwnerThread(kernel, sockets.client(), this::perform);
         this.thread = new Thread(null, owner, "owner", STACK_BYTES);
-        this.worker = Xnio.getInstance().createWorker(OptionMap.builder()
-                .set(Options.WORKER_IO_THREADS, 1)
-                .set(Options.WORKER_TASK_CORE_THREADS, 1)
-                .set(Options.WORKER_TASK_MAX_THREADS, 1)
-                .set(Options.STACK_SIZE, STACK_BYTES)
-                .set(Options.TCP_NODELAY, true)
-                .getMap());
+        this.worker = Xnio.getInstance()
+                .createWorker(OptionMap.builder()
+                        .set(Options.WORKER_IO_THREADS, 1)
+                        .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                        .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                        .set(Options.STACK_SIZE, STACK_BYTES)
+                        .set(Options.TCP_NODELAY, true)
+                        .getMap());
         ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, POOLED_BUFFERS, 4);
         this.client = new HttpClient(worker, buffers, sockets.kept());
-        this.server = new HttpServer(worker, buffers, settings.clientListen(), settings.peerListen(),
-                sockets, (int) (IDLE_REPORTS * settings.workers().reportMs()), this::take);
+        this.server = new HttpServer(
+                worker,
+                buffers,
+                settings.clientListen(),
+                settings.peerListen(),
+                sockets,
+                (int) (IDLE_REPORTS * settings.workers().reportMs()),
+                this::take);
     }
 
     void start() {
--- a/src/main/java/io/quartzgw/app/Settings.java
+++ b/src/main/java/io/quartzgw/app/Settings.java
@@ -15,24 +15,40 @@
  * @param peers the other controllers' peer addresses by member name
  * @param objectives what is expected of each class of jobs
  */
-public record Settings(String member, String site, Endpoint clientListen, Endpoint peerListen,
-        Map<String, Endpoint> peers, Endpoint cloud, Endpoint state, int size, List<String> zones,
-        double timeBoundMs, Map<String, Team> teams, List<Objective> objectives, WorkerTimes workers,
-        double cancelS, StoreLimits storeLimits, CloudLimits cloudLimits, int sockets) {
+public record Settings(
+        String member,
+        String site,
+        Endpoint clientListen,
+        Endpoint peerListen,
+        Map<String, Endpoint> peers,
+        Endpoint cloud,
+        Endpoint state,
+        int size,
+        List<String> zones,
+        double timeBoundMs,
+        Map<String, Team> teams,
+        List<Objective> objectives,
+        WorkerTimes workers,
+        double cancelS,
+        StoreLimits storeLimits,
+        CloudLimits cloudLimits,
+        int sockets) {
 
     /** An aim that users state for a class of jobs; the class is empty where it holds for all. */
     public record Objective(String kind, String workload, double withinS, double share) {}
 
     /** By class, the times from submission within which its jobs should be finished. */
     public Map<String, List<Double>> finishGoals() {
-        return objectives.stream().filter(objective -> objective.kind().equals("finished"))
-                .collect(Collectors.groupingBy(Objective::workload,
-                        Collectors.mapping(Objective::withinS, Collectors.toList())));
+        return objectives.stream()
+                .filter(objective -> objective.kind().equals("finished"))
+                .collect(Collectors.groupingBy(
+                        Objective::workload, Collectors.mapping(Objective::withinS, Collectors.toList())));
     }
 
     /** By class, the time from submission within which its tasks should be started. */
     public Map<String, Double> startGoals() {
-        return objectives.stream().filter(objective -> objective.kind().equals("wait"))
+        return objectives.stream()
+                .filter(objective -> objective.kind().equals("wait"))
                 .collect(Collectors.toMap(Objective::workload, Objective::withinS, Math::min));
     }
 
--- a/src/main/java/io/quartzgw/app/SettingsReader.java
+++ b/src/main/java/io/quartzgw/app/SettingsReader.java
@@ -57,16 +57,28 @@
         if (LeadershipTimes.graceS(report, lease, cancel) < report / 2) {
             throw new InvalidSettings("facts.workers.cancel_s: has to exceed lease_s by 2.5 times report_s");
         }
-        return new Settings(member, text(root, "site", "site"),
-                endpoint(root, "client_listen", "client_listen"), endpoint(root, "peer_listen", "peer_listen"),
-                peers, endpoint(root.path("external"), "cloud", "external.cloud"),
-                endpoint(root.path("external"), "state", "external.state"), size(facts, peers),
-                zones(facts), facts.path("time_bound_ms").asDouble(0), teams(facts), objectives(facts),
-                new WorkerTimes(millis(report), millis(lease), millis(cancel)), cancel,
-                new StoreLimits(positive(facts, "facts.state.rps"), positive(facts, "facts.state.write_rps"),
+        return new Settings(
+                member,
+                text(root, "site", "site"),
+                endpoint(root, "client_listen", "client_listen"),
+                endpoint(root, "peer_listen", "peer_listen"),
+                peers,
+                endpoint(root.path("external"), "cloud", "external.cloud"),
+                endpoint(root.path("external"), "state", "external.state"),
+                size(facts, peers),
+                zones(facts),
+                facts.path("time_bound_ms").asDouble(0),
+                teams(facts),
+                objectives(facts),
+                new WorkerTimes(millis(report), millis(lease), millis(cancel)),
+                cancel,
+                new StoreLimits(
+                        positive(facts, "facts.state.rps"),
+                        positive(facts, "facts.state.write_rps"),
                         (int) (positive(facts, "facts.state.value_kb") * BYTES_PER_KB),
                         (int) atLeast(facts, "facts.state.txn_ops", 2)),
-                new CloudLimits(positive(facts, "facts.cloud.rps"), millis(atLeast(facts, "facts.cloud.list_lag_s", 0))),
+                new CloudLimits(
+                        positive(facts, "facts.cloud.rps"), millis(atLeast(facts, "facts.cloud.list_lag_s", 0))),
                 (int) atLeast(facts, "facts.limits.sockets", Sockets.least(peers.size())));
     }
 
@@ -111,7 +123,11 @@
         Map<String, Team> teams = new LinkedHashMap<>();
         for (JsonNode node : facts.path("teams")) {
             String name = text(node, "name", "facts.teams.name");
-            Team team = new Team(name, amount(node, "cpus"), amount(node, "cpus_max"), amount(node, "gpus"),
+            Team team = new Team(
+                    name,
+                    amount(node, "cpus"),
+                    amount(node, "cpus_max"),
+                    amount(node, "gpus"),
                     amount(node, "gpus_max"));
             teams.put(name, team);
         }
@@ -134,8 +150,12 @@
 
     private static List<Settings.Objective> objectives(JsonNode facts) {
         List<Settings.Objective> objectives = new ArrayList<>();
-        facts.path("objectives").forEach(node -> objectives.add(new Settings.Objective(node.path("kind").asText(),
-                node.path("class").asText(), node.path("within_s").asDouble(), node.path("share").asDouble())));
+        facts.path("objectives")
+                .forEach(node -> objectives.add(new Settings.Objective(
+                        node.path("kind").asText(),
+                        node.path("class").asText(),
+                        node.path("within_s").asDouble(),
+                        node.path("share").asDouble())));
         return objectives;
     }
 
--- a/src/main/java/io/quartzgw/cancellation/Cancellations.java
+++ b/src/main/java/io/quartzgw/cancellation/Cancellations.java
@@ -10,9 +10,9 @@
 import java.util.function.Consumer;
 
 /**
- * The jobs that a user was told are cancelled, here or at another controller. Every controller keeps them all,
- * whoever leads, and names them to the others until the job's tasks are gone: so a cancellation outlives the
- * controller that told it, and a new leader knows it before it has read anything.
+ * The jobs that a user was told are cancelled, here or at another controller. Every controller keeps them all, whoever
+ * leads, and names them to the others until the job's tasks are gone: so a cancellation outlives the controller that
+ * told it, and a new leader knows it before it has read anything.
  */
 public final class Cancellations {
     private static final String FIELD = "cancelled";
@@ -28,7 +28,7 @@
     private final long namedMs;
     private final long keptMs;
     private final Map<String, Long> toldAt = new LinkedHashMap<>();
-    private Consumer<String> listener = job -> { };
+    private Consumer<String> listener = job -> {};
 
     public Cancellations(Kernel kernel, long cancelMs) {
         this.kernel = kernel;
@@ -50,8 +50,8 @@
     }
 
     /**
-     * Notes that a job is cancelled, before a user is told so; says whether that is new here. Any answer may be
-     * the first that reaches the user: the one to the abort, to a poll, or to a repeated submission.
+     * Notes that a job is cancelled, before a user is told so; says whether that is new here. Any answer may be the
+     * first that reaches the user: the one to the abort, to a poll, or to a repeated submission.
      */
     public boolean note(String job) {
         return note(job, 0);
@@ -106,7 +106,10 @@
      * @return whether the message names all that its sender has to name
      */
     public boolean take(JsonNode message) {
-        message.path(FIELD).properties().forEach(entry -> note(entry.getKey(), Math.max(0, entry.getValue().asLong())));
+        message.path(FIELD)
+                .properties()
+                .forEach(entry ->
+                        note(entry.getKey(), Math.max(0, entry.getValue().asLong())));
         return message.path(WHOLE).asBoolean();
     }
 }
--- a/src/main/java/io/quartzgw/cancellation/Horizon.java
+++ b/src/main/java/io/quartzgw/cancellation/Horizon.java
@@ -8,12 +8,12 @@
 /**
  * Up to when this controller knows of every cancellation that any controller has told a user.
  *
- * <p>Two sources count. What the state service has told to a leader: all that was committed before it was asked.
- * And what the other controllers say: an answer names all cancellations of its process, so they are known up to
- * the moment when the question was sent. A process names what it has told itself and what it knows from others; what
- * a process told between its last answer and its end may be known to nobody. Such a gap is closed when the state
- * service was read after the next process had shown itself, or when that process is older than the cancel
- * limit: whatever was told before it began is over by then. This controller's own former process leaves one too.
+ * <p>Two sources count. What the state service has told to a leader: all that was committed before it was asked. And
+ * what the other controllers say: an answer names all cancellations of its process, so they are known up to the moment
+ * when the question was sent. A process names what it has told itself and what it knows from others; what a process
+ * told between its last answer and its end may be known to nobody. Such a gap is closed when the state service was read
+ * after the next process had shown itself, or when that process is older than the cancel limit: whatever was told
+ * before it began is over by then. This controller's own former process leaves one too.
  */
 public final class Horizon {
     private static final long NEVER = Long.MIN_VALUE / 2;
--- a/src/main/java/io/quartzgw/fleet/CloudClient.java
+++ b/src/main/java/io/quartzgw/fleet/CloudClient.java
@@ -35,8 +35,8 @@
     private record Waiting(Call call, Consumer<Reply> then) {}
 
     /** A machine as the cloud lists it. */
-    public record Listed(String id, String address, String type, String zone, boolean spot, String phase,
-            double ageS) {}
+    public record Listed(
+            String id, String address, String type, String zone, boolean spot, String phase, double ageS) {}
 
     /** What a rental request brought. */
     public sealed interface Hired {
@@ -57,12 +57,18 @@
 
     /** The table as the cloud sends it, or null. */
     public void machineTypes(Consumer<JsonNode> then) {
-        submit(Call.get(endpoint, "/machine_types", TIMEOUT_MS), reply -> then.accept(reply.ok() ? reply.json() : null));
+        submit(
+                Call.get(endpoint, "/machine_types", TIMEOUT_MS),
+                reply -> then.accept(reply.ok() ? reply.json() : null));
     }
 
     public void hire(String request, String type, String zone, boolean spot, int count, Consumer<Hired> then) {
-        ObjectNode body = Json.object().put("hire", request).put("host_type", type).put("yard", zone)
-                .put("loaner", spot).put("number", Math.min(count, MAX_HIRE));
+        ObjectNode body = Json.object()
+                .put("hire", request)
+                .put("host_type", type)
+                .put("yard", zone)
+                .put("loaner", spot)
+                .put("number", Math.min(count, MAX_HIRE));
         submit(Call.post(endpoint, "/rentals", body, TIMEOUT_MS), reply -> then.accept(hired(reply)));
     }
 
@@ -72,7 +78,8 @@
             reply.json().path("hosts").forEach(id -> ids.add(id.asText()));
             return new Hired.Machines(ids);
         }
-        boolean full = reply.status() == 503 && reply.json().path("error").asText().equals("no capacity");
+        boolean full =
+                reply.status() == 503 && reply.json().path("error").asText().equals("no capacity");
         return full ? new Hired.NoCapacity() : new Hired.Unclear();
     }
 
@@ -96,9 +103,16 @@
                 then.accept(null);
                 return;
             }
-            reply.json().path("hosts").forEach(node -> sofar.add(new Listed(node.path("id").asText(),
-                    node.path("address").asText(), node.path("host_type").asText(), node.path("yard").asText(),
-                    node.path("loaner").asBoolean(), node.path("phase").asText(), node.path("held_s").asDouble())));
+            reply.json()
+                    .path("hosts")
+                    .forEach(node -> sofar.add(new Listed(
+                            node.path("id").asText(),
+                            node.path("address").asText(),
+                            node.path("host_type").asText(),
+                            node.path("yard").asText(),
+                            node.path("loaner").asBoolean(),
+                            node.path("phase").asText(),
+                            node.path("held_s").asDouble())));
             if (reply.json().path("more").asBoolean() && !sofar.isEmpty()) {
                 page(sofar.get(sofar.size() - 1).id(), sofar, then);
             } else {
--- a/src/main/java/io/quartzgw/fleet/Fleet.java
+++ b/src/main/java/io/quartzgw/fleet/Fleet.java
@@ -20,13 +20,14 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Rents machines for work that lacks room, and returns those that are not needed, never came up, or
- * are lost. It acts only while this node's term is confirmed.
+ * Rents machines for work that lacks room, and returns those that are not needed, never came up, or are lost. It acts
+ * only while this node's term is confirmed.
  */
 public final class Fleet {
     private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
     /** A list may describe the cloud of up to twice its lag ago. */
     private static final double OLDEST_LIST_LAGS = 2.2;
+
     private static final double LIST_EVERY_LAGS = 0.5;
     private static final int MIN_LIST_MS = 2_000;
     private static final int NO_CAPACITY_PAUSE_MS = 15_000;
@@ -68,8 +69,17 @@
      * @param keptCpus room that is kept rented whatever the demand, since teams are guaranteed it
      * @param gone told when a machine is surely gone
      */
-    public Fleet(Kernel kernel, CloudClient cloud, CloudLimits limits, Leadership leadership, Cluster cluster,
-            MachineTypes types, MachineRecords records, Consolidation consolidation, double keptCpus, long silentMs,
+    public Fleet(
+            Kernel kernel,
+            CloudClient cloud,
+            CloudLimits limits,
+            Leadership leadership,
+            Cluster cluster,
+            MachineTypes types,
+            MachineRecords records,
+            Consolidation consolidation,
+            double keptCpus,
+            long silentMs,
             Consumer<Machine> gone) {
         this.kernel = kernel;
         this.cloud = cloud;
@@ -128,8 +138,13 @@
                 return;
             }
             // Not rented by this leader, as far as it knows: it is used, or returned when idle.
-            machine = new Machine(entry.id(), type, entry.zone(), entry.spot(),
-                    kernel.now() - (long) (entry.ageS() * 1000), kernel.now());
+            machine = new Machine(
+                    entry.id(),
+                    type,
+                    entry.zone(),
+                    entry.spot(),
+                    kernel.now() - (long) (entry.ageS() * 1000),
+                    kernel.now());
             cluster.add(machine);
         }
         if (machine.address() == null) {
@@ -192,11 +207,14 @@
                 asked.add(rental.offer());
             }
         });
-        double rented = asked.stream().mapToDouble(offer -> offer.type().size().cpus()).sum()
-                + cluster.machines().stream().filter(machine -> machine.status() != Machine.Status.LEAVING)
-                        .mapToDouble(machine -> machine.type().size().cpus()).sum();
-        Map<Offer, Integer> wanted = plan.plan(beyondSlack(unplaced), coming, asked, this::available, keptCpus - rented,
-                machinesPerZone());
+        double rented =
+                asked.stream().mapToDouble(offer -> offer.type().size().cpus()).sum()
+                        + cluster.machines().stream()
+                                .filter(machine -> machine.status() != Machine.Status.LEAVING)
+                                .mapToDouble(machine -> machine.type().size().cpus())
+                                .sum();
+        Map<Offer, Integer> wanted =
+                plan.plan(beyondSlack(unplaced), coming, asked, this::available, keptCpus - rented, machinesPerZone());
         kernel.count("fleet.plans", 1);
         kernel.count("fleet.looks", plan.takeLooks());
         boolean more = rentFirst(wanted);
@@ -225,7 +243,8 @@
 
     private boolean coming(Machine machine) {
         // The usual ones are up by then: nothing waits for one that may never come.
-        return machine.status() == Machine.Status.BOOTING && !machine.released()
+        return machine.status() == Machine.Status.BOOTING
+                && !machine.released()
                 && kernel.now() - machine.rentedAt() < USUAL_BOOTS * bootMs(machine);
     }
 
@@ -239,7 +258,8 @@
 
     private Map<String, Integer> machinesPerZone() {
         Map<String, Integer> held = new HashMap<>();
-        cluster.machines().stream().filter(machine -> !machine.spot())
+        cluster.machines().stream()
+                .filter(machine -> !machine.spot())
                 .forEach(machine -> held.merge(machine.zone(), 1, Integer::sum));
         return held;
     }
@@ -302,7 +322,10 @@
             if (neverCame(machine) || lost(machine)) {
                 LOG.info("returning {}: {}", machine.id(), !machine.presence().vouched() ? "never came up" : "lost");
                 machine.leave();
-            } else if (machine.status() == Machine.Status.UP && machine.empty() && !machine.released() && cpus <= spare
+            } else if (machine.status() == Machine.Status.UP
+                    && machine.empty()
+                    && !machine.released()
+                    && cpus <= spare
                     && idle(machine)) {
                 LOG.info("returning {}: idle", machine.id());
                 machine.leave();
@@ -335,7 +358,8 @@
     }
 
     private boolean neverCame(Machine machine) {
-        return machine.status() == Machine.Status.BOOTING && (!machine.used() || machine.released())
+        return machine.status() == Machine.Status.BOOTING
+                && (!machine.used() || machine.released())
                 && kernel.now() - Math.max(machine.rentedAt(), since) > (long) (BOOT_PATIENCE * bootMs(machine));
     }
 
@@ -359,7 +383,9 @@
         List<String> ids = new ArrayList<>();
         for (Machine machine : cluster.machines()) {
             // Drained first: nothing may be on it when it is returned, unless its hold is over.
-            if (machine.status() == Machine.Status.LEAVING && (machine.empty() || machine.released()) && ids.size() < CloudClient.MAX_DELETE
+            if (machine.status() == Machine.Status.LEAVING
+                    && (machine.empty() || machine.released())
+                    && ids.size() < CloudClient.MAX_DELETE
                     && deleting.add(machine.id())) {
                 ids.add(machine.id());
             }
@@ -373,7 +399,10 @@
                 return;
             }
             if (deleted) {
-                ids.stream().map(cluster::machine).filter(machine -> machine != null).forEach(this::remove);
+                ids.stream()
+                        .map(cluster::machine)
+                        .filter(machine -> machine != null)
+                        .forEach(this::remove);
             } else {
                 kernel.after(MIN_LIST_MS, cluster::touch);
             }
--- a/src/main/java/io/quartzgw/fleet/MachineRecords.java
+++ b/src/main/java/io/quartzgw/fleet/MachineRecords.java
@@ -18,8 +18,8 @@
 import java.util.function.Consumer;
 
 /**
- * Rented machines in the state service, packed. A machine is marked as used before its first start, so that
- * after a takeover one that never ran anything puts no task in doubt.
+ * Rented machines in the state service, packed. A machine is marked as used before its first start, so that after a
+ * takeover one that never ran anything puts no task in doubt.
  */
 public final class MachineRecords {
     public static final String PREFIX = "mach/";
@@ -41,8 +41,14 @@
      * @param clocksApartMs how far the times of day of two controllers may be apart
      * @param used told when a machine's mark is written
      */
-    public MachineRecords(Kernel kernel, StoreClient store, Leadership leadership, Cluster cluster,
-            long termRevision, long clocksApartMs, Consumer<Machine> used) {
+    public MachineRecords(
+            Kernel kernel,
+            StoreClient store,
+            Leadership leadership,
+            Cluster cluster,
+            long termRevision,
+            long clocksApartMs,
+            Consumer<Machine> used) {
         this.kernel = kernel;
         this.leadership = leadership;
         this.cluster = cluster;
@@ -60,7 +66,8 @@
             }
             // Never earlier than it was: a machine that the list can't have yet must not be taken for gone.
             long age = Math.max(0, kernel.wallClock() - record.path(5).asLong() * 1000 - clocksApartMs);
-            Machine machine = new Machine(id, type, record.path(1).asText(), record.path(2).asBoolean(), now - age, now);
+            Machine machine = new Machine(
+                    id, type, record.path(1).asText(), record.path(2).asBoolean(), now - age, now);
             if (record.hasNonNull(4)) {
                 machine.address(Endpoint.parse(record.path(4).asText()));
             }
@@ -121,7 +128,11 @@
     }
 
     private void put(Machine machine, boolean isUsed) {
-        ArrayNode record = Json.array().add(machine.type().name()).add(machine.zone()).add(machine.spot()).add(isUsed)
+        ArrayNode record = Json.array()
+                .add(machine.type().name())
+                .add(machine.zone())
+                .add(machine.spot())
+                .add(isUsed)
                 .add(machine.address() == null ? null : machine.address().toString())
                 .add((kernel.wallClock() - (kernel.now() - machine.rentedAt())) / 1000 + 1);
         records.put(machine.id(), record, machine.address() == null ? Json.write(record).length + ADDRESS_BYTES : 0);
--- a/src/main/java/io/quartzgw/fleet/MachineTypes.java
+++ b/src/main/java/io/quartzgw/fleet/MachineTypes.java
@@ -14,8 +14,8 @@
 import java.util.function.BooleanSupplier;
 
 /**
- * The table of machine types, on every node. The last table is kept in the state service, so that a
- * node that starts during an outage of the cloud can decide on submissions.
+ * The table of machine types, on every node. The last table is kept in the state service, so that a node that starts
+ * during an outage of the cloud can decide on submissions.
  */
 public final class MachineTypes {
     private static final String KEY = "types";
--- a/src/main/java/io/quartzgw/fleet/Offer.java
+++ b/src/main/java/io/quartzgw/fleet/Offer.java
@@ -11,7 +11,9 @@
     @Override
     public boolean equals(Object other) {
         // Prices move: the same kind of machine at another price is the same offer.
-        return other instanceof Offer offer && type.name().equals(offer.type.name()) && zone.equals(offer.zone)
+        return other instanceof Offer offer
+                && type.name().equals(offer.type.name())
+                && zone.equals(offer.zone)
                 && spot == offer.spot;
     }
 
--- a/src/main/java/io/quartzgw/fleet/RentPlan.java
+++ b/src/main/java/io/quartzgw/fleet/RentPlan.java
@@ -42,8 +42,13 @@
      * @param missingCpus room to rent for, whatever the demand
      * @param machinesPerZone how many there are: work that has to spread needs room in every zone
      */
-    Map<Offer, Integer> plan(List<Unplaced> unplaced, List<Machine> coming, List<Offer> asked,
-            Predicate<Offer> available, double missingCpus, Map<String, Integer> machinesPerZone) {
+    Map<Offer, Integer> plan(
+            List<Unplaced> unplaced,
+            List<Machine> coming,
+            List<Offer> asked,
+            Predicate<Offer> available,
+            double missingCpus,
+            Map<String, Integer> machinesPerZone) {
         held = new HashMap<>(machinesPerZone);
         List<Bin> bins = new ArrayList<>();
         coming.forEach(machine -> bins.add(new Bin(machine.type(), machine.zone(), machine.spot())));
@@ -96,7 +101,8 @@
 
     private boolean fits(Job job, Bin bin, Map<String, Integer> perZone) {
         looks++;
-        return job.spec().demand().fitsIn(bin.room) && job.spec().allows(bin.type.name(), bin.zone, bin.spot)
+        return job.spec().demand().fitsIn(bin.room)
+                && job.spec().allows(bin.type.name(), bin.zone, bin.spot)
                 && zoneAllowed(job, bin.zone, perZone);
     }
 
@@ -125,7 +131,8 @@
         int bestHeld = 0;
         for (Offer offer : offers()) {
             if (!job.spec().allows(offer.type().name(), offer.zone(), offer.spot())
-                    || !zoneAllowed(job, offer.zone(), perZone) || !available.test(offer)) {
+                    || !zoneAllowed(job, offer.zone(), perZone)
+                    || !available.test(offer)) {
                 continue;
             }
             int fits = Math.min(count, fits(job.spec().demand(), offer.type().size()));
--- a/src/main/java/io/quartzgw/fleet/Slack.java
+++ b/src/main/java/io/quartzgw/fleet/Slack.java
@@ -9,8 +9,8 @@
 import java.util.Map;
 
 /**
- * How much of the work that lacks room the machines at hand can still finish in time, one task after
- * the other: a job with a deadline needs no new machine for that part.
+ * How much of the work that lacks room the machines at hand can still finish in time, one task after the other: a job
+ * with a deadline needs no new machine for that part.
  */
 final class Slack {
     /** Owners guess too low as often as too high, and machines differ. */
--- a/src/main/java/io/quartzgw/http/Connector.java
+++ b/src/main/java/io/quartzgw/http/Connector.java
@@ -9,8 +9,8 @@
 import org.xnio.XnioIoThread;
 
 /**
- * Stands for an I/O thread where Undertow's client opens connections on it, and keeps hold of the connection in
- * the making: the client itself has no way to give one up.
+ * Stands for an I/O thread where Undertow's client opens connections on it, and keeps hold of the connection in the
+ * making: the client itself has no way to give one up.
  */
 final class Connector extends XnioIoThread {
     private final XnioIoThread thread;
@@ -29,8 +29,8 @@
     }
 
     @Override
-    public IoFuture<StreamConnection> openStreamConnection(SocketAddress destination,
-            ChannelListener<? super StreamConnection> openListener, OptionMap options) {
+    public IoFuture<StreamConnection> openStreamConnection(
+            SocketAddress destination, ChannelListener<? super StreamConnection> openListener, OptionMap options) {
         lastOpened = thread.openStreamConnection(destination, openListener, options);
         return lastOpened;
     }
--- a/src/main/java/io/quartzgw/http/HttpClient.java
+++ b/src/main/java/io/quartzgw/http/HttpClient.java
@@ -32,8 +32,8 @@
 import org.xnio.channels.StreamSourceChannel;
 
 /**
- * Outbound calls over kept connections. All of it runs on one I/O thread; a call always ends in
- * exactly one reply, at its time-out at the latest.
+ * Outbound calls over kept connections. All of it runs on one I/O thread; a call always ends in exactly one reply, at
+ * its time-out at the latest.
  */
 public final class HttpClient {
     private static final int READ_CHUNK = 8 * 1024;
@@ -45,6 +45,7 @@
     private final int mostIdle;
     /** Kept connections, those that wait longest first. */
     private final Set<Idle> idle = new LinkedHashSet<>();
+
     private final Map<Endpoint, Deque<Idle>> idleTo = new HashMap<>();
 
     /** @param mostIdle how many connections are kept at the most: each takes one of the node's sockets */
@@ -151,8 +152,8 @@
                 return;
             }
             connection = open;
-            ClientRequest request = new ClientRequest().setPath(call.path())
-                    .setMethod(HttpString.tryFromString(call.method()));
+            ClientRequest request =
+                    new ClientRequest().setPath(call.path()).setMethod(HttpString.tryFromString(call.method()));
             request.getRequestHeaders().put(Headers.HOST, call.to().toString());
             if (call.body() != null) {
                 request.getRequestHeaders().put(Headers.CONTENT_TYPE, call.type());
@@ -181,8 +182,9 @@
                 }
                 sink.shutdownWrites();
                 if (!sink.flush()) {
-                    sink.getWriteSetter().set(ChannelListeners.flushingChannelListener(
-                            channel -> channel.suspendWrites(), (channel, e) -> fail()));
+                    sink.getWriteSetter()
+                            .set(ChannelListeners.flushingChannelListener(
+                                    channel -> channel.suspendWrites(), (channel, e) -> fail()));
                     sink.resumeWrites();
                 }
             } catch (IOException e) {
@@ -223,8 +225,9 @@
             }
             done = true;
             timeout.remove();
-            boolean closes = "close".equalsIgnoreCase(
-                    exchange.getResponse().getResponseHeaders().getFirst(Headers.CONNECTION));
+            boolean closes = "close"
+                    .equalsIgnoreCase(
+                            exchange.getResponse().getResponseHeaders().getFirst(Headers.CONNECTION));
             if (closes) {
                 IoUtils.safeClose(connection);
             } else {
--- a/src/main/java/io/quartzgw/http/HttpServer.java
+++ b/src/main/java/io/quartzgw/http/HttpServer.java
@@ -21,12 +21,13 @@
 import org.xnio.XnioWorker;
 
 /**
- * Both listeners of a node. A whole request goes to the receiver; when the receiver has no room
- * left, the client is told at once to come back.
+ * Both listeners of a node. A whole request goes to the receiver; when the receiver has no room left, the client is
+ * told at once to come back.
  */
 public final class HttpServer {
     /** The protocol's bound on a request body. */
     public static final long MAX_BODY = 64 * 1024;
+
     private static final int SLOW_REQUEST_MS = 5_000;
     private static final int BUSY_RETRY_S = 1;
 
@@ -42,8 +43,14 @@
      * @param idleMs how long a connection may be without a request
      * @param receiver takes a request, or says false when it has no room
      */
-    public HttpServer(XnioWorker worker, ByteBufferPool buffers, Endpoint client, Endpoint peer,
-            Sockets sockets, int idleMs, Predicate<Request> receiver) {
+    public HttpServer(
+            XnioWorker worker,
+            ByteBufferPool buffers,
+            Endpoint client,
+            Endpoint peer,
+            Sockets sockets,
+            int idleMs,
+            Predicate<Request> receiver) {
         this.sockets = sockets;
         this.receiver = receiver;
         this.undertow = Undertow.builder()
@@ -95,20 +102,28 @@
             refuse(exchange);
             return;
         }
-        XnioExecutor.Key slow = exchange.isRequestComplete() ? null : exchange.getIoThread().executeAfter(
-                // Guards the sockets against a client that never ends its body.
-                () -> IoUtils.safeClose(exchange.getConnection()), SLOW_REQUEST_MS, TimeUnit.MILLISECONDS);
-        exchange.getRequestReceiver().receiveFullBytes((complete, body) -> {
-            if (slow != null) {
-                slow.remove();
-            }
-            complete.dispatch(SameThreadExecutor.INSTANCE, () -> take(complete, door, body));
-        }, (failed, error) -> {
-            if (slow != null) {
-                slow.remove();
-            }
-            refuse(failed);
-        });
+        XnioExecutor.Key slow = exchange.isRequestComplete()
+                ? null
+                : exchange.getIoThread()
+                        .executeAfter(
+                                // Guards the sockets against a client that never ends its body.
+                                () -> IoUtils.safeClose(exchange.getConnection()),
+                                SLOW_REQUEST_MS,
+                                TimeUnit.MILLISECONDS);
+        exchange.getRequestReceiver()
+                .receiveFullBytes(
+                        (complete, body) -> {
+                            if (slow != null) {
+                                slow.remove();
+                            }
+                            complete.dispatch(SameThreadExecutor.INSTANCE, () -> take(complete, door, body));
+                        },
+                        (failed, error) -> {
+                            if (slow != null) {
+                                slow.remove();
+                            }
+                            refuse(failed);
+                        });
     }
 
     private void take(HttpServerExchange exchange, Door door, byte[] body) {
@@ -118,8 +133,13 @@
             open.remove(id);
             next.proceed();
         });
-        Request request = new Request(id, door, exchange.getRequestMethod().toString(),
-                exchange.getRequestPath(), exchange.getQueryString(), body);
+        Request request = new Request(
+                id,
+                door,
+                exchange.getRequestMethod().toString(),
+                exchange.getRequestPath(),
+                exchange.getQueryString(),
+                body);
         if (!receiver.test(request)) {
             answer(id, Response.unavailable("busy", BUSY_RETRY_S));
         }
--- a/src/main/java/io/quartzgw/http/Json.java
+++ b/src/main/java/io/quartzgw/http/Json.java
@@ -14,8 +14,7 @@
 public final class Json {
     // Trees, not bound classes: reflection on a dozen record types costs a starting node more of
     // its share of a core than all its other work.
-    private static final ObjectMapper JSON = new ObjectMapper()
-            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+    private static final ObjectMapper JSON = new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
     private static final ObjectMapper CBOR = new CBORMapper();
 
     private Json() {}
--- a/src/main/java/io/quartzgw/http/Reply.java
+++ b/src/main/java/io/quartzgw/http/Reply.java
@@ -6,8 +6,8 @@
 /**
  * How an outbound call ended.
  *
- * @param status the status, or {@link #LOST} when there was no response: the request may have been
- *     carried out, or may still be
+ * @param status the status, or {@link #LOST} when there was no response: the request may have been carried out, or may
+ *     still be
  */
 public record Reply(int status, byte[] body) {
     public static final int LOST = 0;
--- a/src/main/java/io/quartzgw/http/package-info.java
+++ b/src/main/java/io/quartzgw/http/package-info.java
@@ -1,5 +1,5 @@
 /**
- * HTTP plumbing: one XNIO worker serves inbound requests (Undertow) and outbound calls
- * (UndertowClient), and hands both to the owner thread as plain records.
+ * HTTP plumbing: one XNIO worker serves inbound requests (Undertow) and outbound calls (UndertowClient), and hands both
+ * to the owner thread as plain records.
  */
 package io.quartzgw.http;
--- a/src/main/java/io/quartzgw/leadership/LeaderRecord.java
+++ b/src/main/java/io/quartzgw/leadership/LeaderRecord.java
@@ -12,11 +12,18 @@
 public record LeaderRecord(String member, long process, long term, long hold) {
 
     JsonNode toJson() {
-        return Json.object().put("member", member).put("process", process).put("term", term).put("hold", hold);
+        return Json.object()
+                .put("member", member)
+                .put("process", process)
+                .put("term", term)
+                .put("hold", hold);
     }
 
     static LeaderRecord fromJson(JsonNode node) {
-        return new LeaderRecord(node.path("member").asText(), node.path("process").asLong(),
-                node.path("term").asLong(), node.path("hold").asLong());
+        return new LeaderRecord(
+                node.path("member").asText(),
+                node.path("process").asLong(),
+                node.path("term").asLong(),
+                node.path("hold").asLong());
     }
 }
--- a/src/main/java/io/quartzgw/leadership/Leadership.java
+++ b/src/main/java/io/quartzgw/leadership/Leadership.java
@@ -18,10 +18,9 @@
 /**
  * Elects this node when nobody leads, and keeps or gives up its term.
  *
- * <p>Two fences are kept apart. The state service fences by the term: every write of a leader guards
- * the term key's revision. Workers fence by the token, which is the term. So a leader that can't
- * confirm its hold may go on answering reports for a grace, while it starts, hires, deletes and
- * finishes nothing.
+ * <p>Two fences are kept apart. The state service fences by the term: every write of a leader guards the term key's
+ * revision. Workers fence by the token, which is the term. So a leader that can't confirm its hold may go on answering
+ * reports for a grace, while it starts, hires, deletes and finishes nothing.
  */
 public final class Leadership {
     private static final Logger LOG = LoggerFactory.getLogger(Leadership.class);
@@ -67,8 +66,8 @@
     private long hold;
     private long confirmedAt;
 
-    public Leadership(Kernel kernel, StoreClient store, LeadershipTimes times, String member, long process,
-            Horizon horizon) {
+    public Leadership(
+            Kernel kernel, StoreClient store, LeadershipTimes times, String member, long process, Horizon horizon) {
         this.kernel = kernel;
         this.store = store;
         this.times = times;
@@ -150,11 +149,14 @@
     }
 
     /**
-     * A member answers as this process. If the record, as it was known when the member was asked, names
-     * another of its processes, that one is dead; a record that came meanwhile may name a newer one.
+     * A member answers as this process. If the record, as it was known when the member was asked, names another of its
+     * processes, that one is dead; a record that came meanwhile may name a newer one.
      */
     void memberRuns(String other, long itsProcess, LeaderRecord recordAtCall) {
-        if (!leading && leader != null && leader.equals(recordAtCall) && leader.member().equals(other)
+        if (!leading
+                && leader != null
+                && leader.equals(recordAtCall)
+                && leader.member().equals(other)
                 && leader.process() != itsProcess) {
             LOG.info("leader {} was restarted, taking over", other);
             deadProcesses.add(leader.process());
@@ -272,7 +274,9 @@
                 campaignEnded();
                 return;
             }
-            Txn txn = new Txn().guard(LEADER, seenLeader).guard(TERM, seenTerm)
+            Txn txn = new Txn()
+                    .guard(LEADER, seenLeader)
+                    .guard(TERM, seenTerm)
                     .putHeld(LEADER, new LeaderRecord(member, process, aim, granted).toJson(), granted)
                     .put(TERM, Json.object().put("term", aim));
             store.commit(txn, Urgency.FIRST, outcome -> {
--- a/src/main/java/io/quartzgw/leadership/LeadershipTimes.java
+++ b/src/main/java/io/quartzgw/leadership/LeadershipTimes.java
@@ -13,10 +13,11 @@
      * outlast, so it is a part of them, however seldom workers report.
      */
     private static final double HOLD_LEASES = 0.22;
+
     private static final int HEARTBEATS_PER_HOLD = 4;
     /**
-     * What lies between the end of the grace and the cancel limit besides a lease: the last answered
-     * report's own age, and the time that a kill takes.
+     * What lies between the end of the grace and the cancel limit besides a lease: the last answered report's own age,
+     * and the time that a kill takes.
      */
     private static final double MARGIN_REPORTS = 2;
 
@@ -31,7 +32,7 @@
         double graceS = graceS(reportS, leaseS, cancelS);
         // A leader is confirmed for its hold, and answers for its grace: that is never the shorter one.
         double holdS = Math.min(HOLD_LEASES * leaseS, graceS);
-        return new LeadershipTimes(Math.round(holdS * 1000), Math.round(graceS * 1000),
-                Math.round(holdS * 1000 / HEARTBEATS_PER_HOLD));
+        return new LeadershipTimes(
+                Math.round(holdS * 1000), Math.round(graceS * 1000), Math.round(holdS * 1000 / HEARTBEATS_PER_HOLD));
     }
 }
--- a/src/main/java/io/quartzgw/leadership/Peers.java
+++ b/src/main/java/io/quartzgw/leadership/Peers.java
@@ -20,8 +20,8 @@
 import java.util.function.IntFunction;
 
 /**
- * What controllers tell each other, in CBOR: who runs as which process, who leads with which term,
- * whether the state service answers, and the leader's counts for display.
+ * What controllers tell each other, in CBOR: who runs as which process, who leads with which term, whether the state
+ * service answers, and the leader's counts for display.
  */
 public final class Peers {
     public static final String PATH = "/peer";
@@ -53,6 +53,7 @@
         private long sequence;
         /** The number of its newest message that had counts. */
         private long countsSequence;
+
         private boolean storeReachable;
         private int workers;
         private long process;
@@ -60,8 +61,16 @@
         private long renouncedBelow;
     }
 
-    public Peers(Kernel kernel, Leadership leadership, StoreClient store, LeadershipTimes times, String member,
-            long process, Map<String, Endpoint> others, Cancellations cancellations, Horizon horizon) {
+    public Peers(
+            Kernel kernel,
+            Leadership leadership,
+            StoreClient store,
+            LeadershipTimes times,
+            String member,
+            long process,
+            Map<String, Endpoint> others,
+            Cancellations cancellations,
+            Horizon horizon) {
         this.kernel = kernel;
         this.leadership = leadership;
         this.store = store;
@@ -121,8 +130,8 @@
 
     /** Whether every other controller has said that it answers workers with no term below this one. */
     public boolean allRenouncedBelow(long term) {
-        return others.keySet().stream().allMatch(name ->
-                known.containsKey(name) && known.get(name).renouncedBelow >= term);
+        return others.keySet().stream()
+                .allMatch(name -> known.containsKey(name) && known.get(name).renouncedBelow >= term);
     }
 
     /** Notes that a worker reported to this node while another one leads, or none. */
@@ -132,7 +141,11 @@
 
     /** How many workers some other controller, heard of lately, has turned away lately and reaches. */
     public int workersAtOthers() {
-        return known.values().stream().filter(this::lately).mapToInt(peer -> peer.workers).max().orElse(0);
+        return known.values().stream()
+                .filter(this::lately)
+                .mapToInt(peer -> peer.workers)
+                .max()
+                .orElse(0);
     }
 
     private boolean lately(Known peer) {
@@ -155,7 +168,8 @@
         // answer to this node's next message does.
         String name = message.path("member").asText();
         Known peer = known.get(name);
-        boolean present = peer != null && peer.process == message.path("process").asLong();
+        boolean present =
+                peer != null && peer.process == message.path("process").asLong();
         if (present) {
             heard(peer, message);
             takeCounts(peer, message);
@@ -187,8 +201,12 @@
     private ObjectNode state() {
         ObjectNode state = Json.object();
         cancellations.tell(state);
-        return state.put("member", member).put("sequence", ++messages).put("workers", turnedAway.count()).put("process", process)
-                .put("up_ms", horizon.upMs()).put("leading", leadership.leading() ? leadership.term() : 0)
+        return state.put("member", member)
+                .put("sequence", ++messages)
+                .put("workers", turnedAway.count())
+                .put("process", process)
+                .put("up_ms", horizon.upMs())
+                .put("leading", leadership.leading() ? leadership.term() : 0)
                 .put("term", leadership.highestTerm())
                 .put("store", store.reachable() && store.answeredWithin(FORGET_HEARTBEATS * times.heartbeatMs()));
     }
--- a/src/main/java/io/quartzgw/leadership/TurnedAway.java
+++ b/src/main/java/io/quartzgw/leadership/TurnedAway.java
@@ -10,15 +10,16 @@
 /**
  * Workers that reported here while another controller leads, or none, and whether this node reaches them.
  *
- * <p>Many of them may mean that the leader is cut off from its workers, and should give up its term to one
- * that isn't. But workers that hear nobody turn up everywhere as well, and no leader would serve them
- * better: so one of them is asked now and then, and only those that answer speak for another leader.
+ * <p>Many of them may mean that the leader is cut off from its workers, and should give up its term to one that isn't.
+ * But workers that hear nobody turn up everywhere as well, and no leader would serve them better: so one of them is
+ * asked now and then, and only those that answer speak for another leader.
  */
 final class TurnedAway {
     /** How long a worker counts: it tries the leader for some seconds in between. */
     private static final int COUNTED_HEARTBEATS = 6;
     /** A node that has missed so many heartbeats stood still; what it reads for a while after that is old. */
     private static final int STOOD_STILL_HEARTBEATS = 3;
+
     private static final int OLD_NEWS_HEARTBEATS = 2;
 
     private final Kernel kernel;
@@ -66,7 +67,11 @@
 
     /** How many speak for another leader. */
     int count() {
-        return lately(reachedAt) ? (int) workers.values().stream().filter(seen -> lately(seen.at)).count() : 0;
+        return lately(reachedAt)
+                ? (int) workers.values().stream()
+                        .filter(seen -> lately(seen.at))
+                        .count()
+                : 0;
     }
 
     private boolean lately(long moment) {
--- a/src/main/java/io/quartzgw/loop/Kernel.java
+++ b/src/main/java/io/quartzgw/loop/Kernel.java
@@ -18,8 +18,8 @@
 /**
  * Time, timers, outbound calls and seeded randomness for the slices of one node.
  *
- * <p>Everything runs inside {@link #handle}: the same commands at the same times give the same
- * effects. No method may be called from any thread but the caller of {@code handle}.
+ * <p>Everything runs inside {@link #handle}: the same commands at the same times give the same effects. No method may
+ * be called from any thread but the caller of {@code handle}.
  */
 public final class Kernel {
     private static final Logger LOG = LoggerFactory.getLogger(Kernel.class);
--- a/src/main/java/io/quartzgw/loop/OwnerThread.java
+++ b/src/main/java/io/quartzgw/loop/OwnerThread.java
@@ -13,8 +13,8 @@
 /**
  * Runs a kernel on one thread, in batches.
  *
- * <p>Inbound requests wait in a small buffer; what does not fit is refused at once by the caller.
- * Ends of outbound calls are always taken, since the kernel bounds how many it starts.
+ * <p>Inbound requests wait in a small buffer; what does not fit is refused at once by the caller. Ends of outbound
+ * calls are always taken, since the kernel bounds how many it starts.
  */
 public final class OwnerThread implements Runnable {
     private static final Logger LOG = LoggerFactory.getLogger(OwnerThread.class);
--- a/src/main/java/io/quartzgw/placement/BestFit.java
+++ b/src/main/java/io/quartzgw/placement/BestFit.java
@@ -15,6 +15,7 @@
     static final int MANY = 16;
     /** A fetch of the image weighs more than any difference in room, a long one more than a short one. */
     private static final double FETCH_WEIGHT = 10;
+
     private static final double FETCH_SECOND_WEIGHT = 1;
     /** Work that may run on spot machines leaves the others to work that may not. */
     private static final double ORDINARY_WEIGHT = 2;
@@ -46,9 +47,9 @@
     }
 
     /**
-     * The machine for one more task of the job, or null when none of these has room. A machine that is
-     * drawn and can't take the task leaves the list: within one pass rooms only shrink, so it can't take
-     * the next task of the job either, and a whole job costs one look at each machine at the most.
+     * The machine for one more task of the job, or null when none of these has room. A machine that is drawn and can't
+     * take the task leaves the list: within one pass rooms only shrink, so it can't take the next task of the job
+     * either, and a whole job costs one look at each machine at the most.
      */
     public Machine choose(Job job, List<Machine> candidates, Predicate<Machine> allowed, long now) {
         Machine best = null;
@@ -83,7 +84,8 @@
     static double cost(JobSpec job, Machine machine, long now) {
         Resources size = machine.type().size();
         Resources left = machine.room().minus(job.demand());
-        double cost = share(left.cpus(), size.cpus()) + share(left.gpus(), size.gpus())
+        double cost = share(left.cpus(), size.cpus())
+                + share(left.gpus(), size.gpus())
                 + share(left.memoryGb(), size.memoryGb());
         if (!machine.hasImage(job.image())) {
             cost += FETCH_WEIGHT + FETCH_SECOND_WEIGHT * machine.fetchS(job.image(), job.imageGb(), now);
--- a/src/main/java/io/quartzgw/placement/Cluster.java
+++ b/src/main/java/io/quartzgw/placement/Cluster.java
@@ -14,8 +14,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * The leader's book: open jobs, machines, and which task has a place where. Only this class books and
- * releases, so that rooms, quotas and zones always add up.
+ * The leader's book: open jobs, machines, and which task has a place where. Only this class books and releases, so that
+ * rooms, quotas and zones always add up.
  */
 public final class Cluster {
     private static final Logger LOG = LoggerFactory.getLogger(Cluster.class);
@@ -27,6 +27,7 @@
     private final Map<String, Resources> teamUse = new HashMap<>();
     /** Jobs with a task that waits for a place, and jobs with a task in doubt: few among many that run. */
     private final Map<String, Job> waiting = new TreeMap<>();
+
     private final Map<String, Job> doubtful = new TreeMap<>();
     private final Set<Machine> unexplained = new HashSet<>();
     private Resources unexplainedRoom = Resources.NONE;
@@ -189,9 +190,9 @@
     }
 
     /**
-     * What a team's tasks may take at the most. On a machine that has not vouched yet, or that reports tasks the
-     * book has no place for, there may be tasks of jobs that are over: the open jobs don't tell of those, and
-     * until they are gone they count against their team's limit, whichever it is.
+     * What a team's tasks may take at the most. On a machine that has not vouched yet, or that reports tasks the book
+     * has no place for, there may be tasks of jobs that are over: the open jobs don't tell of those, and until they are
+     * gone they count against their team's limit, whichever it is.
      */
     public Resources mayUse(String team) {
         return teamUse(team).plus(unexplainedRoom);
@@ -202,7 +203,8 @@
         if (so ? unexplained.add(machine) : unexplained.remove(machine)) {
             Resources size = machine.type().size();
             // Not summed anew, but for none: at a takeover hundreds of machines are explained one by one.
-            unexplainedRoom = unexplained.isEmpty() ? Resources.NONE
+            unexplainedRoom = unexplained.isEmpty()
+                    ? Resources.NONE
                     : so ? unexplainedRoom.plus(size) : unexplainedRoom.minus(size);
             changed = true;
         }
--- a/src/main/java/io/quartzgw/placement/Consolidation.java
+++ b/src/main/java/io/quartzgw/placement/Consolidation.java
@@ -9,8 +9,8 @@
 import java.util.function.Predicate;
 
 /**
- * Moves the replicas of a machine that is little used to machines that have room and the image, so that it can
- * be returned. Batch work ends by itself; replicas would keep a machine for one of them for as long as they run.
+ * Moves the replicas of a machine that is little used to machines that have room and the image, so that it can be
+ * returned. Batch work ends by itself; replicas would keep a machine for one of them for as long as they run.
  */
 public final class Consolidation {
     /** Only a machine of which no more than this is in use is cleared. */
@@ -42,13 +42,18 @@
         }
         List<Machine> machines = cluster.machines().stream().filter(usable).toList();
         List<Machine> little = machines.stream()
-                .filter(machine -> !machine.empty() && used(machine) <= LITTLE_USED && returnable.test(machine)
+                .filter(machine -> !machine.empty()
+                        && used(machine) <= LITTLE_USED
+                        && returnable.test(machine)
                         && machine.bookings().stream().allMatch(booking -> movable(booking, now)))
-                .sorted(Comparator.comparingDouble(Consolidation::used).thenComparing(Machine::id)).toList();
+                .sorted(Comparator.comparingDouble(Consolidation::used).thenComparing(Machine::id))
+                .toList();
         for (Machine machine : little) {
             if (allFitElsewhere(machine, machines)) {
                 machine.leave();
-                machine.bookingsCopy().forEach(booking -> starter.stop(booking, booking.job().spec().saveS()));
+                machine.bookingsCopy()
+                        .forEach(booking ->
+                                starter.stop(booking, booking.job().spec().saveS()));
                 return machine;
             }
         }
@@ -56,8 +61,10 @@
     }
 
     private boolean movable(Booking booking, long now) {
-        return booking.job().spec().service() && !booking.stopping()
-                && booking.phase() == Booking.Phase.RUNNING && booking.ranMs(now) >= settledMs;
+        return booking.job().spec().service()
+                && !booking.stopping()
+                && booking.phase() == Booking.Phase.RUNNING
+                && booking.ranMs(now) >= settledMs;
     }
 
     private static double used(Machine machine) {
@@ -71,17 +78,22 @@
         Map<Machine, Resources> rooms = new HashMap<>();
         List<Machine> targets = new ArrayList<>();
         for (Machine machine : machines) {
-            if (machine != from && machine.zone().equals(from.zone()) && used(machine) >= used(from)
+            if (machine != from
+                    && machine.zone().equals(from.zone())
+                    && used(machine) >= used(from)
                     && machine.room().cpus() > 0) {
                 targets.add(machine);
                 rooms.put(machine, machine.room());
             }
         }
         for (Booking booking : from.bookings()) {
-            Machine target = targets.stream().filter(machine -> booking.demand().fitsIn(rooms.get(machine))
-                    && machine.hasImage(booking.job().spec().image())
-                    && booking.job().spec().allows(machine.type().name(), machine.zone(), machine.spot())
-                    && !booking.job().avoids(machine.id())).findFirst().orElse(null);
+            Machine target = targets.stream()
+                    .filter(machine -> booking.demand().fitsIn(rooms.get(machine))
+                            && machine.hasImage(booking.job().spec().image())
+                            && booking.job().spec().allows(machine.type().name(), machine.zone(), machine.spot())
+                            && !booking.job().avoids(machine.id()))
+                    .findFirst()
+                    .orElse(null);
             if (target == null) {
                 return false;
             }
--- a/src/main/java/io/quartzgw/placement/Goals.java
+++ b/src/main/java/io/quartzgw/placement/Goals.java
@@ -20,8 +20,10 @@
      */
     public Goals(Map<String, List<Double>> withinS, Map<String, Double> startS) {
         this.startS = Map.copyOf(startS);
-        this.withinS = withinS.entrySet().stream().collect(Collectors.toUnmodifiableMap(
-                Map.Entry::getKey, entry -> entry.getValue().stream().mapToDouble(Double::doubleValue).toArray()));
+        this.withinS = withinS.entrySet().stream()
+                .collect(Collectors.toUnmodifiableMap(Map.Entry::getKey, entry -> entry.getValue().stream()
+                        .mapToDouble(Double::doubleValue)
+                        .toArray()));
     }
 
     /** Whether a task that has to wait so long for its image still starts in good time. */
--- a/src/main/java/io/quartzgw/placement/Job.java
+++ b/src/main/java/io/quartzgw/placement/Job.java
@@ -12,8 +12,8 @@
 import java.util.Set;
 
 /**
- * An open job as the leader sees it. Each task is in exactly one state: done, booked on a machine, in
- * doubt (it may run on a machine that is silent since the takeover), or waiting for a place.
+ * An open job as the leader sees it. Each task is in exactly one state: done, booked on a machine, in doubt (it may run
+ * on a machine that is silent since the takeover), or waiting for a place.
  */
 public final class Job {
     private final OpenJob open;
@@ -94,7 +94,9 @@
     }
 
     public int runningCount() {
-        return (int) bookings.values().stream().filter(b -> b.phase() == Booking.Phase.RUNNING).count();
+        return (int) bookings.values().stream()
+                .filter(b -> b.phase() == Booking.Phase.RUNNING)
+                .count();
     }
 
     public BitSet waiting() {
--- a/src/main/java/io/quartzgw/placement/Preemption.java
+++ b/src/main/java/io/quartzgw/placement/Preemption.java
@@ -8,8 +8,8 @@
 import java.util.function.Predicate;
 
 /**
- * Finds machines where the tasks of one job of higher priority get room at the least loss. The plans of
- * all machines are made once for the job, however many of its tasks wait.
+ * Finds machines where the tasks of one job of higher priority get room at the least loss. The plans of all machines
+ * are made once for the job, however many of its tasks wait.
  */
 final class Preemption {
 
@@ -19,8 +19,8 @@
     private final Job job;
     private final Predicate<Machine> allowed;
     private final long now;
-    private final PriorityQueue<Plan> plans = new PriorityQueue<>(
-            Comparator.comparingDouble(Plan::lossCpuMs).thenComparing(plan -> plan.machine().id()));
+    private final PriorityQueue<Plan> plans = new PriorityQueue<>(Comparator.comparingDouble(Plan::lossCpuMs)
+            .thenComparing(plan -> plan.machine().id()));
 
     Preemption(Job job, List<Machine> machines, Predicate<Machine> allowed, long now) {
         this.job = job;
@@ -62,7 +62,8 @@
         List<Booking> victims = new ArrayList<>();
         double loss = 0;
         List<Booking> candidates = machine.bookings().stream()
-                .filter(booking -> booking.seen() && !booking.stopping()
+                .filter(booking -> booking.seen()
+                        && !booking.stopping()
                         && job.spec().priority().above(booking.job().spec().priority()))
                 .sorted(Comparator.comparingDouble((Booking booking) -> loss(booking))
                         .thenComparing(Booking::attempt))
--- a/src/main/java/io/quartzgw/placement/Presence.java
+++ b/src/main/java/io/quartzgw/placement/Presence.java
@@ -3,10 +3,10 @@
 /**
  * What this leader has heard from a machine's worker, and what that proves.
  *
- * <p>Copies of reports may come late, by far more than a lease, and to a leader that knows no newer one. So
- * a report vouches for its machine only when it shows this leader's token (it was made after this leader
- * had reached the worker) and is newer than all that was heard before. Anything else is only a sign that
- * there may be a worker: it is answered, since it may be genuine, but changes nothing in the book.
+ * <p>Copies of reports may come late, by far more than a lease, and to a leader that knows no newer one. So a report
+ * vouches for its machine only when it shows this leader's token (it was made after this leader had reached the worker)
+ * and is newer than all that was heard before. Anything else is only a sign that there may be a worker: it is answered,
+ * since it may be genuine, but changes nothing in the book.
  */
 public final class Presence {
 
@@ -26,6 +26,7 @@
     private boolean vouched;
     /** Sessions are counted from 1, and most workers never lose their first. */
     private long toldTenure = 1;
+
     private boolean reborn;
     private boolean unreachable;
     private long unreachableSince;
@@ -51,7 +52,9 @@
         return counter;
     }
 
-    /** Whether the worker has shown this leader's token: what it reports is so, and no former leader's order runs there. */
+    /**
+     * Whether the worker has shown this leader's token: what it reports is so, and no former leader's order runs there.
+     */
     public boolean vouched() {
         return vouched;
     }
@@ -88,9 +91,9 @@
     }
 
     /**
-     * Notes that a report is answered with this leader's token. One that was overtaken must not be: where it is
-     * genuine it would renew a lease that this leader doesn't count. One that proves nothing has to be, or its
-     * worker would never show the token; where it is a copy, room is held a little longer than it need be.
+     * Notes that a report is answered with this leader's token. One that was overtaken must not be: where it is genuine
+     * it would renew a lease that this leader doesn't count. One that proves nothing has to be, or its worker would
+     * never show the token; where it is a copy, room is held a little longer than it need be.
      */
     public void answered(long now) {
         answered = Math.max(answered, now);
@@ -101,7 +104,9 @@
         return vouched ? answered : Math.max(answered, formerUntil);
     }
 
-    /** Bounds the moment when a former leader can last have answered; it holds until the worker shows this one's token. */
+    /**
+     * Bounds the moment when a former leader can last have answered; it holds until the worker shows this one's token.
+     */
     public void formerAnswers(long until) {
         formerUntil = until;
     }
@@ -134,8 +139,8 @@
     }
 
     /**
-     * The worker has answered an order with an older message than what was known when the order was sent: it
-     * is another worker, and what the former one ran is gone.
+     * The worker has answered an order with an older message than what was known when the order was sent: it is another
+     * worker, and what the former one ran is gone.
      */
     public void reborn(long itsTenure, long itsCounter) {
         reborn = true;
--- a/src/main/java/io/quartzgw/placement/Queue.java
+++ b/src/main/java/io/quartzgw/placement/Queue.java
@@ -7,12 +7,12 @@
 import java.util.Map;
 
 /**
- * The order in which jobs get room: priority, guarantee, whether a goal can still be reached, then the
- * least work first, the team's use, age. When not all can be in time, the least work first brings the
- * most jobs home, and a job that is late in any case holds up none that is not.
+ * The order in which jobs get room: priority, guarantee, whether a goal can still be reached, then the least work
+ * first, the team's use, age. When not all can be in time, the least work first brings the most jobs home, and a job
+ * that is late in any case holds up none that is not.
  *
- * <p>Under a steady stream of small jobs that alone would starve the large and the late. So a job that has
- * not begun for a while goes first, work weighs less the longer it waits, and lateness counts only so long.
+ * <p>Under a steady stream of small jobs that alone would starve the large and the late. So a job that has not begun
+ * for a while goes first, work weighs less the longer it waits, and lateness counts only so long.
  */
 final class Queue {
     /** A job that has no task running or done by now goes first. */
@@ -43,12 +43,14 @@
             if (job.retryAt() <= now) {
                 Resources use = cluster.teamUse(job.spec().team());
                 Team team = teams.get(job.spec().team());
-                boolean guaranteed = team != null && team.withinGuarantee(use.plus(job.spec().demand()));
+                boolean guaranteed =
+                        team != null && team.withinGuarantee(use.plus(job.spec().demand()));
                 long age = now - job.submittedAt();
                 boolean late = !goals.reachable(job, now) && age < LATE_REPORTS * reportMs;
                 boolean starved = age >= BEGUN_REPORTS * reportMs && job.doneCount() == 0 && job.mayRun() == 0;
                 double weight = 1 + Math.max(0.0, age) / (WEIGHED_REPORTS * reportMs);
-                ranked.add(new Ranked(job, guaranteed, starved, late, job.waitingWork() / (weight * weight), use.cpus()));
+                ranked.add(
+                        new Ranked(job, guaranteed, starved, late, job.waitingWork() / (weight * weight), use.cpus()));
             }
         }
         ranked.sort(Comparator.comparing((Ranked r) -> r.job.spec().priority())
@@ -64,7 +66,10 @@
 
     /** When a paused job may be tried again, or {@code Long.MAX_VALUE}. */
     long nextRetry(long now) {
-        return cluster.waitingJobs().stream().filter(job -> job.retryAt() > now)
-                .mapToLong(Job::retryAt).min().orElse(Long.MAX_VALUE);
+        return cluster.waitingJobs().stream()
+                .filter(job -> job.retryAt() > now)
+                .mapToLong(Job::retryAt)
+                .min()
+                .orElse(Long.MAX_VALUE);
     }
 }
--- a/src/main/java/io/quartzgw/placement/Scheduler.java
+++ b/src/main/java/io/quartzgw/placement/Scheduler.java
@@ -16,6 +16,7 @@
     private static final int DISTRUST_JOBS = 2;
     /** A job with so many failures gets no new machine. */
     private static final int RENT_ERRORS = 3;
+
     private static final double FRESH_REPORTS = 2.5;
 
     private final Kernel kernel;
@@ -31,8 +32,14 @@
     private long retryAt = Long.MAX_VALUE;
 
     /** @param roomIsKept whether room is kept rented whatever the demand */
-    public Scheduler(Kernel kernel, Cluster cluster, Map<String, Team> teams, Goals goals, boolean roomIsKept,
-            WorkerTimes times, Starter starter) {
+    public Scheduler(
+            Kernel kernel,
+            Cluster cluster,
+            Map<String, Team> teams,
+            Goals goals,
+            boolean roomIsKept,
+            WorkerTimes times,
+            Starter starter) {
         this.kernel = kernel;
         this.cluster = cluster;
         this.teams = teams;
@@ -56,7 +63,8 @@
         kernel.count("placement.jobs", order.size());
         List<Unplaced> left = new ArrayList<>();
         if (!order.isEmpty()) {
-            List<Machine> machines = cluster.machines().stream().filter(this::usable).toList();
+            List<Machine> machines =
+                    cluster.machines().stream().filter(this::usable).toList();
             List<Machine> roomy = roomyFor(order, machines);
             bestFit.zoneUse(zoneUse(machines));
             for (Job job : order) {
@@ -80,7 +88,9 @@
             least = least.least(job.spec().demand());
         }
         Resources needed = least;
-        return machines.stream().filter(machine -> needed.fitsIn(machine.room())).toList();
+        return machines.stream()
+                .filter(machine -> needed.fitsIn(machine.room()))
+                .toList();
     }
 
     private static Map<String, Double> zoneUse(List<Machine> machines) {
@@ -108,8 +118,10 @@
 
     /** Whether something may be placed on a machine now. */
     public boolean usable(Machine machine) {
-        return machine.status() == Machine.Status.UP && !machine.released()
-                && machine.presence().vouched() && !machine.presence().unreachable()
+        return machine.status() == Machine.Status.UP
+                && !machine.released()
+                && machine.presence().vouched()
+                && !machine.presence().unreachable()
                 && kernel.now() - machine.presence().lastAnswered() < freshMs
                 && machine.reclaimAt() == Long.MAX_VALUE
                 && machine.failedJobs() < DISTRUST_JOBS;
@@ -139,7 +151,8 @@
         }
         int members = job.waiting().cardinality();
         Team team = teams.get(job.spec().team());
-        if (!team.withinLimit(cluster.mayUse(team.name()).plus(job.spec().demand().times(members)))) {
+        if (!team.withinLimit(
+                cluster.mayUse(team.name()).plus(job.spec().demand().times(members)))) {
             return 0;
         }
         List<Booking> placed = new ArrayList<>();
@@ -159,13 +172,16 @@
     }
 
     private void stopRest(Job job) {
-        job.bookingsCopy().stream().filter(booking -> !booking.stopping())
+        job.bookingsCopy().stream()
+                .filter(booking -> !booking.stopping())
                 .forEach(booking -> starter.stop(booking, job.spec().saveS()));
     }
 
     private boolean withinLimit(Job job) {
         Team team = teams.get(job.spec().team());
-        return team != null && team.withinLimit(cluster.mayUse(job.spec().team()).plus(job.spec().demand()));
+        return team != null
+                && team.withinLimit(
+                        cluster.mayUse(job.spec().team()).plus(job.spec().demand()));
     }
 
     private int lacking(Job job) {
@@ -182,7 +198,8 @@
     private boolean allowed(Job job, Machine machine) {
         JobSpec spec = job.spec();
         return spec.allows(machine.type().name(), machine.zone(), machine.spot())
-                && job.zoneAllowed(machine.zone()) && !job.avoids(machine.id());
+                && job.zoneAllowed(machine.zone())
+                && !job.avoids(machine.id());
     }
 
     // Only work that is above normal: batch work must not push out batch work.
@@ -197,6 +214,7 @@
         private final List<Machine> withImage = new ArrayList<>();
         /** Without the image, but it comes in time. */
         private final List<Machine> quick = new ArrayList<>();
+
         private final List<Machine> without = new ArrayList<>();
         private Preemption stopsWithImage;
         private Preemption stops;
@@ -226,8 +244,8 @@
             }
             if (preempts(job)) {
                 if (stopsWithImage == null) {
-                    stopsWithImage = new Preemption(job, machines,
-                            machine -> holdsImage(machine) && allowed(job, machine), kernel.now());
+                    stopsWithImage = new Preemption(
+                            job, machines, machine -> holdsImage(machine) && allowed(job, machine), kernel.now());
                 }
                 if (preempt(stopsWithImage)) {
                     return true;
--- a/src/main/java/io/quartzgw/progress/Packing.java
+++ b/src/main/java/io/quartzgw/progress/Packing.java
@@ -11,6 +11,7 @@
     public static final String PREFIX = "prog/";
     /** The part of a value that one bitmap may fill as text. */
     private static final double FILLED = 0.25;
+
     private static final int BITS_PER_CHARACTER = 6;
     /** Quotes, and padding to whole bytes and groups of four characters. */
     private static final int MARGIN = 12;
--- a/src/main/java/io/quartzgw/progress/Progress.java
+++ b/src/main/java/io/quartzgw/progress/Progress.java
@@ -24,14 +24,15 @@
 import java.util.Set;
 
 /**
- * Writes finishes in batches, the end of a job with its last finish, and ahead of the first starts how many
- * of a job's tasks may have been started: after a takeover the others are surely nowhere.
+ * Writes finishes in batches, the end of a job with its last finish, and ahead of the first starts how many of a job's
+ * tasks may have been started: after a takeover the others are surely nowhere.
  */
 public final class Progress {
     private static final double BATCH_REPORTS = 0.2;
     private static final double RETRY_REPORTS = 0.1;
     /** The starts of so large a part of a job are recorded ahead, so that a job takes a few writes. */
     private static final double AHEAD = 0.25;
+
     private static final int START_BYTES = 6;
     private static final String STARTED = "started";
 
@@ -67,7 +68,12 @@
         void endedOtherwise(Job job);
     }
 
-    public Progress(Kernel kernel, StoreClient store, Leadership leadership, long termRevision, long reportMs,
+    public Progress(
+            Kernel kernel,
+            StoreClient store,
+            Leadership leadership,
+            long termRevision,
+            long reportMs,
             Listener listener) {
         this.kernel = kernel;
         this.write = new Once(kernel, this::write);
@@ -152,7 +158,9 @@
         unwritten.forEach((job, changed) -> {
             if (!job.over()) {
                 BitSet snapshot = (BitSet) job.done().clone();
-                changed.forEach(chunk -> records.put(Packing.key(job.id(), chunk), packing.pack(snapshot, chunk),
+                changed.forEach(chunk -> records.put(
+                        Packing.key(job.id(), chunk),
+                        packing.pack(snapshot, chunk),
                         packing.reserved(job.spec().tasks())));
                 chunks.computeIfAbsent(job.id(), id -> new HashSet<>()).addAll(changed);
                 batch.put(job, snapshot);
@@ -226,8 +234,11 @@
             return;
         }
         FinalPhase phase = new FinalPhase(false, job.spec().tasks());
-        Txn txn = new Txn().guard(Leadership.TERM, termRevision).guard(JobKeys.open(job.id()), job.open().revision())
-                .drop(JobKeys.open(job.id())).put(JobKeys.over(job.id()), phase.toJson());
+        Txn txn = new Txn()
+                .guard(Leadership.TERM, termRevision)
+                .guard(JobKeys.open(job.id()), job.open().revision())
+                .drop(JobKeys.open(job.id()))
+                .put(JobKeys.over(job.id()), phase.toJson());
         store.commit(txn, Urgency.FIRST, outcome -> {
             if (!mine()) {
                 return;
--- a/src/main/java/io/quartzgw/recovery/Holds.java
+++ b/src/main/java/io/quartzgw/recovery/Holds.java
@@ -15,7 +15,7 @@
 
     public static Holds of(WorkerTimes times) {
         // Never below the lease: before it has run out on the worker's clock, the tasks may be running.
-        return new Holds(WINDOW_REPORTS * times.reportMs(),
-                times.longestLeaseMs() + (long) (BEYOND_LEASE * times.leaseMs()));
+        return new Holds(
+                WINDOW_REPORTS * times.reportMs(), times.longestLeaseMs() + (long) (BEYOND_LEASE * times.leaseMs()));
     }
 }
--- a/src/main/java/io/quartzgw/recovery/Recovery.java
+++ b/src/main/java/io/quartzgw/recovery/Recovery.java
@@ -64,9 +64,21 @@
      * @param knownOver whether a job is known to have ended, whatever was read of it
      * @param openJobs follows the open jobs from the revision that they were read at
      */
-    public Recovery(Kernel kernel, StoreClient store, Leadership leadership, Peers peers, MachineTypes types,
-            Cluster cluster, Workers workers, Progress progress, MachineRecords records, Holds holds, long reportMs,
-            long formerAnswersUntil, Predicate<String> knownOver, StoreClient.Follower openJobs) {
+    public Recovery(
+            Kernel kernel,
+            StoreClient store,
+            Leadership leadership,
+            Peers peers,
+            MachineTypes types,
+            Cluster cluster,
+            Workers workers,
+            Progress progress,
+            MachineRecords records,
+            Holds holds,
+            long reportMs,
+            long formerAnswersUntil,
+            Predicate<String> knownOver,
+            StoreClient.Follower openJobs) {
         this.kernel = kernel;
         this.store = store;
         this.leadership = leadership;
@@ -115,17 +127,20 @@
             kernel.after(retryMs, this::read);
             return;
         }
-        store.list(JobKeys.OPEN, jobs -> store.list(Packing.PREFIX, done ->
-                store.list(MachineRecords.PREFIX, machines -> {
-                    if (!current()) {
-                        return;
-                    }
-                    if (jobs == null || done == null || machines == null) {
-                        kernel.after(retryMs, this::read);
-                        return;
-                    }
-                    loaded(jobs, done.entries(), machines.entries());
-                })));
+        store.list(
+                JobKeys.OPEN,
+                jobs -> store.list(
+                        Packing.PREFIX,
+                        done -> store.list(MachineRecords.PREFIX, machines -> {
+                            if (!current()) {
+                                return;
+                            }
+                            if (jobs == null || done == null || machines == null) {
+                                kernel.after(retryMs, this::read);
+                                return;
+                            }
+                            loaded(jobs, done.entries(), machines.entries());
+                        })));
     }
 
     private void loaded(StoreClient.Listing jobs, List<Entry> done, List<Entry> machines) {
@@ -145,7 +160,10 @@
             }
         });
         stage = Stage.GATHERING;
-        LOG.info("term {}: read {} jobs and {} machines, gathering reports", term, jobs.entries().size(),
+        LOG.info(
+                "term {}: read {} jobs and {} machines, gathering reports",
+                term,
+                jobs.entries().size(),
                 cluster.machines().size());
         silent.removeIf(machine -> !isSilent(machine));
         silent.forEach(machine -> cluster.unexplained(machine, true));
@@ -161,7 +179,9 @@
     // ---- gathering
 
     private boolean isSilent(Machine machine) {
-        return machine.used() && !machine.presence().vouched() && !machine.released()
+        return machine.used()
+                && !machine.presence().vouched()
+                && !machine.released()
                 && cluster.machine(machine.id()) == machine;
     }
 
@@ -179,7 +199,8 @@
             return;
         }
         noteRenounced();
-        List<Machine> heard = silent.stream().filter(machine -> !isSilent(machine)).toList();
+        List<Machine> heard =
+                silent.stream().filter(machine -> !isSilent(machine)).toList();
         if (!heard.isEmpty()) {
             heard.forEach(silent::remove);
             heard.forEach(workers::explain);
@@ -191,8 +212,12 @@
             kernel.count("takeover.ms", kernel.now() - electedAt);
             kernel.count("takeover.silent", silent.size());
             cluster.touch();
-            LOG.info("term {}: window closed after {} ms, {} machines silent, {} jobs in doubt", term,
-                    kernel.now() - electedAt, silent.size(), cluster.doubtfulJobs().size());
+            LOG.info(
+                    "term {}: window closed after {} ms, {} machines silent, {} jobs in doubt",
+                    term,
+                    kernel.now() - electedAt,
+                    silent.size(),
+                    cluster.doubtfulJobs().size());
         }
     }
 
@@ -218,7 +243,9 @@
     }
 
     private void settleDoubts() {
-        List.copyOf(cluster.doubtfulJobs()).stream().filter(job -> !mayBeSilent(job)).forEach(cluster::endDoubt);
+        List.copyOf(cluster.doubtfulJobs()).stream()
+                .filter(job -> !mayBeSilent(job))
+                .forEach(cluster::endDoubt);
     }
 
     // ---- silence
@@ -231,7 +258,9 @@
         for (Machine machine : List.copyOf(cluster.machines())) {
             boolean held = !machine.released() && (!machine.empty() || isSilent(machine));
             if (held && kernel.now() - machine.presence().lastAnswered() > holds.silentMs()) {
-                List<Booking> over = machine.bookingsCopy().stream().filter(booking -> !booking.loose()).toList();
+                List<Booking> over = machine.bookingsCopy().stream()
+                        .filter(booking -> !booking.loose())
+                        .toList();
                 LOG.info("{} was silent for its hold, giving up {} tasks", machine.id(), over.size());
                 over.forEach(cluster::release);
                 machine.holdExpired();
--- a/src/main/java/io/quartzgw/store/PackedRecords.java
+++ b/src/main/java/io/quartzgw/store/PackedRecords.java
@@ -14,17 +14,18 @@
 import java.util.function.Supplier;
 
 /**
- * Many small records packed into few values under one prefix, so that a write costs the same whether one
- * record has changed or a hundred.
+ * Many small records packed into few values under one prefix, so that a write costs the same whether one record has
+ * changed or a hundred.
  *
- * <p>A transaction may be applied minutes late. Every write of a page guards the page's revision, so of two
- * writes that were sent from the same state only one can ever be applied, and a late copy changes nothing.
+ * <p>A transaction may be applied minutes late. Every write of a page guards the page's revision, so of two writes that
+ * were sent from the same state only one can ever be applied, and a late copy changes nothing.
  */
 public final class PackedRecords {
     /** The part of a value that records may fill; the rest is for punctuation. */
     private static final double FILLED = 0.85;
     /** All pages of a transaction together; the service takes 64 KiB with everything around them. */
     private static final int TXN_BYTES = 48 * 1024;
+
     private static final int PUNCTUATION = 6;
 
     private final StoreClient store;
@@ -80,7 +81,8 @@
                 pageOf.put(item.getKey(), page);
             });
         }
-        List.copyOf(pageOf.keySet()).forEach(key -> record.accept(key, pageOf.get(key).records.get(key)));
+        List.copyOf(pageOf.keySet())
+                .forEach(key -> record.accept(key, pageOf.get(key).records.get(key)));
     }
 
     private static int size(String key, JsonNode record, int reserved) {
@@ -100,7 +102,10 @@
             throw new IllegalArgumentException(key + " has outgrown what was reserved for it");
         }
         if (page == null) {
-            page = pages.values().stream().filter(some -> some.bytes + size <= pageBytes).findFirst().orElse(null);
+            page = pages.values().stream()
+                    .filter(some -> some.bytes + size <= pageBytes)
+                    .findFirst()
+                    .orElse(null);
             if (page == null) {
                 page = new Page(pages.size());
                 pages.put(page.number, page);
@@ -130,7 +135,10 @@
 
     /** Writes all that has changed and says whether that is in the state service; one write at a time. */
     public void write(Urgency urgency, Consumer<Boolean> then) {
-        List<Page> batch = pages.values().stream().filter(page -> page.dirty).limit(pagesPerTxn).toList();
+        List<Page> batch = pages.values().stream()
+                .filter(page -> page.dirty)
+                .limit(pagesPerTxn)
+                .toList();
         if (batch.isEmpty()) {
             then.accept(true);
             return;
@@ -150,7 +158,10 @@
             }
             batch.forEach(page -> page.dirty = true);
             List<Page> moved = outcome instanceof TxnOutcome.Conflict conflict
-                    ? batch.stream().filter(page -> conflict.failed().contains(key(page))).toList() : List.of();
+                    ? batch.stream()
+                            .filter(page -> conflict.failed().contains(key(page)))
+                            .toList()
+                    : List.of();
             relearn(new ArrayList<>(moved), () -> then.accept(false));
         });
     }
--- a/src/main/java/io/quartzgw/store/StoreClient.java
+++ b/src/main/java/io/quartzgw/store/StoreClient.java
@@ -27,6 +27,7 @@
     private static final int TIMEOUT_MS = 1_500;
     /** How much later than its hold time an unanswered follow is given up. */
     private static final int FOLLOW_SLACK_MS = 3_000;
+
     private static final int FOLLOW_MS = 20_000;
     /** A stage with a small buffer: what waits longer than this for the budget is refused. */
     private static final int MAX_QUEUE_MS = 700;
@@ -125,7 +126,10 @@
     }
 
     private static Entry entry(JsonNode item) {
-        return new Entry(item.path("path").asText(), item.path("data"), item.path("key_rev").asLong());
+        return new Entry(
+                item.path("path").asText(),
+                item.path("data"),
+                item.path("key_rev").asLong());
     }
 
     // ---- transactions
@@ -133,8 +137,7 @@
     public void commit(Txn txn, Urgency urgency, Consumer<TxnOutcome> then) {
         ObjectNode body = Json.object();
         ArrayNode guards = body.putArray("guards");
-        txn.guards.forEach(guard ->
-                guards.addObject().put("path", guard.key()).put("key_rev", guard.revision()));
+        txn.guards.forEach(guard -> guards.addObject().put("path", guard.key()).put("key_rev", guard.revision()));
         // Without changes a transaction only compares.
         ArrayNode apply = txn.writes.isEmpty() ? Json.array() : body.putArray("apply");
         for (Txn.Write write : txn.writes) {
@@ -148,7 +151,10 @@
                 put.put("permit", write.hold());
             }
         }
-        submit(Call.post(endpoint, "/multi", body, TIMEOUT_MS), txn.size(), urgency,
+        submit(
+                Call.post(endpoint, "/multi", body, TIMEOUT_MS),
+                txn.size(),
+                urgency,
                 reply -> then.accept(outcome(reply)));
     }
 
@@ -177,7 +183,10 @@
 
     /** The hold's number, or null when none was granted. */
     public void grantHold(long lifeMs, Consumer<Long> then) {
-        submit(Call.post(endpoint, "/holds", Json.object().put("life_ms", lifeMs), TIMEOUT_MS), 0, Urgency.FIRST,
+        submit(
+                Call.post(endpoint, "/holds", Json.object().put("life_ms", lifeMs), TIMEOUT_MS),
+                0,
+                Urgency.FIRST,
                 reply -> then.accept(reply.ok() ? reply.json().path("permit").asLong() : null));
     }
 
@@ -189,9 +198,12 @@
     }
 
     public void extendHold(long hold, Consumer<Extension> then) {
-        submit(Call.post(endpoint, "/holds/" + hold + "/extend", Json.object(), TIMEOUT_MS), 0, Urgency.FIRST,
-                reply -> then.accept(reply.ok() ? Extension.EXTENDED
-                        : reply.status() == 404 ? Extension.ENDED : Extension.UNKNOWN));
+        submit(
+                Call.post(endpoint, "/holds/" + hold + "/extend", Json.object(), TIMEOUT_MS),
+                0,
+                Urgency.FIRST,
+                reply -> then.accept(
+                        reply.ok() ? Extension.EXTENDED : reply.status() == 404 ? Extension.ENDED : Extension.UNKNOWN));
     }
 
     public void dropHold(long hold) {
@@ -252,7 +264,9 @@
 
     private static Change change(JsonNode item) {
         boolean dropped = item.hasNonNull("drop");
-        return new Change(item.path(dropped ? "drop" : "write").asText(), dropped ? null : item.path("data"),
+        return new Change(
+                item.path(dropped ? "drop" : "write").asText(),
+                dropped ? null : item.path("data"),
                 item.path("key_rev").asLong());
     }
 
@@ -278,7 +292,8 @@
                 kernel.after(0, () -> next.then.accept(new Reply(429, new byte[0])));
                 continue;
             }
-            long wait = Math.max(requests.waitFor(1, kernel.now()),
+            long wait = Math.max(
+                    requests.waitFor(1, kernel.now()),
                     next.writes == 0 ? 0 : writes.waitFor(next.writes, kernel.now()));
             if (wait > 0) {
                 drain.after(wait);
@@ -300,13 +315,15 @@
     private void probeSoon() {
         if (!probing) {
             probing = true;
-            kernel.after(AWAY_MS, () -> submit(Call.get(endpoint, "/keys?starts=probe/&most=1", TIMEOUT_MS), 0,
-                    Urgency.FIRST, reply -> {
-                        probing = false;
-                        if (failingSince != Long.MAX_VALUE) {
-                            probeSoon();
-                        }
-                    }));
+            kernel.after(
+                    AWAY_MS,
+                    () -> submit(
+                            Call.get(endpoint, "/keys?starts=probe/&most=1", TIMEOUT_MS), 0, Urgency.FIRST, reply -> {
+                                probing = false;
+                                if (failingSince != Long.MAX_VALUE) {
+                                    probeSoon();
+                                }
+                            }));
         }
     }
 
--- a/src/main/java/io/quartzgw/store/Txn.java
+++ b/src/main/java/io/quartzgw/store/Txn.java
@@ -8,6 +8,7 @@
 public final class Txn {
     /** The revision that a guard names for a key that must not exist. */
     public static final long ABSENT = 0;
+
     static final long NO_HOLD = -1;
 
     final List<Guard> guards = new ArrayList<>();
--- a/src/main/java/io/quartzgw/store/package-info.java
+++ b/src/main/java/io/quartzgw/store/package-info.java
@@ -1,5 +1,5 @@
 /**
- * The client of the state service: guarded transactions, lists, follows and holds, inside this
- * node's share of the service's request and write limits.
+ * The client of the state service: guarded transactions, lists, follows and holds, inside this node's share of the
+ * service's request and write limits.
  */
 package io.quartzgw.store;
--- a/src/main/java/io/quartzgw/submission/FinalPhase.java
+++ b/src/main/java/io/quartzgw/submission/FinalPhase.java
@@ -16,6 +16,8 @@
     }
 
     static FinalPhase fromJson(JsonNode node) {
-        return new FinalPhase(node.path("phase").asText().equals("withdrawn"), node.path("done").asInt());
+        return new FinalPhase(
+                node.path("phase").asText().equals("withdrawn"),
+                node.path("done").asInt());
     }
 }
--- a/src/main/java/io/quartzgw/submission/JobCodec.java
+++ b/src/main/java/io/quartzgw/submission/JobCodec.java
@@ -15,10 +15,10 @@
     private static final int MAX_TASKS = 100_000;
     private static final int MAX_NAME = 200;
     private static final int MAX_TYPES = 64;
-    private static final Map<String, Shape> SHAPES = Map.of("array", Shape.ARRAY, "gang", Shape.GANG,
-            "daemon", Shape.SERVICE);
-    private static final Map<String, Priority> PRIORITIES = Map.of("critical", Priority.PRODUCTION,
-            "urgent", Priority.HIGH, "standard", Priority.NORMAL, "low", Priority.LOW);
+    private static final Map<String, Shape> SHAPES =
+            Map.of("array", Shape.ARRAY, "gang", Shape.GANG, "daemon", Shape.SERVICE);
+    private static final Map<String, Priority> PRIORITIES = Map.of(
+            "critical", Priority.PRODUCTION, "urgent", Priority.HIGH, "standard", Priority.NORMAL, "low", Priority.LOW);
 
     private JobCodec() {}
 
@@ -41,19 +41,40 @@
             throw new InvalidJob("cpus: a task has to take something of its machine");
         }
         Double deadline = node.hasNonNull("due_by_s") ? (Double) amount(node, "due_by_s") : null;
-        return new JobSpec(id, text(node, "workload"), text(node, "crew"), shape,
-                choice(node, "urgency", PRIORITIES), tasks.asInt(), demand, text(node, "bundle"),
-                amount(node, "pull_gb"), types(node), node.hasNonNull("yard") ? text(node, "yard") : null,
-                flag(node, "together"), flag(node, "scatter"), flag(node, "loaner"),
-                amount(node, "runtime_guess_s"), amount(node, "snapshot_every_s"),
-                amount(node, "snapshot_cost_s"), deadline);
+        return new JobSpec(
+                id,
+                text(node, "workload"),
+                text(node, "crew"),
+                shape,
+                choice(node, "urgency", PRIORITIES),
+                tasks.asInt(),
+                demand,
+                text(node, "bundle"),
+                amount(node, "pull_gb"),
+                types(node),
+                node.hasNonNull("yard") ? text(node, "yard") : null,
+                flag(node, "together"),
+                flag(node, "scatter"),
+                flag(node, "loaner"),
+                amount(node, "runtime_guess_s"),
+                amount(node, "snapshot_every_s"),
+                amount(node, "snapshot_cost_s"),
+                deadline);
     }
 
     public static ObjectNode write(JobSpec job) {
-        ObjectNode node = Json.object().put("id", job.id()).put("workload", job.workload()).put("crew", job.team())
-                .put("shape", spelling(SHAPES, job.shape())).put("urgency", spelling(PRIORITIES, job.priority()))
-                .put("shards", job.tasks()).put("cpus", job.demand().cpus()).put("gpus", job.demand().gpus())
-                .put("ram_gb", job.demand().memoryGb()).put("bundle", job.image()).put("pull_gb", job.imageGb());
+        ObjectNode node = Json.object()
+                .put("id", job.id())
+                .put("workload", job.workload())
+                .put("crew", job.team())
+                .put("shape", spelling(SHAPES, job.shape()))
+                .put("urgency", spelling(PRIORITIES, job.priority()))
+                .put("shards", job.tasks())
+                .put("cpus", job.demand().cpus())
+                .put("gpus", job.demand().gpus())
+                .put("ram_gb", job.demand().memoryGb())
+                .put("bundle", job.image())
+                .put("pull_gb", job.imageGb());
         if (job.machineTypes() != null) {
             ArrayNode types = node.putArray("host_types");
             job.machineTypes().forEach(types::add);
@@ -61,8 +82,11 @@
         if (job.zone() != null) {
             node.put("yard", job.zone());
         }
-        node.put("together", job.oneZone()).put("scatter", job.spread()).put("loaner", job.spot())
-                .put("runtime_guess_s", job.estimateS()).put("snapshot_every_s", job.checkpointS())
+        node.put("together", job.oneZone())
+                .put("scatter", job.spread())
+                .put("loaner", job.spot())
+                .put("runtime_guess_s", job.estimateS())
+                .put("snapshot_every_s", job.checkpointS())
                 .put("snapshot_cost_s", job.saveS());
         if (job.deadlineS() != null) {
             node.put("due_by_s", job.deadlineS());
@@ -72,7 +96,9 @@
 
     private static String text(JsonNode node, String field) throws InvalidJob {
         JsonNode value = node.path(field);
-        if (!value.isTextual() || value.textValue().isEmpty() || value.textValue().length() > MAX_NAME) {
+        if (!value.isTextual()
+                || value.textValue().isEmpty()
+                || value.textValue().length() > MAX_NAME) {
             throw new InvalidJob(field + ": a text of 1 to " + MAX_NAME + " characters");
         }
         return value.textValue();
@@ -106,8 +132,11 @@
     }
 
     private static <T> String spelling(Map<String, T> choices, T value) {
-        return choices.entrySet().stream().filter(entry -> entry.getValue().equals(value)).findFirst()
-                .orElseThrow().getKey();
+        return choices.entrySet().stream()
+                .filter(entry -> entry.getValue().equals(value))
+                .findFirst()
+                .orElseThrow()
+                .getKey();
     }
 
     private static Set<String> types(JsonNode node) throws InvalidJob {
--- a/src/main/java/io/quartzgw/submission/JobCounts.java
+++ b/src/main/java/io/quartzgw/submission/JobCounts.java
@@ -22,9 +22,17 @@
 
     public static JobCounts fromJson(JsonNode node) {
         Map<String, Counts> jobs = new HashMap<>();
-        node.path("jobs").properties().forEach(entry -> jobs.put(entry.getKey(),
-                new Counts(entry.getValue().path(0).asInt(), entry.getValue().path(1).asInt())));
-        return new JobCounts(node.path("after").asText(), node.hasNonNull("up_to") ? node.path("up_to").asText() : null, jobs);
+        node.path("jobs")
+                .properties()
+                .forEach(entry -> jobs.put(
+                        entry.getKey(),
+                        new Counts(
+                                entry.getValue().path(0).asInt(),
+                                entry.getValue().path(1).asInt())));
+        return new JobCounts(
+                node.path("after").asText(),
+                node.hasNonNull("up_to") ? node.path("up_to").asText() : null,
+                jobs);
     }
 
     public ObjectNode toJson() {
--- a/src/main/java/io/quartzgw/submission/JobKeys.java
+++ b/src/main/java/io/quartzgw/submission/JobKeys.java
@@ -1,8 +1,8 @@
 package io.quartzgw.submission;
 
 /**
- * Where jobs are kept in the state service. A job is under {@link #OPEN} with its description until
- * it moves, in one transaction, to {@link #OVER}: a takeover reads unfinished jobs only.
+ * Where jobs are kept in the state service. A job is under {@link #OPEN} with its description until it moves, in one
+ * transaction, to {@link #OVER}: a takeover reads unfinished jobs only.
  */
 public final class JobKeys {
     public static final String OPEN = "open/";
--- a/src/main/java/io/quartzgw/submission/JobSpec.java
+++ b/src/main/java/io/quartzgw/submission/JobSpec.java
@@ -14,9 +14,25 @@
  * @param checkpointS progress after which a task saves by itself; 0: never saves
  * @param deadlineS when the job should be done, from its submission; null: no deadline
  */
-public record JobSpec(String id, String workload, String team, Shape shape, Priority priority, int tasks,
-        Resources demand, String image, double imageGb, Set<String> machineTypes, String zone, boolean oneZone,
-        boolean spread, boolean spot, double estimateS, double checkpointS, double saveS, Double deadlineS) {
+public record JobSpec(
+        String id,
+        String workload,
+        String team,
+        Shape shape,
+        Priority priority,
+        int tasks,
+        Resources demand,
+        String image,
+        double imageGb,
+        Set<String> machineTypes,
+        String zone,
+        boolean oneZone,
+        boolean spread,
+        boolean spot,
+        double estimateS,
+        double checkpointS,
+        double saveS,
+        Double deadlineS) {
 
     public boolean service() {
         return shape == Shape.SERVICE;
--- a/src/main/java/io/quartzgw/submission/JobStore.java
+++ b/src/main/java/io/quartzgw/submission/JobStore.java
@@ -14,9 +14,9 @@
 import java.util.function.Consumer;
 
 /**
- * Jobs in the state service. Final phases are cached, since they never change. That a job is still open is
- * asked anew for every user, so that none gets an older answer than before; but a node that has seen the
- * open record once only asks whether it is still there, for many jobs in one request.
+ * Jobs in the state service. Final phases are cached, since they never change. That a job is still open is asked anew
+ * for every user, so that none gets an older answer than before; but a node that has seen the open record once only
+ * asks whether it is still there, for many jobs in one request.
  */
 public final class JobStore {
     private static final int CACHED = 20_000;
@@ -29,6 +29,7 @@
     /** The revisions of open records that this node has seen. */
     private final Cache<String, Long> open =
             Caffeine.newBuilder().maximumSize(CACHED).executor(Runnable::run).build();
+
     private final Map<String, SharedRead> reads = new HashMap<>();
     private final Map<String, List<Consumer<Found>>> toVouch = new LinkedHashMap<>();
     private boolean vouching;
@@ -190,7 +191,9 @@
     }
 
     public void accept(JobSpec spec, long acceptedAt, Consumer<Accepted> then) {
-        Txn txn = new Txn().guard(JobKeys.open(spec.id()), Txn.ABSENT).guard(JobKeys.over(spec.id()), Txn.ABSENT)
+        Txn txn = new Txn()
+                .guard(JobKeys.open(spec.id()), Txn.ABSENT)
+                .guard(JobKeys.over(spec.id()), Txn.ABSENT)
                 .put(JobKeys.open(spec.id()), OpenJob.record(spec, acceptedAt));
         store.commit(txn, Urgency.NORMAL, outcome -> {
             if (outcome instanceof TxnOutcome.Committed committed) {
@@ -207,8 +210,10 @@
     /** Cancels an open job, unless it has ended otherwise; says whether it was cancelled by this. */
     public void cancel(String id, long revision, int done, Consumer<TxnOutcome> then) {
         FinalPhase phase = new FinalPhase(true, done);
-        Txn txn = new Txn().guard(JobKeys.open(id), revision)
-                .drop(JobKeys.open(id)).put(JobKeys.over(id), phase.toJson());
+        Txn txn = new Txn()
+                .guard(JobKeys.open(id), revision)
+                .drop(JobKeys.open(id))
+                .put(JobKeys.over(id), phase.toJson());
         store.commit(txn, Urgency.FIRST, outcome -> {
             if (outcome instanceof TxnOutcome.Committed) {
                 over(id, phase);
--- a/src/main/java/io/quartzgw/submission/OpenJob.java
+++ b/src/main/java/io/quartzgw/submission/OpenJob.java
@@ -18,7 +18,8 @@
     /** @throws IllegalStateException when the record can't be read: only this program writes it */
     public static OpenJob fromRecord(JsonNode record, long revision) {
         try {
-            return new OpenJob(JobCodec.read(record), revision, record.path("accepted_ms").asLong());
+            return new OpenJob(
+                    JobCodec.read(record), revision, record.path("accepted_ms").asLong());
         } catch (InvalidJob e) {
             throw new IllegalStateException("unreadable job record: " + e.getMessage(), e);
         }
--- a/src/main/java/io/quartzgw/submission/Resources.java
+++ b/src/main/java/io/quartzgw/submission/Resources.java
@@ -20,7 +20,8 @@
 
     /** The lesser of each amount. */
     public Resources least(Resources other) {
-        return new Resources(Math.min(cpus, other.cpus), Math.min(gpus, other.gpus), Math.min(memoryGb, other.memoryGb));
+        return new Resources(
+                Math.min(cpus, other.cpus), Math.min(gpus, other.gpus), Math.min(memoryGb, other.memoryGb));
     }
 
     public boolean fitsIn(Resources room) {
--- a/src/main/java/io/quartzgw/submission/Submissions.java
+++ b/src/main/java/io/quartzgw/submission/Submissions.java
@@ -18,6 +18,7 @@
     private static final String ABORT = "/abort";
     /** When a user should come back while the state service is away. */
     private static final int AWAY_RETRY_S = 2;
+
     private static final int ABORT_TRIES = 4;
 
     /** Told about jobs, before a user is; the leader wants to know at once. */
@@ -36,7 +37,12 @@
     private final Listener listener;
     private final TreeMap<String, JobCounts.Counts> counts = new TreeMap<>();
 
-    public Submissions(Kernel kernel, StoreClient store, JobStore jobs, MachineTypes types, Admission admission,
+    public Submissions(
+            Kernel kernel,
+            StoreClient store,
+            JobStore jobs,
+            MachineTypes types,
+            Admission admission,
             Listener listener) {
         this.kernel = kernel;
         this.store = store;
@@ -109,8 +115,11 @@
 
     // A repeat of an accepted submission gets 200, whatever its body says now.
     private void answerUnlessKnown(Request request, String id, Response otherwise) {
-        lookUp(request, id, found -> kernel.answer(request.exchange(),
-                found instanceof JobStore.Found.Nothing ? otherwise : state(id, found)));
+        lookUp(
+                request,
+                id,
+                found -> kernel.answer(
+                        request.exchange(), found instanceof JobStore.Found.Nothing ? otherwise : state(id, found)));
     }
 
     private void accept(Request request, JobSpec spec) {
@@ -162,16 +171,23 @@
     private Response state(String id, JobStore.Found found) {
         if (found instanceof JobStore.Found.Open) {
             JobCounts.Counts now = counts.getOrDefault(id, JobCounts.Counts.NONE);
-            return Response.json(200, body(id, now.running() > 0 ? "running" : "pending")
-                    .put("done", now.done()).put("running", now.running()));
+            return Response.json(
+                    200,
+                    body(id, now.running() > 0 ? "running" : "pending")
+                            .put("done", now.done())
+                            .put("running", now.running()));
         }
         if (found instanceof JobStore.Found.Over over) {
             if (over.phase().cancelled()) {
-                // Guards the user whose abort was carried out while its answer got lost: this one may be the first to tell.
+                // Guards the user whose abort was carried out while its answer got lost: this one may be the first to
+                // tell.
                 listener.cancelled(id);
             }
-            return Response.json(200, body(id, over.phase().cancelled() ? "withdrawn" : "done")
-                    .put("done", over.phase().done()).put("running", 0));
+            return Response.json(
+                    200,
+                    body(id, over.phase().cancelled() ? "withdrawn" : "done")
+                            .put("done", over.phase().done())
+                            .put("running", 0));
         }
         return Response.error(404, "no such job");
     }
@@ -192,17 +208,21 @@
                 kernel.answer(request.exchange(), state(id, found));
                 return;
             }
-            jobs.cancel(id, open.revision(), counts.getOrDefault(id, JobCounts.Counts.NONE).done(), outcome -> {
-                if (outcome instanceof TxnOutcome.Committed) {
-                    listener.cancelled(id);
-                    kernel.answer(request.exchange(), Response.json(200, body(id, "withdrawn")));
-                } else if (outcome instanceof TxnOutcome.Conflict && tries > 1) {
-                    // The job has just ended some other way: the first end wins, read which.
-                    abort(request, id, tries - 1);
-                } else {
-                    answerAway(request);
-                }
-            });
+            jobs.cancel(
+                    id,
+                    open.revision(),
+                    counts.getOrDefault(id, JobCounts.Counts.NONE).done(),
+                    outcome -> {
+                        if (outcome instanceof TxnOutcome.Committed) {
+                            listener.cancelled(id);
+                            kernel.answer(request.exchange(), Response.json(200, body(id, "withdrawn")));
+                        } else if (outcome instanceof TxnOutcome.Conflict && tries > 1) {
+                            // The job has just ended some other way: the first end wins, read which.
+                            abort(request, id, tries - 1);
+                        } else {
+                            answerAway(request);
+                        }
+                    });
         });
     }
 
--- a/src/main/java/io/quartzgw/worker/Report.java
+++ b/src/main/java/io/quartzgw/worker/Report.java
@@ -11,13 +11,22 @@
 import java.util.List;
 
 /**
- * What a worker says of its machine. The list of tasks is kept as it came and read only when it differs
- * from the one before: most reports of hundreds of machines say nothing new.
+ * What a worker says of its machine. The list of tasks is kept as it came and read only when it differs from the one
+ * before: most reports of hundreds of machines say nothing new.
  *
  * @param listing the list of tasks as bytes of JSON, perhaps empty
  */
-public record Report(String machine, Endpoint address, String machineType, String zone, boolean spot, long tenure,
-        long counter, long token, Double reclaimInS, byte[] listing) {
+public record Report(
+        String machine,
+        Endpoint address,
+        String machineType,
+        String zone,
+        boolean spot,
+        long tenure,
+        long counter,
+        long token,
+        Double reclaimInS,
+        byte[] listing) {
     private static final JsonFactory JSON = new JsonFactory();
     private static final byte[] NOTHING = new byte[0];
 
@@ -83,15 +92,18 @@
                     if (value == JsonToken.START_ARRAY) {
                         int from = (int) parser.currentTokenLocation().getByteOffset();
                         parser.skipChildren();
-                        listing = Arrays.copyOfRange(message, from, (int) parser.currentLocation().getByteOffset());
+                        listing = Arrays.copyOfRange(
+                                message, from, (int) parser.currentLocation().getByteOffset());
                     }
                 }
-                default -> { }
+                default -> {}
             }
             parser.skipChildren();
         }
-        return machine == null || tenure < 0 || counter < 0 ? null
-                : new Report(machine, Endpoint.parse(address), type, zone, spot, tenure, counter, token, reclaim, listing);
+        return machine == null || tenure < 0 || counter < 0
+                ? null
+                : new Report(
+                        machine, Endpoint.parse(address), type, zone, spot, tenure, counter, token, reclaim, listing);
     }
 
     /** Whether it is newer than another one of the same machine. */
@@ -107,7 +119,9 @@
         }
         try (JsonParser parser = JSON.createParser(listing)) {
             parser.nextToken();
-            for (JsonToken item = parser.nextToken(); item != null && item != JsonToken.END_ARRAY; item = parser.nextToken()) {
+            for (JsonToken item = parser.nextToken();
+                    item != null && item != JsonToken.END_ARRAY;
+                    item = parser.nextToken()) {
                 TaskReport task = item == JsonToken.START_OBJECT ? task(parser) : null;
                 if (task != null) {
                     tasks.add(task);
--- a/src/main/java/io/quartzgw/worker/Session.java
+++ b/src/main/java/io/quartzgw/worker/Session.java
@@ -23,9 +23,11 @@
     final Set<Booking> inCall = new HashSet<>();
     /** What the worker had told, of its session and counter, when the direct order under way was sent. */
     long tenureAtCall;
+
     long counterAtCall;
     /** When the worker was last asked for its report. */
     long contactedAt = Long.MIN_VALUE / 2;
+
     private byte[] listing = new byte[0];
 
     Session(Machine machine) {
--- a/src/main/java/io/quartzgw/worker/Workers.java
+++ b/src/main/java/io/quartzgw/worker/Workers.java
@@ -28,9 +28,9 @@
 /**
  * Applies workers' reports to the book and sends them orders, for one term of this node.
  *
- * <p>A start that was sent directly and not answered may still be executed minutes later. Its booking
- * stands: the same attempt is offered again in report responses, and the task goes nowhere else until
- * the machine answers for it, starts a new session, or is surely gone.
+ * <p>A start that was sent directly and not answered may still be executed minutes later. Its booking stands: the same
+ * attempt is offered again in report responses, and the task goes nowhere else until the machine answers for it, starts
+ * a new session, or is surely gone.
  */
 public final class Workers {
     private static final Logger LOG = LoggerFactory.getLogger(Workers.class);
@@ -38,11 +38,17 @@
     private static final double ORDER_TIMEOUT_REPORTS = 0.8;
     /** The part of the direct calls that may be spent on asking the silent, so that orders always get through. */
     private static final double CONTACTS = 0.5;
+
     private static final double ERROR_PAUSE_REPORTS = 0.4;
     private static final double REFUSED_PAUSE_REPORTS = 0.2;
 
-    private static final Map<Presence.Proof, String> COUNTED = Map.of(Presence.Proof.VOUCHES, "reports.vouches",
-            Presence.Proof.UNPROVEN, "reports.unproven", Presence.Proof.OVERTAKEN, "reports.overtaken");
+    private static final Map<Presence.Proof, String> COUNTED = Map.of(
+            Presence.Proof.VOUCHES,
+            "reports.vouches",
+            Presence.Proof.UNPROVEN,
+            "reports.unproven",
+            Presence.Proof.OVERTAKEN,
+            "reports.overtaken");
 
     private final Kernel kernel;
     private final Leadership leadership;
@@ -56,6 +62,7 @@
     private final Set<Session> due = new LinkedHashSet<>();
     /** By job, the sessions that still report an ended attempt of it. */
     private final Map<String, Set<Session>> endedOn = new HashMap<>();
+
     private final Map<String, Report> early = new HashMap<>();
     private final Predicate<String> cancelled;
     private final int mostCalls;
@@ -78,8 +85,15 @@
      * @param mostCalls how many direct calls may be under way at once
      * @param cancelled whether a job is known to be cancelled, also before the open jobs have been read
      */
-    public Workers(Kernel kernel, Leadership leadership, Cluster cluster, MachineTypes types, WorkerTimes times,
-            int mostCalls, Predicate<String> cancelled, Listener listener) {
+    public Workers(
+            Kernel kernel,
+            Leadership leadership,
+            Cluster cluster,
+            MachineTypes types,
+            WorkerTimes times,
+            int mostCalls,
+            Predicate<String> cancelled,
+            Listener listener) {
         this.kernel = kernel;
         this.leadership = leadership;
         this.cluster = cluster;
@@ -112,18 +126,23 @@
                 stopOver(report, orders);
             }
             Machine machine = cluster.machine(report.machine());
-            // Only in the session that is proved: a start offered to a later one would be executed there, while the proof
+            // Only in the session that is proved: a start offered to a later one would be executed there, while the
+            // proof
             // of that session, already on its way, gives the task to another machine.
-            if (machine != null && machine.presence().vouched() && machine.presence().tenure() == report.tenure()) {
+            if (machine != null
+                    && machine.presence().vouched()
+                    && machine.presence().tenure() == report.tenure()) {
                 pendingOrders(session(machine), false).forEach(order -> orders.add(order.toJson()));
             }
         }
         return response;
     }
 
-    // Guards against leaders that follow each other quickly: each renews the lease with its first answer, and where that
+    // Guards against leaders that follow each other quickly: each renews the lease with its first answer, and where
+    // that
     // stopped nothing, a cancelled task would live as long as they do. Every answer that renews a lease stops what the
-    // report lists of jobs that are known to be over, whether or not the report proves anything. Once the open jobs were
+    // report lists of jobs that are known to be over, whether or not the report proves anything. Once the open jobs
+    // were
     // read that is every job that the book doesn't have: only a leader starts tasks, and only of jobs that it has read.
     private void stopOver(Report report, ArrayNode orders) {
         for (Report.TaskReport task : report.tasks()) {
@@ -212,8 +231,8 @@
             machine.bookingsCopy().forEach(cluster::release);
             presence.lostTouch(kernel.now());
         }
-        machine.reclaimAt(report.reclaimInS() == null ? Long.MAX_VALUE
-                : kernel.now() + (long) (report.reclaimInS() * 1000));
+        machine.reclaimAt(
+                report.reclaimInS() == null ? Long.MAX_VALUE : kernel.now() + (long) (report.reclaimInS() * 1000));
         if (session.tells(report.listing()) || back) {
             List<Report.TaskReport> tasks = report.tasks();
             kernel.count("reports.read", 1);
@@ -282,16 +301,20 @@
 
     /** Says whether the open jobs explain all that a machine runs: what is being stopped there still takes room. */
     public void explain(Machine machine) {
-        cluster.unexplained(machine, cluster.machine(machine.id()) == machine && !session(machine).strays.isEmpty());
+        cluster.unexplained(
+                machine,
+                cluster.machine(machine.id()) == machine
+                        && !session(machine).strays.isEmpty());
     }
 
     /** @param booking the attempt's place on the machine, or null when the book has none */
     private void present(Session session, Report.TaskReport task, Booking booking) {
-        Booking.Phase phase = switch (task.state()) {
-            case FETCHING -> Booking.Phase.FETCHING;
-            case SAVING -> Booking.Phase.SAVING;
-            default -> Booking.Phase.RUNNING;
-        };
+        Booking.Phase phase =
+                switch (task.state()) {
+                    case FETCHING -> Booking.Phase.FETCHING;
+                    case SAVING -> Booking.Phase.SAVING;
+                    default -> Booking.Phase.RUNNING;
+                };
         if (booking != null) {
             booking.seen(phase, kernel.now());
             if (booking.stopping()) {
@@ -303,7 +326,8 @@
         Job job = openJob(attempt);
         if (job != null && !job.isDone(attempt.index()) && job.booking(attempt.index()) == null) {
             // The report outranks the book: the task is there, and gets its place back.
-            cluster.book(job, attempt.index(), session.machine, attempt.number()).seen(phase, kernel.now());
+            cluster.book(job, attempt.index(), session.machine, attempt.number())
+                    .seen(phase, kernel.now());
             return;
         }
         LOG.info("{} on {} has no place there: stopping it", attempt.task(), session.machine.id());
@@ -314,7 +338,12 @@
     /** The open job that an attempt is of, or null. */
     private Job openJob(Attempt attempt) {
         Job job = cluster.job(attempt.job());
-        return job != null && !job.over() && attempt.index() >= 0 && attempt.index() < job.spec().tasks() ? job : null;
+        return job != null
+                        && !job.over()
+                        && attempt.index() >= 0
+                        && attempt.index() < job.spec().tasks()
+                ? job
+                : null;
     }
 
     private void ended(Session session, Report.TaskReport task, Booking booking) {
@@ -368,10 +397,12 @@
         if (on == null) {
             return;
         }
-        on.removeIf(session -> session.ended.stream().noneMatch(attempt -> attempt.job().equals(job.id())));
+        on.removeIf(session ->
+                session.ended.stream().noneMatch(attempt -> attempt.job().equals(job.id())));
         for (Session session : on) {
-            session.ended.stream().filter(attempt -> attempt.job().equals(job.id())
-                    && (job.over() || job.recorded(attempt.index()))).forEach(session.reapable::add);
+            session.ended.stream()
+                    .filter(attempt -> attempt.job().equals(job.id()) && (job.over() || job.recorded(attempt.index())))
+                    .forEach(session.reapable::add);
         }
         if (on.isEmpty() || job.over()) {
             endedOn.remove(job.id());
@@ -414,7 +445,9 @@
             if (calls >= mostCalls) {
                 return;
             }
-            if (session.calling || !session.machine.presence().vouched() || session.machine.presence().unreachable()) {
+            if (session.calling
+                    || !session.machine.presence().vouched()
+                    || session.machine.presence().unreachable()) {
                 continue;
             }
             due.remove(session);
@@ -426,8 +459,8 @@
     }
 
     /**
-     * Asks a machine for its report, which also shows it this leader's token; not more often than it would
-     * report by itself, and a part of the machines at a time.
+     * Asks a machine for its report, which also shows it this leader's token; not more often than it would report by
+     * itself, and a part of the machines at a time.
      */
     public void contact(Machine machine) {
         Session session = session(machine);
@@ -493,10 +526,16 @@
 
     private void send(Session session, List<Order> orders) {
         Machine machine = session.machine;
-        ObjectNode body = Json.object().put("baton", term).put("tenure",
-                // A start names the session that is proved: one that names a later session would outlive the release of
-                // its booking, which a rise of the session brings.
-                orders.isEmpty() ? machine.presence().toldTenure() : machine.presence().tenure());
+        ObjectNode body = Json.object()
+                .put("baton", term)
+                .put(
+                        "tenure",
+                        // A start names the session that is proved: one that names a later session would outlive the
+                        // release of
+                        // its booking, which a rise of the session brings.
+                        orders.isEmpty()
+                                ? machine.presence().toldTenure()
+                                : machine.presence().tenure());
         ArrayNode list = body.putArray("orders");
         session.calling = true;
         calls++;
@@ -520,7 +559,9 @@
         session.calling = false;
         calls--;
         session.inCall.clear();
-        if (!leadership.leading() || leadership.term() != term || cluster.machine(session.machine.id()) != session.machine) {
+        if (!leadership.leading()
+                || leadership.term() != term
+                || cluster.machine(session.machine.id()) != session.machine) {
             return;
         }
         Presence presence = session.machine.presence();
@@ -540,8 +581,8 @@
             return;
         }
         presence.answersOrders();
-        if (presence.vouched() && !Presence.newer(report.tenure(), report.counter(), session.tenureAtCall,
-                session.counterAtCall)) {
+        if (presence.vouched()
+                && !Presence.newer(report.tenure(), report.counter(), session.tenureAtCall, session.counterAtCall)) {
             reborn(session, report);
         }
         presence.told(report.tenure());
--- a/src/test/java/io/quartzgw/app/CancellationTest.java
+++ b/src/test/java/io/quartzgw/app/CancellationTest.java
@@ -23,7 +23,10 @@
     private final List<Reply> told = new ArrayList<>();
 
     private void assertTold() {
-        assertTrue(told.stream().anyMatch(reply -> reply.ok() && reply.json().path("phase").asText().equals("withdrawn")),
+        assertTrue(
+                told.stream()
+                        .anyMatch(reply -> reply.ok()
+                                && reply.json().path("phase").asText().equals("withdrawn")),
                 "a user was told");
     }
 
@@ -75,7 +78,8 @@
     // between controllers that come late, and both operators' figures: there cancel limit less lease is 20 and 30 s.
     @Test
     void neighboursOfTheGap() {
-        List<WorkerTimes> figures = List.of(new WorkerTimes(2_500, 16_000, 36_000), new WorkerTimes(2_500, 18_000, 48_000));
+        List<WorkerTimes> figures =
+                List.of(new WorkerTimes(2_500, 16_000, 36_000), new WorkerTimes(2_500, 18_000, 48_000));
         SplittableRandom random = new SplittableRandom(4);
         for (int i = 0; i < 40; i++) {
             told.clear();
@@ -97,14 +101,16 @@
             long trouble = world.now() + random.nextInt(6_000);
             long lasts = 1_000 + random.nextInt(15_000);
             switch (i % 5) {
-                case 0 -> some.forEach(machine -> {
-                    world.at(trouble, () -> world.hang(machine, true));
-                    world.at(trouble + lasts, () -> world.hang(machine, false));
-                });
-                case 1 -> some.forEach(machine -> {
-                    world.at(trouble, () -> world.deafen(machine, true));
-                    world.at(trouble + lasts, () -> world.deafen(machine, false));
-                });
+                case 0 ->
+                    some.forEach(machine -> {
+                        world.at(trouble, () -> world.hang(machine, true));
+                        world.at(trouble + lasts, () -> world.hang(machine, false));
+                    });
+                case 1 ->
+                    some.forEach(machine -> {
+                        world.at(trouble, () -> world.deafen(machine, true));
+                        world.at(trouble + lasts, () -> world.deafen(machine, false));
+                    });
                 case 2 -> {
                     world.at(trouble, () -> world.cut("rig-" + leader, "rig-" + other(leader, 1)));
                     world.at(trouble + lasts, () -> world.heal("rig-" + leader, "rig-" + other(leader, 1)));
@@ -131,7 +137,7 @@
             world.slowStore(mostMs);
             for (int second = 0; second < 12; second++) {
                 for (int node = 0; node < 3; node++) {
-                    world.poll(node, "j-00000" + second % 3, reply -> { });
+                    world.poll(node, "j-00000" + second % 3, reply -> {});
                     if (second % 4 == 0) {
                         world.abort(node, "j-00000" + second % 3, told::add);
                     }
@@ -159,15 +165,17 @@
     // another controller, in the answer to a repeated abort, to a poll, or to a repeated submission.
     @Test
     void theAnswerToTheAbortIsLostAndAnotherAnswerTellsTheUser() {
-        List<BiConsumer<SimWorld, Integer>> again = List.of((w, node) -> w.abort(node, JOB, told::add),
-                (w, node) -> w.poll(node, JOB, told::add), (w, node) -> w.submit(node, w.submitted(JOB), told::add));
+        List<BiConsumer<SimWorld, Integer>> again = List.of(
+                (w, node) -> w.abort(node, JOB, told::add),
+                (w, node) -> w.poll(node, JOB, told::add),
+                (w, node) -> w.submit(node, w.submitted(JOB), told::add));
         for (BiConsumer<SimWorld, Integer> ask : again) {
             for (int by = 1; by <= 2; by++) {
                 int teller = by;
                 told.clear();
                 SimWorld world = gap(1_500, (w, leader) -> {
                     w.lostAnswers(1);
-                    w.abort(other(leader, 1), JOB, reply -> { });
+                    w.abort(other(leader, 1), JOB, reply -> {});
                     w.play(300);
                     w.lostAnswers(0);
                     ask.accept(w, other(leader, teller));
@@ -285,7 +293,7 @@
             int teller = other(leader, 1);
             world.store.holdFollows(true);
             world.cut("rig-" + teller, "rig-" + leader);
-            world.submit(teller, FailureTest.job("j-000070", "blue", "daemon", 2, 2, 0), reply -> { });
+            world.submit(teller, FailureTest.job("j-000070", "blue", "daemon", 2, 2, 0), reply -> {});
             world.play(400);
             world.abort(teller, "j-000070", told::add);
             world.play(300);
--- a/src/test/java/io/quartzgw/app/EndToEndTest.java
+++ b/src/test/java/io/quartzgw/app/EndToEndTest.java
@@ -30,24 +30,40 @@
             until(() -> world.submit(0, array).status() / 100 == 2);
             until(() -> phase(world, 1, "j-000001").equals("done"));
 
-            until(() -> world.submit(1, FailureTest.job("j-000002", "blue", "daemon", 2, 2, 0)).status() / 100 == 2);
+            until(() -> world.submit(1, FailureTest.job("j-000002", "blue", "daemon", 2, 2, 0))
+                                    .status()
+                            / 100
+                    == 2);
             until(() -> phase(world, 2, "j-000002").equals("running"));
             services[0].stop();
-            until(() -> world.submit(1, FailureTest.job("j-000003", "blue", "array", 2, 2, 0.3)).status() / 100 == 2);
+            until(() -> world.submit(1, FailureTest.job("j-000003", "blue", "array", 2, 2, 0.3))
+                                    .status()
+                            / 100
+                    == 2);
             until(() -> phase(world, 2, "j-000003").equals("done"));
             Reply aborted = world.request(2, "POST", "/submissions/j-000002/abort", Json.object());
             assertEquals(200, aborted.status());
             assertEquals("withdrawn", aborted.json().path("phase").asText());
 
             assertEquals(200, world.request(1, "GET", "/ready", null).status());
-            assertEquals(400, world.raw(1, "POST", "/submissions", HttpRequest.BodyPublishers.ofString("{")).status());
-            assertEquals(413, world.raw(1, "POST", "/submissions",
-                    HttpRequest.BodyPublishers.ofByteArray(new byte[70_000])).status());
+            assertEquals(
+                    400,
+                    world.raw(1, "POST", "/submissions", HttpRequest.BodyPublishers.ofString("{"))
+                            .status());
+            assertEquals(
+                    413,
+                    world.raw(1, "POST", "/submissions", HttpRequest.BodyPublishers.ofByteArray(new byte[70_000]))
+                            .status());
             Reply figures = world.peer(1, "/metrics");
             assertEquals(200, figures.status());
             assertEquals(0, figures.json().path("counts").path("failures").asLong(-1));
             assertTrue(figures.json().path("counts").path("store.requests").asLong() > 0);
-            assertTrue(figures.json().path("process").path("requests").path("count").asDouble() > 0);
+            assertTrue(figures.json()
+                            .path("process")
+                            .path("requests")
+                            .path("count")
+                            .asDouble()
+                    > 0);
             for (Service service : services) {
                 service.stop();
             }
@@ -55,7 +71,10 @@
     }
 
     private static String phase(LoopbackWorld world, int node, String job) {
-        return world.request(node, "GET", "/submissions/" + job, null).json().path("phase").asText();
+        return world.request(node, "GET", "/submissions/" + job, null)
+                .json()
+                .path("phase")
+                .asText();
     }
 
     private static void until(BooleanSupplier condition) {
--- a/src/test/java/io/quartzgw/app/FailureTest.java
+++ b/src/test/java/io/quartzgw/app/FailureTest.java
@@ -24,11 +24,24 @@
     private static final long LONG_END = 560_000;
 
     static ObjectNode job(String id, String crew, String shape, int tasks, double cpus, double runS) {
-        ObjectNode job = Json.object().put("id", id).put("workload", shape).put("crew", crew).put("shape", shape)
-                .put("urgency", shape.equals("daemon") ? "critical" : "standard").put("shards", tasks)
-                .put("cpus", cpus).put("gpus", 0.0).put("ram_gb", 1.0).put("bundle", "img-" + tasks % 3)
-                .put("pull_gb", 1.0).put("together", false).put("scatter", false).put("loaner", false)
-                .put("runtime_guess_s", runS).put("snapshot_every_s", 0.0).put("snapshot_cost_s", 0.0);
+        ObjectNode job = Json.object()
+                .put("id", id)
+                .put("workload", shape)
+                .put("crew", crew)
+                .put("shape", shape)
+                .put("urgency", shape.equals("daemon") ? "critical" : "standard")
+                .put("shards", tasks)
+                .put("cpus", cpus)
+                .put("gpus", 0.0)
+                .put("ram_gb", 1.0)
+                .put("bundle", "img-" + tasks % 3)
+                .put("pull_gb", 1.0)
+                .put("together", false)
+                .put("scatter", false)
+                .put("loaner", false)
+                .put("runtime_guess_s", runS)
+                .put("snapshot_every_s", 0.0)
+                .put("snapshot_cost_s", 0.0);
         return job;
     }
 
@@ -38,7 +51,8 @@
             String id = String.format("j-%06d", 1000 + i);
             String crew = random.nextBoolean() ? "red" : "blue";
             boolean service = i % 3 == 0;
-            ObjectNode spec = service ? job(id, crew, "daemon", 1 + 3 * random.nextInt(2), 2, 0)
+            ObjectNode spec = service
+                    ? job(id, crew, "daemon", 1 + 3 * random.nextInt(2), 2, 0)
                     : job(id, crew, "array", 1 + random.nextInt(12), 4, 4 + random.nextInt(10));
             spec.put("scatter", service && random.nextBoolean());
             spec.put("together", !service && random.nextInt(4) == 0);
@@ -57,12 +71,13 @@
         for (long at = 20_000; at < 180_000; at += 8_000 + random.nextInt(12_000)) {
             long lasts = 2_000 + random.nextInt(28_000);
             int node = random.nextInt(3);
-            String other = List.of("rig-0", "rig-1", "rig-2", SimWorld.STORE, SimWorld.CLOUD, "*").get(random.nextInt(6));
+            String other = List.of("rig-0", "rig-1", "rig-2", SimWorld.STORE, SimWorld.CLOUD, "*")
+                    .get(random.nextInt(6));
             int kind = random.nextInt(12);
             long start = at;
             world.at(start, () -> {
-                LoggerFactory.getLogger("world").info("{} ms: failure {} of node {} or {} for {} ms", start, kind, node,
-                        other, lasts);
+                LoggerFactory.getLogger("world")
+                        .info("{} ms: failure {} of node {} or {} for {} ms", start, kind, node, other, lasts);
                 List<String> machines = world.machines();
                 String machine = machines.isEmpty() ? null : machines.get((int) (start % machines.size()));
                 switch (kind) {
@@ -127,15 +142,19 @@
         }
     }
 
-    /** Jobs of two or three tasks that end far apart, jobs bound to a zone, teams at their limit, more work than room. */
+    /**
+     * Jobs of two or three tasks that end far apart, jobs bound to a zone, teams at their limit, more work than room.
+     */
     private static List<String> moreLoad(SimWorld world, SplittableRandom random) {
         List<String> arrays = new ArrayList<>();
         for (int i = 0; i < 24; i++) {
             String id = String.format("j-%06d", 2000 + i);
             boolean service = i % 4 == 0;
             // Services stay: in a team with a small limit they could fill it for good.
-            String crew = service ? "blue" : List.of("red", "blue", "green", "green").get(random.nextInt(4));
-            ObjectNode spec = service ? job(id, crew, "daemon", 1 + random.nextInt(3), 2, 0)
+            String crew =
+                    service ? "blue" : List.of("red", "blue", "green", "green").get(random.nextInt(4));
+            ObjectNode spec = service
+                    ? job(id, crew, "daemon", 1 + random.nextInt(3), 2, 0)
                     : job(id, crew, "array", 1 + random.nextInt(i % 4 == 1 ? 3 : 9), 4, 4 + random.nextInt(20));
             if (i % 4 == 1) {
                 spec.put("each_longer_s", 10 + random.nextInt(20));
@@ -143,7 +162,8 @@
             if (random.nextInt(3) == 0) {
                 spec.put("yard", random.nextBoolean() ? "a" : "b");
             } else {
-                spec.put("together", !service && random.nextInt(3) == 0).put("scatter", service && random.nextBoolean());
+                spec.put("together", !service && random.nextInt(3) == 0)
+                        .put("scatter", service && random.nextBoolean());
             }
             spec.put("loaner", !service && random.nextBoolean());
             if (!service) {
@@ -157,7 +177,10 @@
         return arrays;
     }
 
-    /** The troubles that operators saw meet, in any order and over each other; those of {@link #faults} go on beside them. */
+    /**
+     * The troubles that operators saw meet, in any order and over each other; those of {@link #faults} go on beside
+     * them.
+     */
     private static void meetings(SimWorld world, SplittableRandom random) {
         for (long at = 15_000; at < 180_000; at += 3_000 + random.nextInt(14_000)) {
             long start = at;
@@ -264,7 +287,8 @@
         assertEquals(List.of(), world.rules.broken());
         assertEquals(0, world.failures(), "commands that failed inside a node");
         assertEquals(List.of(), world.rules.missingReplicas(), "every service runs");
-        List<String> unfinished = arrays.stream().filter(id -> world.rules.finalPhase(id) == null).toList();
+        List<String> unfinished =
+                arrays.stream().filter(id -> world.rules.finalPhase(id) == null).toList();
         assertEquals(List.of(), unfinished, "every array is over, long after the last failure");
     }
 
@@ -285,8 +309,8 @@
 
     /**
      * Worlds in which a rule was broken once: late records, late notices, a hold dropped by its owner, tasks of
-     * withdrawn jobs on silent machines that no quota counted, a late start that reached a new worker, a start
-     * offered to a session that was not proved yet.
+     * withdrawn jobs on silent machines that no quota counted, a late start that reached a new worker, a start offered
+     * to a session that was not proved yet.
      */
     @ParameterizedTest
     @ValueSource(longs = {26, 298, 392, 422, 429, 430, 466, 553, 563, 10_090, 10_389, 20_317, 20_676, 310_494})
--- a/src/test/java/io/quartzgw/app/MeetingsTest.java
+++ b/src/test/java/io/quartzgw/app/MeetingsTest.java
@@ -31,7 +31,11 @@
     }
 
     private static void assertDone(SimWorld world, List<String> jobs) {
-        assertEquals(List.of(), jobs.stream().filter(id -> !"done".equals(world.rules.finalPhase(id))).toList());
+        assertEquals(
+                List.of(),
+                jobs.stream()
+                        .filter(id -> !"done".equals(world.rules.finalPhase(id)))
+                        .toList());
     }
 
     private static List<String> firstHalf(List<String> machines) {
@@ -150,23 +154,27 @@
         for (int i = 0; i < 24; i++) {
             String id = String.format("j-%06d", 500 + i);
             int tasks = i % 3;
-            world.at(world.now() + 700L * i, () -> world.job(FailureTest.job(id, "blue", "array", 1 + tasks, 2, 4), null));
+            world.at(
+                    world.now() + 700L * i,
+                    () -> world.job(FailureTest.job(id, "blue", "array", 1 + tasks, 2, 4), null));
             jobs.add(id);
         }
         for (int step = 0; step < 1_500; step++) {
             world.runUntil(world.now() + 20);
             String id = jobs.get(step % jobs.size());
             if (world.submitted(id) != null) {
-                world.poll(step % 3, id, reply -> { });
+                world.poll(step % 3, id, reply -> {});
                 if (step % 7 == 0) {
-                    world.submit((step + 1) % 3, world.submitted(id), reply -> { });
+                    world.submit((step + 1) % 3, world.submitted(id), reply -> {});
                 }
             }
         }
         world.play(60_000);
         assertAllWell(world);
         assertTrue(jobs.stream().allMatch(id -> world.rules.finalPhase(id) != null), "every end is told");
-        assertTrue(jobs.stream().anyMatch(id -> "withdrawn".equals(world.rules.finalPhase(id))), "some were called off in time");
+        assertTrue(
+                jobs.stream().anyMatch(id -> "withdrawn".equals(world.rules.finalPhase(id))),
+                "some were called off in time");
         assertTrue(jobs.stream().anyMatch(id -> "done".equals(world.rules.finalPhase(id))), "some were not");
     }
 
@@ -196,8 +204,13 @@
             String id = String.format("j-%06d", 500 + i);
             int level = i % 3;
             ObjectNode spec = FailureTest.job(id, i % 2 == 0 ? "blue" : "red", "array", 12, 4, 12);
-            world.at(world.now() + 900L * i, () ->
-                    world.job(spec.put("urgency", List.of("low", "standard", "urgent").get(level)), null));
+            world.at(
+                    world.now() + 900L * i,
+                    () -> world.job(
+                            spec.put(
+                                    "urgency",
+                                    List.of("low", "standard", "urgent").get(level)),
+                            null));
             jobs.add(id);
         }
         world.play(300_000);
@@ -247,7 +260,8 @@
             List<String> zone = firstHalf(world.machines());
             List<String> outside = new ArrayList<>(world.machines());
             outside.removeAll(zone);
-            outside.addAll(List.of("rig-" + (inside + 1) % 3, "rig-" + (inside + 2) % 3, SimWorld.STORE, SimWorld.CLOUD));
+            outside.addAll(
+                    List.of("rig-" + (inside + 1) % 3, "rig-" + (inside + 2) % 3, SimWorld.STORE, SimWorld.CLOUD));
             outside.forEach(far -> {
                 world.cut("rig-" + inside, far);
                 zone.forEach(machine -> world.cut(machine, far));
--- a/src/test/java/io/quartzgw/app/ScaleTest.java
+++ b/src/test/java/io/quartzgw/app/ScaleTest.java
@@ -63,7 +63,9 @@
         long read = of(world, "reports.read");
         for (int i = 0; i < ARRAYS; i++) {
             String id = String.format("j-%06d", 1000 + i);
-            world.at(world.now() + 1_000 * i, () -> world.job(FailureTest.job(id, "blue", "array", TASKS, CPUS, 10), null));
+            world.at(
+                    world.now() + 1_000 * i,
+                    () -> world.job(FailureTest.job(id, "blue", "array", TASKS, CPUS, 10), null));
         }
         world.runUntil(world.now() + 60_000);
         for (int i = 0; i < ARRAYS; i++) {
@@ -90,17 +92,24 @@
         silent.forEach(machine -> world.cut(machine, "*"));
         world.runUntil(world.now() + 12_000);
         assertTrue(world.leader() >= 0, "somebody leads");
-        assertEquals(before, world.rules.started(), "what a silent machine may hold is not started anew before its hold ends");
+        assertEquals(
+                before,
+                world.rules.started(),
+                "what a silent machine may hold is not started anew before its hold ends");
         // New work does not wait for the silent.
         world.job(FailureTest.job("j-002000", "blue", "array", TASKS, CPUS, 1), null);
         world.runUntil(world.now() + 8_000);
         assertEquals("done", world.rules.finalPhase("j-002000"));
-        assertTrue(of(world, "orders.calls") < 6L * machines.size(), of(world, "orders.calls") + " calls to ask the machines");
+        assertTrue(
+                of(world, "orders.calls") < 6L * machines.size(),
+                of(world, "orders.calls") + " calls to ask the machines");
         world.runUntil(world.now() + 50_000);
         assertEquals(List.of(), world.rules.broken());
         assertEquals(0, world.failures());
         assertEquals(List.of(), world.rules.missingReplicas(), "placed again after the hold");
         long again = world.rules.started() - before - TASKS;
-        assertTrue(again <= silent.size(), again + " replicas were started anew for " + silent.size() + " silent machines");
+        assertTrue(
+                again <= silent.size(),
+                again + " replicas were started anew for " + silent.size() + " silent machines");
     }
 }
--- a/src/test/java/io/quartzgw/app/ScenarioTest.java
+++ b/src/test/java/io/quartzgw/app/ScenarioTest.java
@@ -127,7 +127,8 @@
         }
         world.cut("rig-" + leader, SimWorld.STORE);
         // No other machine may show the former leader the new token.
-        world.machines().stream().filter(other -> !other.equals(machine))
+        world.machines().stream()
+                .filter(other -> !other.equals(machine))
                 .forEach(other -> world.cut("rig-" + leader, other));
         world.runUntil(world.now() + 90_000);
         assertEquals(List.of(), world.rules.broken());
@@ -324,8 +325,8 @@
         assertEquals(400, status(world, "POST", "/submissions", good.deepCopy().put("urgency", "soon")));
         assertEquals(422, status(world, "POST", "/submissions", good.deepCopy().put("crew", "nobody")));
         assertEquals(422, status(world, "POST", "/submissions", good.deepCopy().put("cpus", 99.0)));
-        assertEquals(422, status(world, "POST", "/submissions",
-                FailureTest.job("j-000102", "red", "daemon", 30, 2, 0)));
+        assertEquals(
+                422, status(world, "POST", "/submissions", FailureTest.job("j-000102", "red", "daemon", 30, 2, 0)));
         assertEquals(404, status(world, "GET", "/submissions/j-999999", null));
         assertEquals(404, status(world, "GET", "/nothing", null));
         assertEquals(405, status(world, "DELETE", "/submissions", null));
--- a/src/test/java/io/quartzgw/app/SettingsReaderTest.java
+++ b/src/test/java/io/quartzgw/app/SettingsReaderTest.java
@@ -10,7 +10,8 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 class SettingsReaderTest {
-    private static final String GOOD = """
+    private static final String GOOD =
+            """
             member = "rig-0"
             site = "x"
             client_listen = "127.0.0.1:8080"
@@ -71,10 +72,11 @@
         "127.0.0.9:1, 127.0.0.9, external.cloud",
         "127.0.0.1:8080, 127.0.0.1:99999, client_listen",
         "cpus = 4.0, cpus = -1.0, facts.teams.cpus",
-        "size = 2, size = 0, facts.size"})
+        "size = 2, size = 0, facts.size"
+    })
     void namesTheFieldThatIsWrong(String right, String wrong, String field) {
-        InvalidSettings error = assertThrows(InvalidSettings.class,
-                () -> SettingsReader.read(GOOD.replace(right, wrong)));
+        InvalidSettings error =
+                assertThrows(InvalidSettings.class, () -> SettingsReader.read(GOOD.replace(right, wrong)));
         assertEquals(field, error.getMessage().split(":")[0]);
     }
 }
--- a/src/test/java/io/quartzgw/cancellation/HorizonTest.java
+++ b/src/test/java/io/quartzgw/cancellation/HorizonTest.java
@@ -122,9 +122,11 @@
                             read.clear();
                         }
                     }
-                    case 5 -> { }
+                    case 5 -> {}
                     default -> {
-                        told.stream().filter(one -> one.by() == peer && one.process() == process[peer]).forEach(named::add);
+                        told.stream()
+                                .filter(one -> one.by() == peer && one.process() == process[peer])
+                                .forEach(named::add);
                         horizon.answered(OTHERS.get(peer), process[peer], now - began[peer], now, true);
                     }
                 }
--- a/src/test/java/io/quartzgw/http/HttpClientTest.java
+++ b/src/test/java/io/quartzgw/http/HttpClientTest.java
@@ -66,12 +66,13 @@
     private static long sockets() throws IOException {
         try (Stream<Path> open = Files.list(Path.of("/proc/self/fd"))) {
             return open.filter(descriptor -> {
-                try {
-                    return Files.readSymbolicLink(descriptor).toString().startsWith("socket:");
-                } catch (IOException e) {
-                    return false;
-                }
-            }).count();
+                        try {
+                            return Files.readSymbolicLink(descriptor).toString().startsWith("socket:");
+                        } catch (IOException e) {
+                            return false;
+                        }
+                    })
+                    .count();
         }
     }
 }
--- a/src/test/java/io/quartzgw/http/HttpServerTest.java
+++ b/src/test/java/io/quartzgw/http/HttpServerTest.java
@@ -27,8 +27,14 @@
     void moreClientsThanSocketsAreEachAnsweredAgainAndAgain() throws Exception {
         XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
         HttpServer[] server = new HttpServer[1];
-        server[0] = new HttpServer(worker, new DefaultByteBufferPool(true, 8 * 1024), new Endpoint("127.0.0.1", 0),
-                new Endpoint("127.0.0.1", 0), new Sockets(8, 8, 6, 1, 1), PATIENCE_MS, request -> {
+        server[0] = new HttpServer(
+                worker,
+                new DefaultByteBufferPool(true, 8 * 1024),
+                new Endpoint("127.0.0.1", 0),
+                new Endpoint("127.0.0.1", 0),
+                new Sockets(8, 8, 6, 1, 1),
+                PATIENCE_MS,
+                request -> {
                     server[0].answer(request.exchange(), Response.error(200, "none"));
                     return true;
                 });
@@ -43,7 +49,8 @@
                 for (Client client : clients) {
                     assertEquals("HTTP/1.1 200 OK", client.ask());
                 }
-                lasting = (int) clients.stream().filter(client -> client.socket != null).count();
+                lasting = (int)
+                        clients.stream().filter(client -> client.socket != null).count();
             }
             assertTrue(lasting > 0 && lasting <= 8, lasting + " connections are kept");
         } finally {
@@ -71,7 +78,8 @@
                 socket.setSoTimeout(PATIENCE_MS);
                 reader = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
             }
-            socket.getOutputStream().write("GET /ready HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream()
+                    .write("GET /ready HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
             String status = reader.readLine();
             int length = 0;
             boolean closes = false;
--- a/src/test/java/io/quartzgw/leadership/PeersTest.java
+++ b/src/test/java/io/quartzgw/leadership/PeersTest.java
@@ -27,11 +27,20 @@
     private static final LeadershipTimes TIMES = LeadershipTimes.of(2.5, 16, 36);
 
     private final Kernel kernel = new Kernel(1);
-    private final StoreClient store = new StoreClient(kernel, new Endpoint("10.2.0.1", 1), new StoreLimits(10, 10, 8192, 16));
+    private final StoreClient store =
+            new StoreClient(kernel, new Endpoint("10.2.0.1", 1), new StoreLimits(10, 10, 8192, 16));
     private final Horizon horizon = new Horizon(kernel, 36_000, Set.of("rig-1"));
     private final Leadership leadership = new Leadership(kernel, store, TIMES, "rig-0", 1, horizon);
-    private final Peers peers = new Peers(kernel, leadership, store, TIMES, "rig-0", 1,
-            Map.of("rig-1", new Endpoint("10.0.0.2", 8081)), new Cancellations(kernel, 36_000), horizon);
+    private final Peers peers = new Peers(
+            kernel,
+            leadership,
+            store,
+            TIMES,
+            "rig-0",
+            1,
+            Map.of("rig-1", new Endpoint("10.0.0.2", 8081)),
+            new Cancellations(kernel, 36_000),
+            horizon);
     private final List<JsonNode> told = new ArrayList<>();
 
     private static ObjectNode message(long process, long sequence) {
@@ -39,7 +48,9 @@
     }
 
     private void serve(ObjectNode message) {
-        kernel.handle(List.of(new Command.Arrived(new Request(1, Door.PEER, "POST", Peers.PATH, "", Json.writeCbor(message)))),
+        kernel.handle(
+                List.of(new Command.Arrived(
+                        new Request(1, Door.PEER, "POST", Peers.PATH, "", Json.writeCbor(message)))),
                 new Time(2, 2));
     }
 
@@ -49,9 +60,12 @@
     void countsAreTakenThoughAnAnswerOvertookThemAndNeverOlderOnes() {
         kernel.handle(List.of(), new Time(1, 1));
         kernel.route(peers::serve);
-        peers.start(most -> null, told::add, notice -> { });
-        Effect.Send beat = (Effect.Send) kernel.handle(List.of(), new Time(1, 1)).get(0);
-        kernel.handle(List.of(new Command.CallEnded(beat.call(), new Reply(200, Json.writeCbor(message(7, 11))))), new Time(2, 2));
+        peers.start(most -> null, told::add, notice -> {});
+        Effect.Send beat =
+                (Effect.Send) kernel.handle(List.of(), new Time(1, 1)).get(0);
+        kernel.handle(
+                List.of(new Command.CallEnded(beat.call(), new Reply(200, Json.writeCbor(message(7, 11))))),
+                new Time(2, 2));
         JsonNode newest = Json.object().set("j-1", Json.array().add(1).add(2));
         serve(message(7, 10).set("counts", newest));
         assertEquals(List.of(newest), told);
--- a/src/test/java/io/quartzgw/placement/SchedulerTest.java
+++ b/src/test/java/io/quartzgw/placement/SchedulerTest.java
@@ -22,27 +22,33 @@
 
 /** The scheduler's decisions against a plain model that recounts everything from the bookings. */
 class SchedulerTest {
-    private static final Map<String, Team> TEAMS = Map.of("limited", new Team("limited", 0, 24, 0, 0),
-            "free", new Team("free", 0, 0, 0, 0));
+    private static final Map<String, Team> TEAMS =
+            Map.of("limited", new Team("limited", 0, 24, 0, 0), "free", new Team("free", 0, 0, 0, 0));
     private static final MachineType TYPE =
             new MachineType("t", new Resources(8, 0, 32), 40, 1, 1, 0.3, 10, List.of("a", "b"));
 
     private final Kernel kernel = new Kernel(1);
     private final Cluster cluster = new Cluster(kernel, 1);
     private final List<Booking> stopped = new ArrayList<>();
-    private final Scheduler scheduler = new Scheduler(kernel, cluster, TEAMS, new Goals(Map.of(), Map.of()), false,
-            new WorkerTimes(2_500, 16_000, 36_000), new Starter() {
-        @Override
-        public void start(Booking booking) {
-            booking.markOffered();
-        }
+    private final Scheduler scheduler = new Scheduler(
+            kernel,
+            cluster,
+            TEAMS,
+            new Goals(Map.of(), Map.of()),
+            false,
+            new WorkerTimes(2_500, 16_000, 36_000),
+            new Starter() {
+                @Override
+                public void start(Booking booking) {
+                    booking.markOffered();
+                }
 
-        @Override
-        public void stop(Booking booking, double graceS) {
-            booking.stop(graceS);
-            stopped.add(booking);
-        }
-    });
+                @Override
+                public void stop(Booking booking, double graceS) {
+                    booking.stop(graceS);
+                    stopped.add(booking);
+                }
+            });
 
     private Machine machine(int number, boolean spot) {
         Machine machine = new Machine("i-" + number, TYPE, number % 2 == 0 ? "a" : "b", spot, 0, 0);
@@ -52,10 +58,35 @@
         return machine;
     }
 
-    private Job job(int number, String team, Shape shape, Priority priority, int tasks, double cpus, boolean oneZone,
-            boolean spread, boolean spot) {
-        JobSpec spec = new JobSpec("j-" + number, "w", team, shape, priority, tasks, new Resources(cpus, 0, 1),
-                "img-" + number % 3, 1, null, null, oneZone, spread, spot, 10, 0, 0, null);
+    private Job job(
+            int number,
+            String team,
+            Shape shape,
+            Priority priority,
+            int tasks,
+            double cpus,
+            boolean oneZone,
+            boolean spread,
+            boolean spot) {
+        JobSpec spec = new JobSpec(
+                "j-" + number,
+                "w",
+                team,
+                shape,
+                priority,
+                tasks,
+                new Resources(cpus, 0, 1),
+                "img-" + number % 3,
+                1,
+                null,
+                null,
+                oneZone,
+                spread,
+                spot,
+                10,
+                0,
+                0,
+                null);
         return cluster.add(new OpenJob(spec, number, 0));
     }
 
@@ -66,27 +97,36 @@
     }
 
     private double used(Machine machine) {
-        return bookings().stream().filter(b -> b.machine() == machine && !b.stopping())
-                .mapToDouble(b -> b.demand().cpus()).sum();
+        return bookings().stream()
+                .filter(b -> b.machine() == machine && !b.stopping())
+                .mapToDouble(b -> b.demand().cpus())
+                .sum();
     }
 
     private double used(String team) {
-        return bookings().stream().filter(b -> b.job().spec().team().equals(team))
-                .mapToDouble(b -> b.demand().cpus()).sum();
+        return bookings().stream()
+                .filter(b -> b.job().spec().team().equals(team))
+                .mapToDouble(b -> b.demand().cpus())
+                .sum();
     }
 
     private long inZone(Job job, String zone) {
-        return bookings().stream().filter(b -> b.job() == job && b.machine().zone().equals(zone)).count();
+        return bookings().stream()
+                .filter(b -> b.job() == job && b.machine().zone().equals(zone))
+                .count();
     }
 
     private boolean modelAllows(Job job, Machine machine) {
         JobSpec spec = job.spec();
         Team team = TEAMS.get(spec.team());
-        boolean quota = team.cpusLimit() == 0 || used(spec.team()) + spec.demand().cpus() <= team.cpusLimit();
-        boolean room = used(machine) + spec.demand().cpus() <= machine.type().size().cpus();
+        boolean quota =
+                team.cpusLimit() == 0 || used(spec.team()) + spec.demand().cpus() <= team.cpusLimit();
+        boolean room =
+                used(machine) + spec.demand().cpus() <= machine.type().size().cpus();
         boolean spread = !spec.spread() || inZone(job, machine.zone()) + 1 <= (spec.tasks() + 1) / 2;
         boolean together = !spec.oneZone()
-                || bookings().stream().noneMatch(b -> b.job() == job && !b.machine().zone().equals(machine.zone()));
+                || bookings().stream()
+                        .noneMatch(b -> b.job() == job && !b.machine().zone().equals(machine.zone()));
         return quota && room && spread && together && (spec.spot() || !machine.spot());
     }
 
@@ -101,9 +141,16 @@
         }
         for (int i = 0; i < 14; i++) {
             boolean service = random.nextBoolean();
-            job(i, random.nextBoolean() ? "limited" : "free", service ? Shape.SERVICE : Shape.ARRAY,
-                    service ? Priority.PRODUCTION : Priority.NORMAL, 1 + random.nextInt(5), 1 + random.nextInt(4),
-                    random.nextInt(4) == 0, service && random.nextBoolean(), !service && random.nextBoolean());
+            job(
+                    i,
+                    random.nextBoolean() ? "limited" : "free",
+                    service ? Shape.SERVICE : Shape.ARRAY,
+                    service ? Priority.PRODUCTION : Priority.NORMAL,
+                    1 + random.nextInt(5),
+                    1 + random.nextInt(4),
+                    random.nextInt(4) == 0,
+                    service && random.nextBoolean(),
+                    !service && random.nextBoolean());
             scheduler.run();
             for (Machine machine : machines) {
                 assertTrue(used(machine) <= 8, "no machine is overbooked");
@@ -111,13 +158,17 @@
             assertTrue(used("limited") <= 24, "the limit holds");
             for (Job job : cluster.jobs()) {
                 if (job.spec().spread()) {
-                    assertTrue(inZone(job, "a") <= job.spec().tasksPerZone() && inZone(job, "b") <= job.spec().tasksPerZone());
+                    assertTrue(inZone(job, "a") <= job.spec().tasksPerZone()
+                            && inZone(job, "b") <= job.spec().tasksPerZone());
                 }
                 if (job.nextWaiting() >= 0) {
-                    assertTrue(machines.stream().noneMatch(machine -> modelAllows(job, machine)),
+                    assertTrue(
+                            machines.stream().noneMatch(machine -> modelAllows(job, machine)),
                             job.id() + " waits though there is a place for it");
                 }
-                assertEquals(job.spec().tasks(), job.bookings().size() + job.waiting().cardinality());
+                assertEquals(
+                        job.spec().tasks(),
+                        job.bookings().size() + job.waiting().cardinality());
             }
         }
     }
@@ -156,7 +207,9 @@
             }
         }
         for (Job job : largest) {
-            assertTrue(job.doneCount() + job.mayRun() > 0, job.id() + " of " + job.spec().team() + " has not begun");
+            assertTrue(
+                    job.doneCount() + job.mayRun() > 0,
+                    job.id() + " of " + job.spec().team() + " has not begun");
         }
     }
 
@@ -213,6 +266,7 @@
         machine(1, false);
         scheduler.run();
         assertEquals(3, gang.bookings().size());
-        assertEquals(1, gang.bookings().stream().map(Booking::attempt).distinct().count(), "under one attempt");
+        assertEquals(
+                1, gang.bookings().stream().map(Booking::attempt).distinct().count(), "under one attempt");
     }
 }
--- a/src/test/java/io/quartzgw/progress/ProgressTest.java
+++ b/src/test/java/io/quartzgw/progress/ProgressTest.java
@@ -31,10 +31,10 @@
     private final Kernel kernel = new Kernel(1);
     private final SplittableRandom random = new SplittableRandom(9);
     private final LossyLink link = new LossyLink(kernel, new StoreStandIn(), random);
-    private final StoreClient store = new StoreClient(kernel, new Endpoint("10.2.0.1", 1),
-            new StoreLimits(100_000, 100_000, 8192, 16));
-    private final Leadership leadership = new Leadership(kernel, store, LeadershipTimes.of(2.5, 16, 36), "rig-0", 1,
-            new Horizon(kernel, 36_000, List.of()));
+    private final StoreClient store =
+            new StoreClient(kernel, new Endpoint("10.2.0.1", 1), new StoreLimits(100_000, 100_000, 8192, 16));
+    private final Leadership leadership = new Leadership(
+            kernel, store, LeadershipTimes.of(2.5, 16, 36), "rig-0", 1, new Horizon(kernel, 36_000, List.of()));
 
     private Progress progress() {
         return new Progress(kernel, store, leadership, leadership.termRevision(), REPORT_MS, new Progress.Listener() {
@@ -53,8 +53,28 @@
     }
 
     private static OpenJob job(int number) {
-        return new OpenJob(new JobSpec("j-" + number, "w", "free", Shape.ARRAY, Priority.NORMAL, TASKS,
-                new Resources(1, 0, 1), "img", 1, null, null, false, false, true, 10, 0, 0, null), number, 0);
+        return new OpenJob(
+                new JobSpec(
+                        "j-" + number,
+                        "w",
+                        "free",
+                        Shape.ARRAY,
+                        Priority.NORMAL,
+                        TASKS,
+                        new Resources(1, 0, 1),
+                        "img",
+                        1,
+                        null,
+                        null,
+                        false,
+                        false,
+                        true,
+                        10,
+                        0,
+                        0,
+                        null),
+                number,
+                0);
     }
 
     // Guards against a record that falls behind what was started: after a takeover those tasks would be placed
@@ -100,13 +120,15 @@
             link.pass(1, false);
             for (Job job : cluster.jobs()) {
                 Job found = successor.job(job.id());
-                assertTrue(found.startBelow() >= job.startBelow(),
+                assertTrue(
+                        found.startBelow() >= job.startBelow(),
                         "round " + round + ": " + found.startBelow() + " recorded of " + job.startBelow());
                 found.done().and(job.recorded());
                 assertEquals(job.recorded(), found.done(), "what workers may forget is recorded");
             }
         }
         assertTrue(cluster.jobs().stream().allMatch(job -> job.startBelow() > TASKS / 2), "starts went on");
-        assertTrue(cluster.jobs().stream().allMatch(job -> job.recorded().cardinality() > 10), "finishes were recorded");
+        assertTrue(
+                cluster.jobs().stream().allMatch(job -> job.recorded().cardinality() > 10), "finishes were recorded");
     }
 }
--- a/src/test/java/io/quartzgw/standin/ClassArchive.java
+++ b/src/test/java/io/quartzgw/standin/ClassArchive.java
@@ -10,8 +10,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Run by the build: makes the class-data archive from one real node that serves a little work against
- * the stand-ins on loopback. A node that starts from the archive is up in a fraction of the time.
+ * Run by the build: makes the class-data archive from one real node that serves a little work against the stand-ins on
+ * loopback. A node that starts from the archive is up in a fraction of the time.
  */
 public final class ClassArchive {
     private static final long LIMIT_MS = 20_000;
@@ -25,10 +25,16 @@
             List<String> command = new ArrayList<>();
             command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
             command.addAll(List.of(args).subList(2, args.length));
-            command.addAll(List.of("-XX:ArchiveClassesAtExit=" + args[1], "-jar", args[0], "--config",
+            command.addAll(List.of(
+                    "-XX:ArchiveClassesAtExit=" + args[1],
+                    "-jar",
+                    args[0],
+                    "--config",
                     world.settings(0, folder).toString()));
-            Process process = new ProcessBuilder(command).redirectErrorStream(true)
-                    .redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
+            Process process = new ProcessBuilder(command)
+                    .redirectErrorStream(true)
+                    .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                    .start();
             work(world);
             process.destroy();
             if (!process.waitFor(LIMIT_MS, TimeUnit.MILLISECONDS)) {
@@ -41,16 +47,33 @@
 
     private static void work(LoopbackWorld world) {
         long end = System.currentTimeMillis() + LIMIT_MS;
-        ObjectNode spec = Json.object().put("id", "j-000001").put("workload", "w").put("crew", "blue").put("shape", "array")
-                .put("urgency", "standard").put("shards", 4).put("cpus", 2.0).put("gpus", 0.0).put("ram_gb", 1.0)
-                .put("bundle", "img").put("pull_gb", 1.0).put("together", false).put("scatter", false)
-                .put("loaner", true).put("runtime_guess_s", 0.3).put("snapshot_every_s", 0.0)
+        ObjectNode spec = Json.object()
+                .put("id", "j-000001")
+                .put("workload", "w")
+                .put("crew", "blue")
+                .put("shape", "array")
+                .put("urgency", "standard")
+                .put("shards", 4)
+                .put("cpus", 2.0)
+                .put("gpus", 0.0)
+                .put("ram_gb", 1.0)
+                .put("bundle", "img")
+                .put("pull_gb", 1.0)
+                .put("together", false)
+                .put("scatter", false)
+                .put("loaner", true)
+                .put("runtime_guess_s", 0.3)
+                .put("snapshot_every_s", 0.0)
                 .put("snapshot_cost_s", 0.0);
         while (world.submit(0, spec).status() / 100 != 2 && System.currentTimeMillis() < end) {
             LoopbackWorld.pause(200);
         }
         world.request(0, "GET", "/ready", null);
-        while (!world.request(0, "GET", "/submissions/j-000001", null).json().path("phase").asText().equals("done")
+        while (!world.request(0, "GET", "/submissions/j-000001", null)
+                        .json()
+                        .path("phase")
+                        .asText()
+                        .equals("done")
                 && System.currentTimeMillis() < end) {
             LoopbackWorld.pause(200);
         }
--- a/src/test/java/io/quartzgw/standin/CloudStandIn.java
+++ b/src/test/java/io/quartzgw/standin/CloudStandIn.java
@@ -63,7 +63,9 @@
     }
 
     public List<String> running() {
-        return machines.keySet().stream().filter(id -> up.contains(id) && !machines.get(id).failed).toList();
+        return machines.keySet().stream()
+                .filter(id -> up.contains(id) && !machines.get(id).failed)
+                .toList();
     }
 
     public void tick(long now) {
@@ -100,8 +102,14 @@
             ids = new ArrayList<>();
             while (ids.size() < body.path("number").asInt() && machines.size() < capacity) {
                 String id = String.format("i-%06d", nextId++);
-                machines.put(id, new Rented(body.path("host_type").asText(), body.path("yard").asText(),
-                        body.path("loaner").asBoolean(), now, false));
+                machines.put(
+                        id,
+                        new Rented(
+                                body.path("host_type").asText(),
+                                body.path("yard").asText(),
+                                body.path("loaner").asBoolean(),
+                                now,
+                                false));
                 ids.add(id);
             }
             if (ids.isEmpty()) {
@@ -123,19 +131,29 @@
 
     private Reply list(URI uri, long now) {
         long asOf = now - lagMs;
-        Map<String, Rented> seen = new TreeMap<>(history.stream().filter(snapshot -> snapshot.at <= asOf)
-                .reduce((first, second) -> second).map(Snapshot::machines).orElse(Map.of()));
+        Map<String, Rented> seen = new TreeMap<>(history.stream()
+                .filter(snapshot -> snapshot.at <= asOf)
+                .reduce((first, second) -> second)
+                .map(Snapshot::machines)
+                .orElse(Map.of()));
         ObjectNode body = Json.object();
         ArrayNode list = body.putArray("hosts");
         Map<String, String> query = StoreStandIn.query(uri);
         String since = query.getOrDefault("since", "");
         int most = Integer.parseInt(query.getOrDefault("most", "500"));
-        body.put("more", seen.keySet().stream().filter(id -> id.compareTo(since) > 0).count() > most);
+        body.put(
+                "more",
+                seen.keySet().stream().filter(id -> id.compareTo(since) > 0).count() > most);
         seen.forEach((id, machine) -> {
             if (id.compareTo(since) > 0 && list.size() < most) {
                 String phase = machine.failed ? "failed" : asOf - machine.since >= bootMs ? "running" : "booting";
-                list.addObject().put("id", id).put("address", addresses.apply(id)).put("host_type", machine.type)
-                        .put("yard", machine.zone).put("loaner", machine.spot).put("phase", phase)
+                list.addObject()
+                        .put("id", id)
+                        .put("address", addresses.apply(id))
+                        .put("host_type", machine.type)
+                        .put("yard", machine.zone)
+                        .put("loaner", machine.spot)
+                        .put("phase", phase)
                         .put("held_s", (asOf - machine.since) / 1000.0);
             }
         });
@@ -147,9 +165,16 @@
         ArrayNode list = body.putArray("host_types");
         for (String name : List.of("small", "large")) {
             boolean large = name.equals("large");
-            ObjectNode type = list.addObject().put("name", name).put("cpus", large ? 16 : 8).put("gpus", 0)
-                    .put("ram_gb", 64).put("cache_gb", 40).put("pull_gb_per_s", 1.0)
-                    .put("hourly", large ? 1.9 : 1.0).put("spot_price", large ? 0.5 : 0.3).put("startup_s", 10);
+            ObjectNode type = list.addObject()
+                    .put("name", name)
+                    .put("cpus", large ? 16 : 8)
+                    .put("gpus", 0)
+                    .put("ram_gb", 64)
+                    .put("cache_gb", 40)
+                    .put("pull_gb_per_s", 1.0)
+                    .put("hourly", large ? 1.9 : 1.0)
+                    .put("spot_price", large ? 0.5 : 0.3)
+                    .put("startup_s", 10);
             type.putArray("yards").add("a").add("b");
         }
         return body;
--- a/src/test/java/io/quartzgw/standin/LoopbackWorld.java
+++ b/src/test/java/io/quartzgw/standin/LoopbackWorld.java
@@ -37,8 +37,11 @@
     private final CloudStandIn cloud = new CloudStandIn(200, 300, 4, this::addressOf);
     private final ExecutorService threads = Executors.newCachedThreadPool();
     private final ScheduledExecutorService clock = Executors.newSingleThreadScheduledExecutor();
-    private final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
-            .connectTimeout(Duration.ofSeconds(2)).executor(threads).build();
+    private final HttpClient http = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(Duration.ofSeconds(2))
+            .executor(threads)
+            .build();
     private final Map<String, JsonNode> jobs = new ConcurrentHashMap<>();
     private final Map<String, HttpServer> workerServers = new HashMap<>();
     private final Map<String, WorkerStandIn> workers = new ConcurrentHashMap<>();
@@ -97,8 +100,13 @@
 
     private void answer(HttpExchange exchange, Handler handler) throws IOException {
         byte[] body = exchange.getRequestBody().readAllBytes();
-        Call call = new Call(new Endpoint("127.0.0.1", 1), exchange.getRequestMethod(),
-                exchange.getRequestURI().toString(), null, body.length == 0 ? null : body, 0);
+        Call call = new Call(
+                new Endpoint("127.0.0.1", 1),
+                exchange.getRequestMethod(),
+                exchange.getRequestURI().toString(),
+                null,
+                body.length == 0 ? null : body,
+                0);
         CompletableFuture<Reply> reply = new CompletableFuture<>();
         synchronized (this) {
             handler.handle(call, now(), reply::complete);
@@ -118,22 +126,28 @@
     // ---- workers
 
     private synchronized String addressOf(String id) {
-        return "127.0.0.1:" + workerServers.computeIfAbsent(id, key -> {
-            try {
-                return serve((call, now, then) -> {
-                    WorkerStandIn worker = workers.get(id);
-                    then.accept(worker == null ? new Reply(503, new byte[0])
-                            : worker.orders(Json.readOrNull(call.body()), now));
-                });
-            } catch (IOException e) {
-                throw new IllegalStateException(e);
-            }
-        }).getAddress().getPort();
+        return "127.0.0.1:"
+                + workerServers
+                        .computeIfAbsent(id, key -> {
+                            try {
+                                return serve((call, now, then) -> {
+                                    WorkerStandIn worker = workers.get(id);
+                                    then.accept(
+                                            worker == null
+                                                    ? new Reply(503, new byte[0])
+                                                    : worker.orders(Json.readOrNull(call.body()), now));
+                                });
+                            } catch (IOException e) {
+                                throw new IllegalStateException(e);
+                            }
+                        })
+                        .getAddress()
+                        .getPort();
     }
 
     private void boot(String id, String type, String zone, boolean spot) {
-        WorkerStandIn worker = new WorkerStandIn(id, addressOf(id), type, zone, spot, LEASE_MS, now(), this::description,
-                new WorkerStandIn.Watcher() {
+        WorkerStandIn worker = new WorkerStandIn(
+                id, addressOf(id), type, zone, spot, LEASE_MS, now(), this::description, new WorkerStandIn.Watcher() {
                     @Override
                     public void started(WorkerStandIn on, String task) {}
 
@@ -149,8 +163,15 @@
 
     private WorkerStandIn.Description description(String job) {
         JsonNode spec = jobs.get(job);
-        return spec == null ? null : new WorkerStandIn.Description(spec.path("cpus").asDouble(),
-                spec.path("runtime_guess_s").asDouble(), 0, 0.1, spec.path("shape").asText().equals("daemon"), false);
+        return spec == null
+                ? null
+                : new WorkerStandIn.Description(
+                        spec.path("cpus").asDouble(),
+                        spec.path("runtime_guess_s").asDouble(),
+                        0,
+                        0.1,
+                        spec.path("shape").asText().equals("daemon"),
+                        false);
     }
 
     private void reportForever(WorkerStandIn worker) {
@@ -165,7 +186,8 @@
             }
             Reply reply = request(home, "POST", "/hello", report);
             if (reply.status() == 421 && reply.json().has("home_controller")) {
-                home = Integer.parseInt(reply.json().path("home_controller").asText().substring(4));
+                home = Integer.parseInt(
+                        reply.json().path("home_controller").asText().substring(4));
             } else if (!reply.ok()) {
                 home = (home + 1) % clientPorts.length;
             }
@@ -188,7 +210,8 @@
 
     /** A request to a node; lost when the node does not answer. */
     public Reply request(int node, String method, String path, JsonNode body) {
-        HttpRequest.BodyPublisher publisher = body == null ? HttpRequest.BodyPublishers.noBody()
+        HttpRequest.BodyPublisher publisher = body == null
+                ? HttpRequest.BodyPublishers.noBody()
                 : HttpRequest.BodyPublishers.ofByteArray(Json.write(body));
         return raw(node, method, path, publisher);
     }
@@ -204,7 +227,9 @@
 
     private Reply exchange(int port, String method, String path, HttpRequest.BodyPublisher body) {
         HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
-                .timeout(Duration.ofSeconds(4)).method(method, body).build();
+                .timeout(Duration.ofSeconds(4))
+                .method(method, body)
+                .build();
         try {
             HttpResponse<byte[]> response = http.send(request, HttpResponse.BodyHandlers.ofByteArray());
             return new Reply(response.statusCode(), response.body());
@@ -227,18 +252,31 @@
     /** Writes a node's settings file. */
     public Path settings(int node, Path folder) throws IOException {
         StringBuilder toml = new StringBuilder();
-        toml.append("member = \"rig-").append(node).append("\"\nsite = \"a\"\n")
-                .append("client_listen = \"127.0.0.1:").append(clientPorts[node]).append("\"\n")
-                .append("peer_listen = \"127.0.0.1:").append(peerPorts[node]).append("\"\n");
+        toml.append("member = \"rig-")
+                .append(node)
+                .append("\"\nsite = \"a\"\n")
+                .append("client_listen = \"127.0.0.1:")
+                .append(clientPorts[node])
+                .append("\"\n")
+                .append("peer_listen = \"127.0.0.1:")
+                .append(peerPorts[node])
+                .append("\"\n");
         for (int i = 0; i < clientPorts.length; i++) {
             if (i != node) {
-                toml.append("[[known]]\nmember = \"rig-").append(i).append("\"\nsite = \"a\"\nendpoint = \"127.0.0.1:")
-                        .append(peerPorts[i]).append("\"\n");
+                toml.append("[[known]]\nmember = \"rig-")
+                        .append(i)
+                        .append("\"\nsite = \"a\"\nendpoint = \"127.0.0.1:")
+                        .append(peerPorts[i])
+                        .append("\"\n");
             }
         }
-        toml.append("[external]\ncloud = \"127.0.0.1:").append(cloudServer.getAddress().getPort())
-                .append("\"\nstate = \"127.0.0.1:").append(storeServer.getAddress().getPort()).append("\"\n")
-                .append("[facts]\nsize = ").append(clientPorts.length)
+        toml.append("[external]\ncloud = \"127.0.0.1:")
+                .append(cloudServer.getAddress().getPort())
+                .append("\"\nstate = \"127.0.0.1:")
+                .append(storeServer.getAddress().getPort())
+                .append("\"\n")
+                .append("[facts]\nsize = ")
+                .append(clientPorts.length)
                 .append("\nzones = [\"a\", \"b\"]\ntime_bound_ms = 100.0\n")
                 .append("[[facts.teams]]\nname = \"blue\"\ncpus = 0.0\ncpus_max = 0.0\ngpus = 0.0\ngpus_max = 0.0\n")
                 .append("[facts.workers]\nreport_s = 0.4\nlease_s = 8.0\ncancel_s = 20.0\n")
