--- a/src/test/java/io/quartzgw/standin/LossyLink.java
+++ b/src/test/java/io/quartzgw/standin/LossyLink.java
@@ -11,8 +11,8 @@
 import java.util.SplittableRandom;
 
 /**
- * Carries a kernel's calls to a state service. Where it is lossy, a transaction may be lost on the way, to be
- * applied late, or its answer may be.
+ * Carries a kernel's calls to a state service. Where it is lossy, a transaction may be lost on the way, to be applied
+ * late, or its answer may be.
  */
 public final class LossyLink {
     private final Kernel kernel;
@@ -51,14 +51,16 @@
             return;
         }
         // A follow is answered when something has changed, and is never waited for here.
-        service.handle(send.request(), now, reply ->
-                ends.add(new Command.CallEnded(send.call(), fate == 2 ? Reply.lost() : reply)));
+        service.handle(
+                send.request(),
+                now,
+                reply -> ends.add(new Command.CallEnded(send.call(), fate == 2 ? Reply.lost() : reply)));
     }
 
     /** Applies one of the lost transactions now, if there is one. */
     public void applyOneLate() {
         if (!late.isEmpty()) {
-            service.handle(late.remove(random.nextInt(late.size())), now, reply -> { });
+            service.handle(late.remove(random.nextInt(late.size())), now, reply -> {});
         }
     }
 }
--- a/src/test/java/io/quartzgw/standin/Rules.java
+++ b/src/test/java/io/quartzgw/standin/Rules.java
@@ -31,7 +31,7 @@
     private final Set<String> abortAsked = new HashSet<>();
     private final Map<String, Long> waitingSince = new HashMap<>();
     private int startsAfterCancellation;
-    private Consumer<String> lastTaskEnded = job -> { };
+    private Consumer<String> lastTaskEnded = job -> {};
     private final Set<String> accepted = new HashSet<>();
     private final Map<String, Long> acceptedAt = new HashMap<>();
     private final Map<String, Long> finalAt = new HashMap<>();
@@ -73,7 +73,12 @@
 
     /** Open jobs of which a task runs, in the order of their names. */
     public List<String> runningJobs() {
-        return running.keySet().stream().map(Rules::job).distinct().filter(job -> !lastFinal.containsKey(job)).sorted().toList();
+        return running.keySet().stream()
+                .map(Rules::job)
+                .distinct()
+                .filter(job -> !lastFinal.containsKey(job))
+                .sorted()
+                .toList();
     }
 
     public String finalPhase(String job) {
@@ -94,8 +99,11 @@
         List<String> missing = new ArrayList<>();
         for (String job : accepted) {
             JsonNode spec = specs.get(job);
-            for (int i = 0; spec.path("shape").asText().equals("daemon") && !lastFinal.containsKey(job)
-                    && i < spec.path("shards").asInt(); i++) {
+            for (int i = 0;
+                    spec.path("shape").asText().equals("daemon")
+                            && !lastFinal.containsKey(job)
+                            && i < spec.path("shards").asInt();
+                    i++) {
                 if (!running.containsKey(job + "/" + i)) {
                     missing.add(job + "/" + i);
                 }
@@ -134,13 +142,17 @@
                 || spec.hasNonNull("yard") && !spec.path("yard").asText().equals(on.zone)) {
             breach("wrong_place", task + " on " + on.id);
         }
-        long inZone = running.entrySet().stream().filter(entry -> job(entry.getKey()).equals(job(task))
-                && entry.getValue().zone.equals(on.zone)).count();
-        if (spec.path("scatter").asBoolean() && inZone + 1 > (spec.path("shards").asInt() + 1) / 2) {
+        long inZone = running.entrySet().stream()
+                .filter(entry -> job(entry.getKey()).equals(job(task))
+                        && entry.getValue().zone.equals(on.zone))
+                .count();
+        if (spec.path("scatter").asBoolean()
+                && inZone + 1 > (spec.path("shards").asInt() + 1) / 2) {
             breach("wrong_place", task + " is one too many in " + on.zone);
         }
-        boolean elsewhere = running.entrySet().stream().anyMatch(entry -> job(entry.getKey()).equals(job(task))
-                && !entry.getValue().zone.equals(on.zone));
+        boolean elsewhere = running.entrySet().stream()
+                .anyMatch(entry -> job(entry.getKey()).equals(job(task))
+                        && !entry.getValue().zone.equals(on.zone));
         if (spec.path("together").asBoolean() && elsewhere) {
             breach("wrong_place", task + " is not with the others in " + on.zone);
         }
@@ -152,9 +164,11 @@
     }
 
     private double used(String team) {
-        return running.keySet().stream().map(other -> specs.get(job(other)))
+        return running.keySet().stream()
+                .map(other -> specs.get(job(other)))
                 .filter(other -> other.path("crew").asText().equals(team))
-                .mapToDouble(other -> other.path("cpus").asDouble()).sum();
+                .mapToDouble(other -> other.path("cpus").asDouble())
+                .sum();
     }
 
     @Override
@@ -219,7 +233,9 @@
                 breach("went_back", id + " is cancelled though nobody asked for it");
             }
         }
-        if (phase.equals("done") && completed.getOrDefault(id, Set.of()).size() < specs.get(id).path("shards").asInt()) {
+        if (phase.equals("done")
+                && completed.getOrDefault(id, Set.of()).size()
+                        < specs.get(id).path("shards").asInt()) {
             breach("not_done", id);
         }
     }
@@ -227,7 +243,8 @@
     /** Looks for tasks that are on a machine too long after their job was cancelled. */
     public void sweep(long now) {
         for (String job : accepted) {
-            if (now > troublesOverAt && !cancelledAt.containsKey(job)
+            if (now > troublesOverAt
+                    && !cancelledAt.containsKey(job)
                     && now - Math.max(troublesOverAt, answeredAt.get(job)) > ANSWERED_MS) {
                 breach("forgotten", job + " gets no answer");
             }
@@ -243,8 +260,10 @@
     /** Looks for jobs that wait though a machine that fits has room; to be called once all troubles are over. */
     public void sweepWaiting(Collection<WorkerStandIn> machines, long now) {
         for (String job : accepted) {
-            boolean could = !lastFinal.containsKey(job) && specs.get(job).path("shards").asInt()
-                    > completed.getOrDefault(job, Set.of()).size() + runningTasks(job).size()
+            boolean could = !lastFinal.containsKey(job)
+                    && specs.get(job).path("shards").asInt()
+                            > completed.getOrDefault(job, Set.of()).size()
+                                    + runningTasks(job).size()
                     && machines.stream().anyMatch(machine -> fits(job, machine));
             if (!could) {
                 waitingSince.remove(job);
@@ -256,7 +275,9 @@
     }
 
     private List<Map.Entry<String, WorkerStandIn>> runningTasks(String job) {
-        return running.entrySet().stream().filter(entry -> job(entry.getKey()).equals(job)).toList();
+        return running.entrySet().stream()
+                .filter(entry -> job(entry.getKey()).equals(job))
+                .toList();
     }
 
     private boolean fits(String job, WorkerStandIn machine) {
@@ -264,11 +285,15 @@
         double cpus = spec.path("cpus").asDouble();
         String team = spec.path("crew").asText();
         List<Map.Entry<String, WorkerStandIn>> others = runningTasks(job);
-        long inZone = others.stream().filter(entry -> entry.getValue().zone.equals(machine.zone)).count();
-        return machine.freeCpus() >= cpus && (!machine.spot || spec.path("loaner").asBoolean())
+        long inZone = others.stream()
+                .filter(entry -> entry.getValue().zone.equals(machine.zone))
+                .count();
+        return machine.freeCpus() >= cpus
+                && (!machine.spot || spec.path("loaner").asBoolean())
                 && (!spec.hasNonNull("yard") || spec.path("yard").asText().equals(machine.zone))
                 && (!spec.path("together").asBoolean() || inZone == others.size())
-                && (!spec.path("scatter").asBoolean() || inZone + 1 <= (spec.path("shards").asInt() + 1) / 2)
+                && (!spec.path("scatter").asBoolean()
+                        || inZone + 1 <= (spec.path("shards").asInt() + 1) / 2)
                 && (!limits.containsKey(team) || used(team) + cpus <= limits.get(team));
     }
 }
--- a/src/test/java/io/quartzgw/standin/SimWorld.java
+++ b/src/test/java/io/quartzgw/standin/SimWorld.java
@@ -32,8 +32,8 @@
 import java.util.function.Consumer;
 
 /**
- * Three cores, the stand-ins and a network in simulated time. Requests may be held up and delivered
- * late, sockets cut, nodes and machines killed; the same seed plays the same world.
+ * Three cores, the stand-ins and a network in simulated time. Requests may be held up and delivered late, sockets cut,
+ * nodes and machines killed; the same seed plays the same world.
  */
 public final class SimWorld {
     public static final String STORE = "store";
@@ -62,9 +62,11 @@
     private final Set<String> deaf = new HashSet<>();
     /** Controllers that the state service refuses while it serves the others. */
     private final Set<String> refused = new HashSet<>();
+
     private final Map<String, List<Runnable>> refusedWatches = new HashMap<>();
     /** Machines that can open no connection to a controller, while orders reach them. */
     private final Set<String> mute = new HashSet<>();
+
     private double lateTransactions;
     private double lostAnswers;
     private long slowStoreMs;
@@ -203,12 +205,30 @@
                 peers.put("rig-" + i, new Endpoint("10.0.0." + (i + 1), 8081));
             }
         }
-        return new Settings("rig-" + index, "a", new Endpoint("10.0.0." + (index + 1), 8080),
-                new Endpoint("10.0.0." + (index + 1), 8081), peers, CLOUD_AT, STORE_AT, nodes.size(),
-                List.of("a", "b"), 100, Map.of("red", new Team("red", 0, 40, 0, 0), "blue", new Team("blue", 0, 0, 0, 0),
-                        "green", new Team("green", 8, 24, 0, 0)),
-                List.of(), times, times.cancelMs() / 1000.0,
-                new StoreLimits(300, 120, StoreStandIn.VALUE_BYTES, StoreStandIn.TXN_OPS), new CloudLimits(4, 5_000), 1000);
+        return new Settings(
+                "rig-" + index,
+                "a",
+                new Endpoint("10.0.0." + (index + 1), 8080),
+                new Endpoint("10.0.0." + (index + 1), 8081),
+                peers,
+                CLOUD_AT,
+                STORE_AT,
+                nodes.size(),
+                List.of("a", "b"),
+                100,
+                Map.of(
+                        "red",
+                        new Team("red", 0, 40, 0, 0),
+                        "blue",
+                        new Team("blue", 0, 0, 0, 0),
+                        "green",
+                        new Team("green", 8, 24, 0, 0)),
+                List.of(),
+                times,
+                times.cancelMs() / 1000.0,
+                new StoreLimits(300, 120, StoreStandIn.VALUE_BYTES, StoreStandIn.TXN_OPS),
+                new CloudLimits(4, 5_000),
+                1000);
     }
 
     public void start(int index) {
@@ -264,13 +284,17 @@
 
     /** Commands that failed inside a node, on all that are up. */
     public long failures() {
-        return nodes.stream().filter(sim -> sim.node != null).mapToLong(sim -> sim.kernel.failures()).sum();
+        return nodes.stream()
+                .filter(sim -> sim.node != null)
+                .mapToLong(sim -> sim.kernel.failures())
+                .sum();
     }
 
     /** What the nodes that are up have counted since they started, by name, all together. */
     public Map<String, Long> counts() {
         Map<String, Long> counts = new TreeMap<>();
-        nodes.stream().filter(sim -> sim.node != null)
+        nodes.stream()
+                .filter(sim -> sim.node != null)
                 .forEach(sim -> sim.kernel.counts().forEach((name, count) -> counts.merge(name, count, Long::sum)));
         return counts;
     }
@@ -280,7 +304,9 @@
         int best = -1;
         for (int i = 0; i < nodes.size(); i++) {
             Node node = nodes.get(i).node;
-            if (node != null && node.leading() && (best < 0 || node.term() > nodes.get(best).node.term())) {
+            if (node != null
+                    && node.leading()
+                    && (best < 0 || node.term() > nodes.get(best).node.term())) {
                 best = i;
             }
         }
@@ -333,8 +359,10 @@
         }
         long id = ++sim.exchanges;
         sim.inbound.put(id, response -> then.accept(new Reply(response.status(), response.body())));
-        handle(sim, List.of(new Command.Arrived(new Request(id, door, call.method(), call.path(), "",
-                call.body() == null ? new byte[0] : call.body()))));
+        handle(
+                sim,
+                List.of(new Command.Arrived(new Request(
+                        id, door, call.method(), call.path(), "", call.body() == null ? new byte[0] : call.body()))));
     }
 
     // ---- network
@@ -429,21 +457,44 @@
             }
         }
         String id = "j-9" + now;
-        ObjectNode good = Json.object().put("id", id).put("workload", "odd").put("crew", "blue").put("shape", "array")
-                .put("urgency", "standard").put("shards", 1).put("cpus", 1.0).put("gpus", 0.0).put("ram_gb", 1.0)
-                .put("bundle", "img-0").put("pull_gb", 1.0).put("together", false).put("scatter", false)
-                .put("loaner", false).put("runtime_guess_s", 1.0).put("snapshot_every_s", 0.0).put("snapshot_cost_s", 0.0);
+        ObjectNode good = Json.object()
+                .put("id", id)
+                .put("workload", "odd")
+                .put("crew", "blue")
+                .put("shape", "array")
+                .put("urgency", "standard")
+                .put("shards", 1)
+                .put("cpus", 1.0)
+                .put("gpus", 0.0)
+                .put("ram_gb", 1.0)
+                .put("bundle", "img-0")
+                .put("pull_gb", 1.0)
+                .put("together", false)
+                .put("scatter", false)
+                .put("loaner", false)
+                .put("runtime_guess_s", 1.0)
+                .put("snapshot_every_s", 0.0)
+                .put("snapshot_cost_s", 0.0);
         List<ObjectNode> bad = new ArrayList<>();
         good.fieldNames().forEachRemaining(field -> bad.add(good.deepCopy().without(field)));
         bad.add(good.deepCopy().put("cpus", 99.0));
         bad.add(good.deepCopy().put("crew", "nobody"));
-        bad.add(good.deepCopy().put("crew", "red").put("shape", "daemon").put("shards", 30).put("cpus", 4.0));
+        bad.add(good.deepCopy()
+                .put("crew", "red")
+                .put("shape", "daemon")
+                .put("shards", 30)
+                .put("cpus", 4.0));
         bad.add(good.deepCopy().put("shards", "one"));
         bad.add(good.deepCopy().put("yard", "nowhere"));
-        bad.forEach(spec -> user(anyNode(), "POST", "/submissions", spec, reply ->
-                rules.toldOfBadJob(spec.toString(), reply.status())));
+        bad.forEach(spec -> user(
+                anyNode(), "POST", "/submissions", spec, reply -> rules.toldOfBadJob(spec.toString(), reply.status())));
         user(anyNode(), "GET", "/submissions/" + id, null, reply -> rules.toldOfNoJob(id, reply.status()));
-        user(anyNode(), "POST", "/submissions/" + id + "/abort", Json.object(), reply -> rules.toldOfNoJob(id, reply.status()));
+        user(
+                anyNode(),
+                "POST",
+                "/submissions/" + id + "/abort",
+                Json.object(),
+                reply -> rules.toldOfNoJob(id, reply.status()));
     }
 
     /** Looks for jobs that wait though there is room, now that all troubles are over. */
@@ -483,7 +534,9 @@
     }
 
     private boolean isCut(String one, String other) {
-        return cuts.contains(one + "|" + other) || cuts.contains(other + "|" + one) || cuts.contains(one + "|*")
+        return cuts.contains(one + "|" + other)
+                || cuts.contains(other + "|" + one)
+                || cuts.contains(one + "|*")
                 || cuts.contains(other + "|*");
     }
 
@@ -498,15 +551,20 @@
         };
         at(now + call.timeoutMs(), () -> once.accept(Reply.lost()));
         boolean late = call.path().equals("/multi") && random.nextDouble() < lateTransactions;
-        boolean answerLost = lostAnswers > 0 && call.path().equals("/multi") && random.nextDouble() < lostAnswers
+        boolean answerLost = lostAnswers > 0
+                && call.path().equals("/multi")
+                && random.nextDouble() < lostAnswers
                 && Json.readOrNull(call.body()).has("apply");
         long heldTo = call.path().equals("/orders") && heldOrders > 0 && random.nextDouble() < heldOrders
-                ? 1_000 + random.nextInt(8_000) : 0;
+                ? 1_000 + random.nextInt(8_000)
+                : 0;
         long heldBack = heldTo > 0 && random.nextBoolean() ? heldTo : 0;
-        long slow = to.equals(STORE) ? slowStoreMs > 0 ? random.nextLong(slowStoreMs) : 0 : to.startsWith("i-") ? link() : 0;
+        long slow = to.equals(STORE)
+                ? slowStoreMs > 0 ? random.nextLong(slowStoreMs) : 0
+                : to.startsWith("i-") ? link() : 0;
         long slowThere = to.startsWith("i-") ? link() : 0;
         if (to.startsWith("rig-")) {
-            perhapsCopy(() -> serve(from, to, call, reply -> { }));
+            perhapsCopy(() -> serve(from, to, call, reply -> {}));
         }
         Runnable arrive = () -> serve(from, to, call, reply -> {
             if (!isCut(from, to) && !answerLost) {
@@ -542,7 +600,9 @@
             store.handle(call, now, reply -> {
                 if (refused.contains(from)) {
                     // Asked before: an open watch.
-                    refusedWatches.computeIfAbsent(from, key -> new ArrayList<>()).add(() -> then.accept(reply));
+                    refusedWatches
+                            .computeIfAbsent(from, key -> new ArrayList<>())
+                            .add(() -> then.accept(reply));
                 } else {
                     then.accept(reply);
                 }
@@ -558,8 +618,10 @@
             }
             Runnable execute = () -> {
                 sim.worker.tick(now);
-                then.accept(call.path().equals("/show") ? StoreStandIn.reply(200, sim.worker.report())
-                        : sim.worker.orders(Json.readOrNull(call.body()), now));
+                then.accept(
+                        call.path().equals("/show")
+                                ? StoreStandIn.reply(200, sim.worker.report())
+                                : sim.worker.orders(Json.readOrNull(call.body()), now));
             };
             if (sim.hanging) {
                 sim.whileHanging.add(execute);
@@ -572,7 +634,8 @@
     // ---- workers
 
     private void boot(String id, String type, String zone, boolean spot) {
-        SimWorker sim = new SimWorker(new WorkerStandIn(id, address(id), type, zone, spot, times.leaseMs(), now, this::description, rules));
+        SimWorker sim = new SimWorker(
+                new WorkerStandIn(id, address(id), type, zone, spot, times.leaseMs(), now, this::description, rules));
         sim.home = random.nextInt(nodes.size());
         workers.put(id, sim);
         rules.now(() -> now);
@@ -606,7 +669,8 @@
         long tenure = sim.worker.tenure();
         long sentAt = now;
         int target = sim.home;
-        Call call = Call.post(new Endpoint("10.0.0." + (target + 1), 8080), "/hello", sim.worker.report(), WORKER_TIMEOUT_MS);
+        Call call = Call.post(
+                new Endpoint("10.0.0." + (target + 1), 8080), "/hello", sim.worker.report(), WORKER_TIMEOUT_MS);
         String name = "rig-" + target;
         boolean[] done = new boolean[1];
         Consumer<Reply> end = reply -> {
@@ -617,7 +681,7 @@
         };
         at(now + WORKER_TIMEOUT_MS, () -> end.accept(Reply.lost()));
         if (!isCut(sim.worker.id, name) && !mute.contains(sim.worker.id)) {
-            perhapsCopy(() -> deliver(target, Door.CLIENT, call, reply -> { }));
+            perhapsCopy(() -> deliver(target, Door.CLIENT, call, reply -> {}));
         }
         Runnable arrive = () -> deliver(target, Door.CLIENT, call, reply -> {
             if (!isCut(sim.worker.id, name) && !deaf.contains(sim.worker.id)) {
@@ -645,7 +709,8 @@
             return;
         }
         if (reply.status() == 421 && reply.json().has("home_controller")) {
-            sim.home = Integer.parseInt(reply.json().path("home_controller").asText().substring(4));
+            sim.home = Integer.parseInt(
+                    reply.json().path("home_controller").asText().substring(4));
             at(now + 100, () -> sim.reporting = false);
         } else {
             sim.home = (sim.home + 1) % nodes.size();
@@ -689,9 +754,15 @@
 
     private WorkerStandIn.Description description(String job) {
         JsonNode spec = submitted.get(job);
-        return spec == null ? null : new WorkerStandIn.Description(spec.path("cpus").asDouble(),
-                spec.path("runtime_guess_s").asDouble(), spec.path("each_longer_s").asDouble(), spec.path("pull_gb").asDouble() / 2,
-                spec.path("shape").asText().equals("daemon"), spec.path("bundle").asText().equals("broken"));
+        return spec == null
+                ? null
+                : new WorkerStandIn.Description(
+                        spec.path("cpus").asDouble(),
+                        spec.path("runtime_guess_s").asDouble(),
+                        spec.path("each_longer_s").asDouble(),
+                        spec.path("pull_gb").asDouble() / 2,
+                        spec.path("shape").asText().equals("daemon"),
+                        spec.path("bundle").asText().equals("broken"));
     }
 
     // ---- users
@@ -706,10 +777,16 @@
             }
         };
         at(now + 5_000, () -> once.accept(Reply.lost()));
-        Call call = body == null ? Call.get(new Endpoint("10.0.0.1", 1), path, 5_000)
+        Call call = body == null
+                ? Call.get(new Endpoint("10.0.0.1", 1), path, 5_000)
                 : Call.post(new Endpoint("10.0.0.1", 1), path, body, 5_000);
-        at(now + 1, () -> deliver(node, Door.CLIENT, new Call(call.to(), method, path, call.type(), call.body(), 5_000),
-                reply -> at(now + 1, () -> once.accept(reply))));
+        at(
+                now + 1,
+                () -> deliver(
+                        node,
+                        Door.CLIENT,
+                        new Call(call.to(), method, path, call.type(), call.body(), 5_000),
+                        reply -> at(now + 1, () -> once.accept(reply))));
     }
 
     /** A user's request about a job, whose answer the rules watch. */
@@ -755,8 +832,7 @@
     }
 
     private void poll(String id) {
-        at(now + 2_000 + random.nextInt(1_000),
-                () -> ask(id, "GET", "/submissions/" + id, null, reply -> poll(id)));
+        at(now + 2_000 + random.nextInt(1_000), () -> ask(id, "GET", "/submissions/" + id, null, reply -> poll(id)));
     }
 
     /** Calls a job off through one controller, once; the rules watch the answer. */
@@ -785,7 +861,7 @@
 
     private void abort(String id) {
         rules.abortAsked(id);
-        perhapsCopy(() -> ask(id, "POST", "/submissions/" + id + "/abort", Json.object(), reply -> { }));
+        perhapsCopy(() -> ask(id, "POST", "/submissions/" + id + "/abort", Json.object(), reply -> {}));
         ask(id, "POST", "/submissions/" + id + "/abort", Json.object(), reply -> {
             if (!reply.ok()) {
                 at(now + 1_000, () -> abort(id));
--- a/src/test/java/io/quartzgw/standin/StoreStandIn.java
+++ b/src/test/java/io/quartzgw/standin/StoreStandIn.java
@@ -106,8 +106,11 @@
             then.accept(reply(503, Json.object().put("error", "trouble")));
         } else if (uri.getPath().equals("/follow")) {
             Map<String, String> query = query(uri);
-            Follow follow = new Follow(query.get("starts"), Long.parseLong(query.get("since")),
-                    now + Long.parseLong(query.getOrDefault("hold_ms", "0")), then);
+            Follow follow = new Follow(
+                    query.get("starts"),
+                    Long.parseLong(query.get("since")),
+                    now + Long.parseLong(query.getOrDefault("hold_ms", "0")),
+                    then);
             if (follow.since < forgottenTo) {
                 then.accept(reply(410, Json.object()));
             } else if (followsHeld || changes(follow).isEmpty()) {
@@ -128,7 +131,8 @@
         }
         if (path.startsWith("/keys/")) {
             Item item = items.get(path.substring("/keys/".length()));
-            return item == null ? reply(404, Json.object().put("store_rev", revision))
+            return item == null
+                    ? reply(404, Json.object().put("store_rev", revision))
                     : reply(200, node(path.substring("/keys/".length()), item));
         }
         if (path.equals("/multi")) {
@@ -182,7 +186,8 @@
     }
 
     private static boolean tooMuch(JsonNode body) {
-        if (body.path("apply").size() > TXN_OPS || body.path("guards").size() > 4 * TXN_OPS
+        if (body.path("apply").size() > TXN_OPS
+                || body.path("guards").size() > 4 * TXN_OPS
                 || Json.write(body).length > TXN_BYTES) {
             return true;
         }
@@ -222,7 +227,9 @@
             if (write.has("drop")) {
                 change(write.path("drop").asText(), null, null);
             } else {
-                change(write.path("write").asText(), write.path("data"),
+                change(
+                        write.path("write").asText(),
+                        write.path("data"),
                         write.has("permit") ? (Long) write.path("permit").asLong() : null);
             }
         }
@@ -244,7 +251,8 @@
         holds.remove(permit);
         List<String> held = items.entrySet().stream()
                 .filter(entry -> entry.getValue().permit != null && entry.getValue().permit == permit)
-                .map(Map.Entry::getKey).toList();
+                .map(Map.Entry::getKey)
+                .toList();
         if (!held.isEmpty()) {
             revision++;
             held.forEach(key -> change(key, null, null));
@@ -252,14 +260,17 @@
     }
 
     private List<News> changes(Follow follow) {
-        return news.stream().filter(item -> item.revision > follow.since && item.key.startsWith(follow.prefix)).toList();
+        return news.stream()
+                .filter(item -> item.revision > follow.since && item.key.startsWith(follow.prefix))
+                .toList();
     }
 
     private Reply followed(Follow follow) {
         ObjectNode body = Json.object().put("store_rev", revision);
         ArrayNode list = body.putArray("news");
         for (News item : changes(follow)) {
-            ObjectNode node = list.addObject().put(item.value == null ? "drop" : "write", item.key)
+            ObjectNode node = list.addObject()
+                    .put(item.value == null ? "drop" : "write", item.key)
                     .put("key_rev", item.revision);
             if (item.value != null) {
                 node.set("data", item.value);
--- a/src/test/java/io/quartzgw/standin/WorkerStandIn.java
+++ b/src/test/java/io/quartzgw/standin/WorkerStandIn.java
@@ -20,7 +20,8 @@
      *
      * @param longerS how much longer each task runs than the one before it
      */
-    public record Description(double cpus, double runS, double longerS, double imageS, boolean service, boolean faulty) {}
+    public record Description(
+            double cpus, double runS, double longerS, double imageS, boolean service, boolean faulty) {}
 
     /** Told when a task begins to be, and ceases to be, on the machine. */
     public interface Watcher {
@@ -62,8 +63,16 @@
     private long renewedAt;
     private boolean changed;
 
-    public WorkerStandIn(String id, String address, String type, String zone, boolean spot, long leaseMs, long now,
-            Function<String, Description> jobs, Watcher watcher) {
+    public WorkerStandIn(
+            String id,
+            String address,
+            String type,
+            String zone,
+            boolean spot,
+            long leaseMs,
+            long now,
+            Function<String, Description> jobs,
+            Watcher watcher) {
         this.id = id;
         this.address = address;
         this.type = type;
@@ -99,7 +108,11 @@
 
     /** The room that is left beside all that was started here. */
     double freeCpus() {
-        return size() - tasks.values().stream().filter(task -> task.cause == null).mapToDouble(task -> task.job.cpus()).sum();
+        return size()
+                - tasks.values().stream()
+                        .filter(task -> task.cause == null)
+                        .mapToDouble(task -> task.job.cpus())
+                        .sum();
     }
 
     private double size() {
@@ -107,7 +120,10 @@
     }
 
     public List<String> running() {
-        return tasks.values().stream().filter(task -> task.running).map(task -> task.name).toList();
+        return tasks.values().stream()
+                .filter(task -> task.running)
+                .map(task -> task.name)
+                .toList();
     }
 
     /** The machine is gone, with all that is on it. */
@@ -157,8 +173,14 @@
     }
 
     public ObjectNode report() {
-        ObjectNode report = Json.object().put("host", id).put("address", address).put("host_type", type)
-                .put("yard", zone).put("loaner", spot).put("tenure", tenure).put("counter", ++counter)
+        ObjectNode report = Json.object()
+                .put("host", id)
+                .put("address", address)
+                .put("host_type", type)
+                .put("yard", zone)
+                .put("loaner", spot)
+                .put("tenure", tenure)
+                .put("counter", ++counter)
                 .put("baton", token);
         report.putNull("reclaim_in_s");
         ArrayNode list = report.putArray("shards");
--- a/src/test/java/io/quartzgw/store/PackedRecordsTest.java
+++ b/src/test/java/io/quartzgw/store/PackedRecordsTest.java
@@ -22,14 +22,15 @@
     private final SplittableRandom random = new SplittableRandom(4);
     private final StoreStandIn service = new StoreStandIn();
     private final LossyLink link = new LossyLink(kernel, service, random);
-    private final StoreClient client = new StoreClient(kernel, new Endpoint("10.2.0.1", 1),
-            new StoreLimits(100_000, 100_000, 8192, 16));
+    private final StoreClient client =
+            new StoreClient(kernel, new Endpoint("10.2.0.1", 1), new StoreLimits(100_000, 100_000, 8192, 16));
     private final PackedRecords records = new PackedRecords(client, PREFIX, Txn::new);
 
     private Map<String, JsonNode> stored() {
         Map<String, JsonNode> stored = new TreeMap<>();
-        client.list(PREFIX, listing -> listing.entries().forEach(page ->
-                page.value().properties().forEach(item -> stored.put(item.getKey(), item.getValue()))));
+        client.list(PREFIX, listing -> listing.entries()
+                .forEach(
+                        page -> page.value().properties().forEach(item -> stored.put(item.getKey(), item.getValue()))));
         link.pass(1, false);
         return stored;
     }
