--- a/src/main/java/io/quartzgw/app/Main.java
+++ b/src/main/java/io/quartzgw/app/Main.java
@@ -24,6 +24,7 @@
     @Option(names = "--check-config", description = "check the settings, say what is wrong with them, and exit")
     private boolean checkOnly;
 
+    /** Runs the command line and exits with its status. */
     public static void main(String[] args) {
         // Before the first logger is made.
         String level = System.getenv().getOrDefault("LOG_LEVEL", "info");
--- a/src/main/java/io/quartzgw/app/SettingsReader.java
+++ b/src/main/java/io/quartzgw/app/SettingsReader.java
@@ -24,6 +24,7 @@
 
     private SettingsReader() {}
 
+    /** Reads and checks a settings file; the exception names the first field that cannot be used. */
     public static Settings read(Path file) throws InvalidSettings {
         try {
             return read(Files.readString(file));
--- a/src/main/java/io/quartzgw/cancellation/Cancellations.java
+++ b/src/main/java/io/quartzgw/cancellation/Cancellations.java
@@ -30,6 +30,7 @@
     private final Map<String, Long> toldAt = new LinkedHashMap<>();
     private Consumer<String> listener = job -> {};
 
+    /** @param cancelMs how long after a cancellation its tasks may still run */
     public Cancellations(Kernel kernel, long cancelMs) {
         this.kernel = kernel;
         this.namedMs = (long) (NAMED_LIMITS * cancelMs);
--- a/src/main/java/io/quartzgw/fleet/CloudClient.java
+++ b/src/main/java/io/quartzgw/fleet/CloudClient.java
@@ -40,14 +40,17 @@
 
     /** What a rental request brought. */
     public sealed interface Hired {
+        /** The machines that were rented, possibly fewer than requested. */
         record Machines(List<String> ids) implements Hired {}
 
+        /** The cloud has no machine of the requested type, zone and kind. */
         record NoCapacity() implements Hired {}
 
         /** No clear answer: the same request has to be repeated. */
         record Unclear() implements Hired {}
     }
 
+    /** @param limits how many requests the cloud takes from this node */
     public CloudClient(Kernel kernel, Endpoint endpoint, CloudLimits limits) {
         this.kernel = kernel;
         this.drain = new Once(kernel, this::drain);
@@ -62,6 +65,7 @@
                 reply -> then.accept(reply.ok() ? reply.json() : null));
     }
 
+    /** Requests machines; a request name must never be used for a second, different request. */
     public void hire(String request, String type, String zone, boolean spot, int count, Consumer<Hired> then) {
         ObjectNode body = Json.object()
                 .put("hire", request)
--- a/src/main/java/io/quartzgw/fleet/MachineTypes.java
+++ b/src/main/java/io/quartzgw/fleet/MachineTypes.java
@@ -28,6 +28,7 @@
     private final BooleanSupplier leading;
     private Map<String, MachineType> types = Map.of();
 
+    /** @param leading whether this node leads: only the leader asks the cloud and writes the table */
     public MachineTypes(Kernel kernel, StoreClient store, CloudClient cloud, BooleanSupplier leading) {
         this.kernel = kernel;
         this.store = store;
@@ -35,6 +36,7 @@
         this.leading = leading;
     }
 
+    /** Reads the stored table and begins to refresh it. */
     public void start() {
         readStored();
         kernel.every(REFRESH_MS, () -> {
--- a/src/main/java/io/quartzgw/leadership/Leadership.java
+++ b/src/main/java/io/quartzgw/leadership/Leadership.java
@@ -66,6 +66,7 @@
     private long hold;
     private long confirmedAt;
 
+    /** @param process number of this process, which no other process of the member has */
     public Leadership(
             Kernel kernel, StoreClient store, LeadershipTimes times, String member, long process, Horizon horizon) {
         this.kernel = kernel;
@@ -76,6 +77,7 @@
         this.horizon = horizon;
     }
 
+    /** Begins to follow the leader record and to stand for election. */
     public void start(Listener told) {
         this.listener = told;
         observe();
--- a/src/main/java/io/quartzgw/leadership/LeadershipTimes.java
+++ b/src/main/java/io/quartzgw/leadership/LeadershipTimes.java
@@ -26,6 +26,7 @@
         return cancelS - leaseS - MARGIN_REPORTS * reportS;
     }
 
+    /** Derives all times from the report interval, the worker lease and the time allowed for a cancellation. */
     public static LeadershipTimes of(double reportS, double leaseS, double cancelS) {
         // Grace + lease stays below the cancel limit: a task of a job that was cancelled through
         // another node ends in time even on a machine that only the cut-off leader reaches.
--- a/src/main/java/io/quartzgw/leadership/Peers.java
+++ b/src/main/java/io/quartzgw/leadership/Peers.java
@@ -61,6 +61,7 @@
         private long renouncedBelow;
     }
 
+    /** @param others the peer listeners of the other controllers, by member */
     public Peers(
             Kernel kernel,
             Leadership leadership,
--- a/src/main/java/io/quartzgw/loop/Kernel.java
+++ b/src/main/java/io/quartzgw/loop/Kernel.java
@@ -61,6 +61,7 @@
         return random;
     }
 
+    /** Schedules a task; tasks due at the same time run in the order in which they were scheduled. */
     public Timer after(long delayMs, Runnable task) {
         Timer timer = new Timer(now() + Math.max(0, delayMs), ++sequence, task);
         timers.add(timer);
@@ -75,6 +76,7 @@
         });
     }
 
+    /** Starts an outbound call whose reply, or failure, is passed to {@code then} in a later batch. */
     public void call(Call call, Consumer<Reply> then) {
         long id = ++sequence;
         awaited.put(id, then);
--- a/src/main/java/io/quartzgw/placement/Booking.java
+++ b/src/main/java/io/quartzgw/placement/Booking.java
@@ -67,6 +67,7 @@
         return phase != Phase.ORDERED;
     }
 
+    /** Notes the phase that the worker reports for this attempt. */
     public void seen(Phase reported, long now) {
         if (reported == Phase.RUNNING && phase != Phase.RUNNING) {
             runningSince = now;
--- a/src/main/java/io/quartzgw/placement/Cluster.java
+++ b/src/main/java/io/quartzgw/placement/Cluster.java
@@ -157,6 +157,7 @@
         return (term << 32) + ++attempts;
     }
 
+    /** Assigns a task to a machine and reserves the resources there. */
     public Booking book(Job job, int index, Machine machine, long attempt) {
         if (job.booking(index) != null) {
             throw new IllegalStateException(job.task(index) + " has a place already");
--- a/src/main/java/io/quartzgw/placement/Job.java
+++ b/src/main/java/io/quartzgw/placement/Job.java
@@ -93,6 +93,7 @@
         return new ArrayList<>(bookings.values());
     }
 
+    /** The number of tasks that workers report as running. */
     public int runningCount() {
         return (int) bookings.values().stream()
                 .filter(b -> b.phase() == Booking.Phase.RUNNING)
--- a/src/main/java/io/quartzgw/placement/Machine.java
+++ b/src/main/java/io/quartzgw/placement/Machine.java
@@ -45,6 +45,10 @@
     private final LinkedHashMap<String, Double> images = new LinkedHashMap<>(8, 0.75f, true);
     private final Set<String> failedJobs = new HashSet<>();
 
+    /**
+     * @param rentedAt when the machine was rented, in milliseconds of the steady clock
+     * @param now the current time of the same clock
+     */
     public Machine(String id, MachineType type, String zone, boolean spot, long rentedAt, long now) {
         this.id = id;
         this.type = type;
--- a/src/main/java/io/quartzgw/placement/Presence.java
+++ b/src/main/java/io/quartzgw/placement/Presence.java
@@ -127,6 +127,7 @@
         return unreachableSince;
     }
 
+    /** Notes that the machine may not receive what is sent to it. */
     public void lostTouch(long now) {
         if (!unreachable) {
             unreachable = true;
--- a/src/main/java/io/quartzgw/progress/Progress.java
+++ b/src/main/java/io/quartzgw/progress/Progress.java
@@ -68,6 +68,7 @@
         void endedOtherwise(Job job);
     }
 
+    /** @param termRevision revision of the term key, which guards every write of this leader */
     public Progress(
             Kernel kernel,
             StoreClient store,
--- a/src/main/java/io/quartzgw/recovery/Holds.java
+++ b/src/main/java/io/quartzgw/recovery/Holds.java
@@ -13,6 +13,7 @@
     /** How much longer than the lease: a worker may be slow to notice that its lease has run out. */
     private static final double BEYOND_LEASE = 0.06;
 
+    /** Derives the reservation time of silent machines from the worker lease. */
     public static Holds of(WorkerTimes times) {
         // Never below the lease: before it has run out on the worker's clock, the tasks may be running.
         return new Holds(
--- a/src/main/java/io/quartzgw/store/RateBudget.java
+++ b/src/main/java/io/quartzgw/store/RateBudget.java
@@ -7,6 +7,7 @@
     private double tokens;
     private long filledAt;
 
+    /** @param perS tokens added a second, and the capacity of the bucket */
     public RateBudget(double perS, long now) {
         this.perMs = perS / 1000;
         this.capacity = Math.max(1, perS);
--- a/src/main/java/io/quartzgw/store/StoreClient.java
+++ b/src/main/java/io/quartzgw/store/StoreClient.java
@@ -48,6 +48,7 @@
 
     private record Waiting(Call call, int writes, long since, Consumer<Reply> then) {}
 
+    /** @param share the part of the state service's limits that this node may use */
     public StoreClient(Kernel kernel, Endpoint endpoint, StoreLimits share) {
         this.kernel = kernel;
         this.drain = new Once(kernel, this::drain);
@@ -134,6 +135,7 @@
 
     // ---- transactions
 
+    /** Sends a transaction; an outcome that is not known is reported as such and must not be taken for a failure. */
     public void commit(Txn txn, Urgency urgency, Consumer<TxnOutcome> then) {
         ObjectNode body = Json.object();
         ArrayNode guards = body.putArray("guards");
@@ -197,6 +199,7 @@
         UNKNOWN
     }
 
+    /** Renews a lease of the state service. */
     public void extendHold(long hold, Consumer<Extension> then) {
         submit(
                 Call.post(endpoint, "/holds/" + hold + "/extend", Json.object(), TIMEOUT_MS),
--- a/src/main/java/io/quartzgw/store/TxnOutcome.java
+++ b/src/main/java/io/quartzgw/store/TxnOutcome.java
@@ -5,6 +5,7 @@
 /** How a transaction ended. */
 public sealed interface TxnOutcome {
 
+    /** All changes were applied, at this revision. */
     record Committed(long revision) implements TxnOutcome {}
 
     /** Nothing was written; these guards did not hold. */
--- a/src/main/java/io/quartzgw/submission/JobCodec.java
+++ b/src/main/java/io/quartzgw/submission/JobCodec.java
@@ -26,6 +26,7 @@
         return id != null && ID.matcher(id).matches();
     }
 
+    /** Reads and checks a submission. */
     public static JobSpec read(JsonNode node) throws InvalidJob {
         String id = text(node, "id");
         if (!validId(id)) {
@@ -62,6 +63,7 @@
                 deadline);
     }
 
+    /** Writes a job with the field names of the protocol. */
     public static ObjectNode write(JobSpec job) {
         ObjectNode node = Json.object()
                 .put("id", job.id())
--- a/src/main/java/io/quartzgw/submission/JobCounts.java
+++ b/src/main/java/io/quartzgw/submission/JobCounts.java
@@ -20,6 +20,7 @@
         static final Counts NONE = new Counts(0, 0);
     }
 
+    /** Reads one page of counts from a message between controllers. */
     public static JobCounts fromJson(JsonNode node) {
         Map<String, Counts> jobs = new HashMap<>();
         node.path("jobs")
@@ -35,6 +36,7 @@
                 jobs);
     }
 
+    /** Writes this page for a message between controllers. */
     public ObjectNode toJson() {
         ObjectNode node = Json.object().put("after", after).put("up_to", upTo);
         ObjectNode named = node.putObject("jobs");
--- a/src/main/java/io/quartzgw/submission/JobStore.java
+++ b/src/main/java/io/quartzgw/submission/JobStore.java
@@ -39,8 +39,10 @@
         /** @param revision of its record */
         record Open(long revision) implements Found {}
 
+        /** The job has ended. */
         record Over(FinalPhase phase) implements Found {}
 
+        /** No job has this id. */
         record Nothing() implements Found {}
 
         /** The state service did not tell. */
@@ -49,11 +51,13 @@
 
     /** How an acceptance ended. */
     public sealed interface Accepted {
+        /** The job was recorded. */
         record New(OpenJob job) implements Accepted {}
 
         /** The id is known already. */
         record Known() implements Accepted {}
 
+        /** Whether the job was recorded is not known. */
         record Unclear() implements Accepted {}
     }
 
@@ -76,6 +80,7 @@
         finished.put(id, phase);
     }
 
+    /** Looks a job up; the answer is never older than the question. */
     public void find(String id, Consumer<Found> then) {
         FinalPhase known = cached(id);
         if (known != null) {
@@ -190,6 +195,7 @@
         read.callers.forEach(caller -> caller.accept(found));
     }
 
+    /** Records a new job, unless its id is known already. */
     public void accept(JobSpec spec, long acceptedAt, Consumer<Accepted> then) {
         Txn txn = new Txn()
                 .guard(JobKeys.open(spec.id()), Txn.ABSENT)
--- a/src/main/java/io/quartzgw/submission/Submissions.java
+++ b/src/main/java/io/quartzgw/submission/Submissions.java
@@ -37,6 +37,7 @@
     private final Listener listener;
     private final TreeMap<String, JobCounts.Counts> counts = new TreeMap<>();
 
+    /** @param listener learns of accepted jobs, and of cancellations before a user is told */
     public Submissions(
             Kernel kernel,
             StoreClient store,
--- a/src/main/java/io/quartzgw/worker/Report.java
+++ b/src/main/java/io/quartzgw/worker/Report.java
@@ -33,6 +33,7 @@
     /** What the worker says of one attempt. */
     public record TaskReport(Attempt attempt, State state, Cause cause) {}
 
+    /** The state of a task as its worker reports it. */
     public enum State {
         FETCHING,
         RUNNING,
--- /dev/null
+++ b/src/test/java/io/quartzgw/http/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the HTTP listener and client. */
+package io.quartzgw.http;
--- /dev/null
+++ b/src/test/java/io/quartzgw/leadership/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the messages between controllers. */
+package io.quartzgw.leadership;
--- /dev/null
+++ b/src/test/java/io/quartzgw/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of placement, and of what reports prove. */
+package io.quartzgw.placement;
--- /dev/null
+++ b/src/test/java/io/quartzgw/progress/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of how progress is packed and recorded. */
+package io.quartzgw.progress;
--- a/src/test/java/io/quartzgw/standin/CloudStandIn.java
+++ b/src/test/java/io/quartzgw/standin/CloudStandIn.java
@@ -41,6 +41,11 @@
 
     private final Set<String> up = new HashSet<>();
 
+    /**
+     * @param lagMs by how much the machine list is late
+     * @param bootMs how long a machine boots
+     * @param capacity how many machines there are in all
+     */
     public CloudStandIn(long lagMs, long bootMs, int capacity, Function<String, String> addresses) {
         this.addresses = addresses;
         this.lagMs = lagMs;
@@ -62,12 +67,14 @@
         }
     }
 
+    /** The machines that are up. */
     public List<String> running() {
         return machines.keySet().stream()
                 .filter(id -> up.contains(id) && !machines.get(id).failed)
                 .toList();
     }
 
+    /** Lets time pass up to a moment. */
     public void tick(long now) {
         machines.forEach((id, machine) -> {
             if (!machine.failed && now - machine.since >= bootMs && up.add(id)) {
@@ -76,6 +83,7 @@
         });
     }
 
+    /** Answers a call of the cloud API. */
     public void handle(Call call, long now, Consumer<Reply> then) {
         URI uri = URI.create(call.path());
         JsonNode body = call.body() == null ? null : Json.readOrNull(call.body());
--- a/src/test/java/io/quartzgw/standin/LoopbackWorld.java
+++ b/src/test/java/io/quartzgw/standin/LoopbackWorld.java
@@ -54,6 +54,7 @@
         void handle(Call call, long now, Consumer<Reply> then);
     }
 
+    /** Starts the stand-ins and so many controllers on loopback. */
     public LoopbackWorld(int nodes) throws IOException {
         storeServer = serve((call, now, then) -> store.handle(call, now, then));
         cloudServer = serve((call, now, then) -> cloud.handle(call, now, then));
@@ -198,6 +199,7 @@
         }
     }
 
+    /** Waits for so long. */
     public static void pause(long ms) {
         try {
             Thread.sleep(ms);
--- a/src/test/java/io/quartzgw/standin/LossyLink.java
+++ b/src/test/java/io/quartzgw/standin/LossyLink.java
@@ -21,6 +21,7 @@
     private final List<Call> late = new ArrayList<>();
     private long now;
 
+    /** @param random decides which messages get lost */
     public LossyLink(Kernel kernel, StoreStandIn service, SplittableRandom random) {
         this.kernel = kernel;
         this.service = service;
--- a/src/test/java/io/quartzgw/standin/SimWorld.java
+++ b/src/test/java/io/quartzgw/standin/SimWorld.java
@@ -179,6 +179,7 @@
         });
     }
 
+    /** Plays all events up to a moment. */
     public void runUntil(long end) {
         while (!events.isEmpty() && events.peek().at <= end) {
             Event event = events.poll();
@@ -198,6 +199,7 @@
 
     // ---- nodes
 
+    /** The settings of one controller. */
     public Settings settings(int index) {
         Map<String, Endpoint> peers = new LinkedHashMap<>();
         for (int i = 0; i < nodes.size(); i++) {
@@ -231,6 +233,7 @@
                 1000);
     }
 
+    /** Starts the process of a controller. */
     public void start(int index) {
         SimNode sim = nodes.get(index);
         sim.epoch++;
@@ -246,6 +249,7 @@
         handle(sim, List.of());
     }
 
+    /** Ends the process of a controller without notice. */
     public void crash(int index) {
         SimNode sim = nodes.get(index);
         sim.epoch++;
@@ -372,6 +376,7 @@
         cuts.add(one + "|" + other);
     }
 
+    /** Ends a cut between two hosts. */
     public void heal(String one, String other) {
         cuts.remove(one + "|" + other);
         held.values().stream().flatMap(List::stream).toList().forEach(run -> at(now + 1 + random.nextInt(20), run));
@@ -723,6 +728,7 @@
         return List.copyOf(workers.keySet());
     }
 
+    /** Makes a machine hang, or go on. */
     public void hang(String id, boolean on) {
         SimWorker sim = workers.get(id);
         if (sim != null) {
--- a/src/test/java/io/quartzgw/standin/StoreStandIn.java
+++ b/src/test/java/io/quartzgw/standin/StoreStandIn.java
@@ -81,6 +81,7 @@
         return items.subMap(prefix, prefix + Character.MAX_VALUE).size();
     }
 
+    /** Lets time pass up to a moment. */
     public void tick(long at) {
         now = at;
         if (outage) {
@@ -99,6 +100,7 @@
         }
     }
 
+    /** Answers a call of the state service. */
     public void handle(Call call, long at, Consumer<Reply> then) {
         tick(at);
         URI uri = URI.create(call.path());
--- a/src/test/java/io/quartzgw/standin/WorkerStandIn.java
+++ b/src/test/java/io/quartzgw/standin/WorkerStandIn.java
@@ -63,6 +63,7 @@
     private long renewedAt;
     private boolean changed;
 
+    /** Makes the worker of a machine, in its first session. */
     public WorkerStandIn(
             String id,
             String address,
@@ -119,6 +120,7 @@
         return type.equals("large") ? CPUS_LARGE : CPUS_SMALL;
     }
 
+    /** The tasks that run at present. */
     public List<String> running() {
         return tasks.values().stream()
                 .filter(task -> task.running)
@@ -131,6 +133,7 @@
         forgetAll();
     }
 
+    /** Lets time pass up to a moment. */
     public void tick(long now) {
         expire(now);
         for (Task task : List.copyOf(tasks.values())) {
@@ -172,6 +175,7 @@
         changed = true;
     }
 
+    /** Makes the next report, as sent to controllers. */
     public ObjectNode report() {
         ObjectNode report = Json.object()
                 .put("host", id)
--- /dev/null
+++ b/src/test/java/io/quartzgw/store/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of records packed into pages. */
+package io.quartzgw.store;
