--- a/src/main/java/io/quartzgw/app/Leader.java
+++ b/src/main/java/io/quartzgw/app/Leader.java
@@ -8,6 +8,7 @@
 import io.quartzgw.fleet.MachineRecords;
 import io.quartzgw.fleet.MachineTypes;
 import io.quartzgw.http.Sockets;
+import io.quartzgw.leadership.LeaderTerm;
 import io.quartzgw.leadership.Leadership;
 import io.quartzgw.leadership.Peers;
 import io.quartzgw.loop.Kernel;
@@ -62,7 +63,7 @@
     private final Cancellations cancellations;
     private final Horizon horizon;
     private final long followMs;
-    private final long term;
+    private final LeaderTerm term;
     private final long since;
     private final Peers peers;
     private final Cluster cluster;
@@ -99,40 +100,32 @@
         this.cancellations = cancellations;
         this.horizon = horizon;
         this.followMs = (long) (FOLLOW_REPORTS * settings.workers().reportMs());
-        this.term = leadership.term();
+        this.term = new LeaderTerm(leadership);
         this.peers = peers;
         this.since = kernel.now();
         long reportMs = settings.workers().reportMs();
         Holds holds = Holds.of(settings.workers());
-        this.cluster = new Cluster(kernel, term);
+        this.cluster = new Cluster(kernel, term.number());
         this.workers = new Workers(
                 kernel,
-                leadership,
+                term,
                 cluster,
                 types,
                 settings.workers(),
                 Sockets.of(settings.sockets()).orders(),
                 cancellations::knows,
                 new FromWorkers());
-        this.progress =
-                new Progress(kernel, store, leadership, leadership.termRevision(), reportMs, new FromProgress());
+        this.progress = new Progress(kernel, store, term, reportMs, new FromProgress());
         double keptCpus = keptCpus(settings);
         Goals goals = new Goals(settings.finishGoals(), settings.startGoals());
         this.scheduler = new Scheduler(
                 kernel, cluster, settings.teams(), goals, keptCpus > 0, settings.workers(), new ToWorkers());
-        this.records = new MachineRecords(
-                kernel,
-                store,
-                leadership,
-                cluster,
-                leadership.termRevision(),
-                2 * (long) settings.timeBoundMs(),
-                workers::startsDue);
+        this.records =
+                new MachineRecords(kernel, store, term, cluster, 2 * (long) settings.timeBoundMs(), workers::startsDue);
         this.fleet = new Fleet(
                 kernel,
                 cloud,
-                settings.cloudLimits(),
-                leadership,
+                term,
                 cluster,
                 types,
                 records,
@@ -141,13 +134,13 @@
                         scheduler::usable,
                         new ToWorkers(),
                         settings.workers().leaseMs()),
-                keptCpus,
-                holds.silentMs(),
+                new Fleet.Policy(
+                        keptCpus, holds.silentMs(), settings.cloudLimits().listLagMs()),
                 workers::forget);
         this.recovery = new Recovery(
                 kernel,
                 store,
-                leadership,
+                term,
                 peers,
                 types,
                 cluster,
@@ -173,16 +166,12 @@
         tick();
     }
 
-    private boolean current() {
-        return leadership.leading() && leadership.term() == term;
-    }
-
     private void tick() {
-        if (current() && cutFromWorkers()) {
-            LOG.info("many workers reach another controller, but not this one: giving up term {}", term);
+        if (term.current() && cutFromWorkers()) {
+            LOG.info("many workers reach another controller, but not this one: giving up term {}", term.number());
             leadership.abdicate(ABSTAIN_REPORTS * settings.workers().reportMs());
         }
-        if (current()) {
+        if (term.current()) {
             kernel.after((long) (CHECK_LEASES * settings.workers().leaseMs()), this::tick);
             recovery.releaseExpired();
             cluster.touch();
@@ -213,12 +202,12 @@
 
     /** Decides on all that the batch has changed. */
     void afterBatch() {
-        if (!current()) {
+        if (!term.current()) {
             return;
         }
         recovery.check();
         if (recovery.booksOpen()) {
-            if (leadership.confirmed() && cluster.takeChanged()) {
+            if (term.confirmed() && cluster.takeChanged()) {
                 scheduler.run();
                 fleetDue = true;
             }
@@ -237,7 +226,7 @@
 
     // Renting looks at everything, and a rental takes far longer than this pause.
     private void adjustFleet() {
-        if (fleetDue && !fleetPaused && leadership.confirmed()) {
+        if (fleetDue && !fleetPaused && term.confirmed()) {
             fleetPaused = true;
             fleetDue = fleet.adjust(scheduler.unplaced(), recovery.placing());
             kernel.after((long) (FLEET_REPORTS * settings.workers().reportMs()), () -> fleetPaused = false);
@@ -308,7 +297,7 @@
     private final class OpenJobs implements StoreClient.Follower {
         @Override
         public boolean wanted() {
-            return current();
+            return term.current();
         }
 
         @Override
@@ -336,7 +325,7 @@
         @Override
         public void outdated() {
             store.list(JobKeys.OPEN, listing -> {
-                if (!current()) {
+                if (!term.current()) {
                     return;
                 }
                 if (listing == null) {
--- a/src/main/java/io/quartzgw/fleet/MachineRecords.java
+++ b/src/main/java/io/quartzgw/fleet/MachineRecords.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import io.quartzgw.http.Endpoint;
 import io.quartzgw.http.Json;
+import io.quartzgw.leadership.LeaderTerm;
 import io.quartzgw.leadership.Leadership;
 import io.quartzgw.loop.Kernel;
 import io.quartzgw.placement.Cluster;
@@ -28,7 +29,7 @@
     private static final int ADDRESS_BYTES = 24;
 
     private final Kernel kernel;
-    private final Leadership leadership;
+    private final LeaderTerm term;
     private final Cluster cluster;
     private final long clocksApartMs;
     private final Consumer<Machine> used;
@@ -44,17 +45,16 @@
     public MachineRecords(
             Kernel kernel,
             StoreClient store,
-            Leadership leadership,
+            LeaderTerm term,
             Cluster cluster,
-            long termRevision,
             long clocksApartMs,
             Consumer<Machine> used) {
         this.kernel = kernel;
-        this.leadership = leadership;
+        this.term = term;
         this.cluster = cluster;
         this.clocksApartMs = clocksApartMs;
         this.used = used;
-        this.records = new PackedRecords(store, PREFIX, () -> new Txn().guard(Leadership.TERM, termRevision));
+        this.records = new PackedRecords(store, PREFIX, () -> new Txn().guard(Leadership.TERM, term.revision()));
     }
 
     /** Takes the records that a former leader left; a machine whose type is no longer known is left out. */
@@ -101,7 +101,7 @@
 
     /** Writes what is due, one write at a time: what falls due meanwhile goes together into the next. */
     public void flush() {
-        if (writing || !due || !leadership.confirmed()) {
+        if (writing || !due || !term.confirmed()) {
             return;
         }
         writing = true;
--- a/src/main/java/io/quartzgw/fleet/MachineType.java
+++ b/src/main/java/io/quartzgw/fleet/MachineType.java
@@ -23,6 +23,11 @@
         return spot ? spotPrice : price;
     }
 
+    /** The usual boot time. */
+    long bootMs() {
+        return (long) (bootS * 1000);
+    }
+
     ObjectNode toJson() {
         ObjectNode node = Json.object()
                 .put("name", name)
--- a/src/main/java/io/quartzgw/placement/Presence.java
+++ b/src/main/java/io/quartzgw/placement/Presence.java
@@ -59,9 +59,9 @@
         return vouched;
     }
 
-    /** When the newest message that vouched came. */
-    public long heardAt() {
-        return heardAt;
+    /** Whether a message that vouched came no longer ago than this. */
+    public boolean heardWithin(long ms, long now) {
+        return vouched && now - heardAt < ms;
     }
 
     /** Weighs a message; the direct answer to an order is never a copy. */
--- a/src/main/java/io/quartzgw/progress/Progress.java
+++ b/src/main/java/io/quartzgw/progress/Progress.java
@@ -1,6 +1,7 @@
 package io.quartzgw.progress;
 
 import com.fasterxml.jackson.databind.node.IntNode;
+import io.quartzgw.leadership.LeaderTerm;
 import io.quartzgw.leadership.Leadership;
 import io.quartzgw.loop.Kernel;
 import io.quartzgw.loop.Once;
@@ -38,8 +39,7 @@
 
     private final Kernel kernel;
     private final StoreClient store;
-    private final Leadership leadership;
-    private final long termRevision;
+    private final LeaderTerm term;
     private final Packing packing;
     private final Listener listener;
     private final long batchMs;
@@ -68,21 +68,15 @@
         void endedOtherwise(Job job);
     }
 
-    /** @param termRevision revision of the term key, which guards every write of this leader */
-    public Progress(
-            Kernel kernel,
-            StoreClient store,
-            Leadership leadership,
-            long termRevision,
-            long reportMs,
-            Listener listener) {
+    /** @param term guards every write: those of a later leader make them fail */
+    public Progress(Kernel kernel, StoreClient store, LeaderTerm term, long reportMs, Listener listener) {
         this.kernel = kernel;
         this.write = new Once(kernel, this::write);
         this.store = store;
-        this.leadership = leadership;
-        this.termRevision = termRevision;
+        this.term = term;
         this.packing = new Packing(store.valueBytes());
-        this.records = new PackedRecords(store, Packing.PREFIX, () -> new Txn().guard(Leadership.TERM, termRevision));
+        this.records =
+                new PackedRecords(store, Packing.PREFIX, () -> new Txn().guard(Leadership.TERM, term.revision()));
         this.listener = listener;
         this.batchMs = (long) (BATCH_REPORTS * reportMs);
         this.retryMs = (long) (RETRY_REPORTS * reportMs);
@@ -143,15 +137,11 @@
 
     // ---- batches
 
-    private boolean mine() {
-        return leadership.leading() && termRevision == leadership.termRevision();
-    }
-
     private void write() {
-        if (!mine() || writing || unwritten.isEmpty() && toStart.isEmpty()) {
+        if (!term.current() || writing || unwritten.isEmpty() && toStart.isEmpty()) {
             return;
         }
-        if (!leadership.confirmed()) {
+        if (!term.confirmed()) {
             write.after(retryMs);
             return;
         }
@@ -187,7 +177,7 @@
 
     private void written(Map<Job, BitSet> batch, Map<Job, Integer> starts, boolean written) {
         writing = false;
-        if (!mine()) {
+        if (!term.current()) {
             return;
         }
         if (written) {
@@ -226,22 +216,22 @@
     }
 
     private void tryEnd(Job job) {
-        if (!mine() || job.over()) {
+        if (!term.current() || job.over()) {
             ending.remove(job);
             return;
         }
-        if (!leadership.confirmed()) {
+        if (!term.confirmed()) {
             kernel.after(retryMs, () -> tryEnd(job));
             return;
         }
         FinalPhase phase = new FinalPhase(false, job.spec().tasks());
         Txn txn = new Txn()
-                .guard(Leadership.TERM, termRevision)
+                .guard(Leadership.TERM, term.revision())
                 .guard(JobKeys.open(job.id()), job.open().revision())
                 .drop(JobKeys.open(job.id()))
                 .put(JobKeys.over(job.id()), phase.toJson());
         store.commit(txn, Urgency.FIRST, outcome -> {
-            if (!mine()) {
+            if (!term.current()) {
                 return;
             }
             if (outcome instanceof TxnOutcome.Committed) {
--- a/src/main/java/io/quartzgw/recovery/Recovery.java
+++ b/src/main/java/io/quartzgw/recovery/Recovery.java
@@ -2,7 +2,7 @@
 
 import io.quartzgw.fleet.MachineRecords;
 import io.quartzgw.fleet.MachineTypes;
-import io.quartzgw.leadership.Leadership;
+import io.quartzgw.leadership.LeaderTerm;
 import io.quartzgw.leadership.Peers;
 import io.quartzgw.loop.Kernel;
 import io.quartzgw.placement.Booking;
@@ -38,7 +38,6 @@
 
     private final Kernel kernel;
     private final StoreClient store;
-    private final Leadership leadership;
     private final Peers peers;
     private final MachineTypes types;
     private final Cluster cluster;
@@ -46,8 +45,7 @@
     private final Progress progress;
     private final MachineRecords records;
     private final Holds holds;
-    private final long term;
-    private final long termRevision;
+    private final LeaderTerm term;
     private final long retryMs;
     private final long contactMs;
     private final Predicate<String> knownOver;
@@ -67,7 +65,7 @@
     public Recovery(
             Kernel kernel,
             StoreClient store,
-            Leadership leadership,
+            LeaderTerm term,
             Peers peers,
             MachineTypes types,
             Cluster cluster,
@@ -81,7 +79,6 @@
             StoreClient.Follower openJobs) {
         this.kernel = kernel;
         this.store = store;
-        this.leadership = leadership;
         this.peers = peers;
         this.types = types;
         this.cluster = cluster;
@@ -89,8 +86,7 @@
         this.progress = progress;
         this.records = records;
         this.holds = holds;
-        this.term = leadership.term();
-        this.termRevision = leadership.termRevision();
+        this.term = term;
         this.retryMs = (long) (RETRY_REPORTS * reportMs);
         this.contactMs = (long) (CONTACT_REPORTS * reportMs);
         this.formerAnswersUntil = formerAnswersUntil;
@@ -113,14 +109,10 @@
         return stage == Stage.PLACING;
     }
 
-    private boolean current() {
-        return leadership.leading() && leadership.term() == term;
-    }
-
     // ---- hard state
 
     private void read() {
-        if (!current()) {
+        if (!term.current()) {
             return;
         }
         if (!types.known()) {
@@ -132,7 +124,7 @@
                 jobs -> store.list(
                         Packing.PREFIX,
                         done -> store.list(MachineRecords.PREFIX, machines -> {
-                            if (!current()) {
+                            if (!term.current()) {
                                 return;
                             }
                             if (jobs == null || done == null || machines == null) {
@@ -162,7 +154,7 @@
         stage = Stage.GATHERING;
         LOG.info(
                 "term {}: read {} jobs and {} machines, gathering reports",
-                term,
+                term.number(),
                 jobs.entries().size(),
                 cluster.machines().size());
         silent.removeIf(machine -> !isSilent(machine));
@@ -186,7 +178,7 @@
     }
 
     private void contactSilent() {
-        if (!current() || stage != Stage.GATHERING) {
+        if (!term.current() || stage != Stage.GATHERING) {
             return;
         }
         silent.stream().filter(this::isSilent).forEach(workers::contact);
@@ -195,7 +187,7 @@
 
     /** Looks who has answered meanwhile, and whether the window can close; called after every batch. */
     public void check() {
-        if (stage == Stage.READING || !current()) {
+        if (stage == Stage.READING || !term.current()) {
             return;
         }
         noteRenounced();
@@ -214,7 +206,7 @@
             cluster.touch();
             LOG.info(
                     "term {}: window closed after {} ms, {} machines silent, {} jobs in doubt",
-                    term,
+                    term.number(),
                     kernel.now() - electedAt,
                     silent.size(),
                     cluster.doubtfulJobs().size());
@@ -224,7 +216,7 @@
     // Every other controller has seen this term, so none of them answers workers any more: the holds
     // of machines that are silent since the takeover count from now at the latest.
     private void noteRenounced() {
-        if (!renounced && peers.allRenouncedBelow(term)) {
+        if (!renounced && peers.allRenouncedBelow(term.number())) {
             renounced = true;
             formerAnswersUntil = Math.min(formerAnswersUntil, kernel.now());
             cluster.machines().forEach(machine -> machine.presence().formerAnswers(formerAnswersUntil));
@@ -233,7 +225,7 @@
 
     // A job accepted after the term was raised was never started by a former leader.
     private boolean mayHold(Job job, Machine machine) {
-        return job.open().revision() < termRevision
+        return job.open().revision() < term.revision()
                 && job.spec().allows(machine.type().name(), machine.zone(), machine.spot())
                 && job.spec().demand().fitsIn(machine.type().size());
     }
@@ -252,7 +244,7 @@
 
     /** Gives up what is on machines that were silent for their hold; called now and then. */
     public void releaseExpired() {
-        if (stage == Stage.READING || !current()) {
+        if (stage == Stage.READING || !term.current()) {
             return;
         }
         for (Machine machine : List.copyOf(cluster.machines())) {
--- a/src/main/java/io/quartzgw/worker/Workers.java
+++ b/src/main/java/io/quartzgw/worker/Workers.java
@@ -7,7 +7,7 @@
 import io.quartzgw.http.Call;
 import io.quartzgw.http.Json;
 import io.quartzgw.http.Reply;
-import io.quartzgw.leadership.Leadership;
+import io.quartzgw.leadership.LeaderTerm;
 import io.quartzgw.loop.Kernel;
 import io.quartzgw.placement.Booking;
 import io.quartzgw.placement.Cluster;
@@ -51,11 +51,10 @@
             "reports.overtaken");
 
     private final Kernel kernel;
-    private final Leadership leadership;
     private final Cluster cluster;
     private final MachineTypes types;
     private final WorkerTimes times;
-    private final long term;
+    private final LeaderTerm term;
     private final Listener listener;
     private final Map<String, Session> sessions = new HashMap<>();
     /** Sessions with something to order, in the order in which it fell due. */
@@ -87,7 +86,7 @@
      */
     public Workers(
             Kernel kernel,
-            Leadership leadership,
+            LeaderTerm term,
             Cluster cluster,
             MachineTypes types,
             WorkerTimes times,
@@ -95,13 +94,12 @@
             Predicate<String> cancelled,
             Listener listener) {
         this.kernel = kernel;
-        this.leadership = leadership;
         this.cluster = cluster;
         this.types = types;
         this.times = times;
         this.mostCalls = mostCalls;
         this.cancelled = cancelled;
-        this.term = leadership.term();
+        this.term = term;
         this.listener = listener;
     }
 
@@ -115,13 +113,13 @@
             // Hard state is still being read: keep the newest word of each machine for then.
             early.merge(report.machine(), report, (old, now) -> now.newerThan(old) ? now : old);
             stopOver(report, orders);
-            return response.put("baton", term);
+            return response.put("baton", term.number());
         }
         Presence.Proof proof = apply(report, false);
         kernel.count(COUNTED.get(proof), 1);
         // Without a token in its answer, a worker drops it: see Presence.answered.
         if (proof != Presence.Proof.OVERTAKEN) {
-            response.put("baton", term);
+            response.put("baton", term.number());
             if (proof != Presence.Proof.VOUCHES) {
                 stopOver(report, orders);
             }
@@ -191,7 +189,8 @@
             }
         }
         Presence presence = machine.presence();
-        Presence.Proof proof = presence.weigh(report.tenure(), report.counter(), report.token() >= term, direct);
+        Presence.Proof proof =
+                presence.weigh(report.tenure(), report.counter(), report.token() >= term.number(), direct);
         if (proof == Presence.Proof.VOUCHES) {
             vouched(machine, report);
         } else {
@@ -247,7 +246,7 @@
     private Machine unexpected(Report report) {
         MachineType type = types.get(report.machineType());
         // Without this leader's token it may be a late copy of a machine that is long gone.
-        if (type == null || cluster.gone(report.machine()) || report.token() < term) {
+        if (type == null || cluster.gone(report.machine()) || report.token() < term.number()) {
             return null;
         }
         Machine machine = new Machine(report.machine(), type, report.zone(), report.spot(), kernel.now(), kernel.now());
@@ -495,7 +494,7 @@
                 orders.add(new Order.Kill(Attempt.of(booking), booking.stopGraceS()));
             }
         }
-        if (leadership.confirmed()) {
+        if (term.confirmed()) {
             addStarts(session, orders);
         }
         // Removals alone are in no hurry: they go with the next report's response.
@@ -527,7 +526,7 @@
     private void send(Session session, List<Order> orders) {
         Machine machine = session.machine;
         ObjectNode body = Json.object()
-                .put("baton", term)
+                .put("baton", term.number())
                 .put(
                         "tenure",
                         // A start names the session that is proved: one that names a later session would outlive the
@@ -559,9 +558,7 @@
         session.calling = false;
         calls--;
         session.inCall.clear();
-        if (!leadership.leading()
-                || leadership.term() != term
-                || cluster.machine(session.machine.id()) != session.machine) {
+        if (!term.current() || cluster.machine(session.machine.id()) != session.machine) {
             return;
         }
         Presence presence = session.machine.presence();
@@ -576,8 +573,8 @@
         if (report == null) {
             return;
         }
-        leadership.sawTerm(report.token());
-        if (!leadership.leading() || !booksOpen) {
+        term.sawToken(report.token());
+        if (!term.current() || !booksOpen) {
             return;
         }
         presence.answersOrders();
--- a/src/test/java/io/quartzgw/progress/ProgressTest.java
+++ b/src/test/java/io/quartzgw/progress/ProgressTest.java
@@ -5,6 +5,7 @@
 
 import io.quartzgw.cancellation.Horizon;
 import io.quartzgw.http.Endpoint;
+import io.quartzgw.leadership.LeaderTerm;
 import io.quartzgw.leadership.Leadership;
 import io.quartzgw.leadership.LeadershipTimes;
 import io.quartzgw.loop.Kernel;
@@ -37,7 +38,7 @@
             kernel, store, LeadershipTimes.of(2.5, 16, 36), "rig-0", 1, new Horizon(kernel, 36_000, List.of()));
 
     private Progress progress() {
-        return new Progress(kernel, store, leadership, leadership.termRevision(), REPORT_MS, new Progress.Listener() {
+        return new Progress(kernel, store, new LeaderTerm(leadership), REPORT_MS, new Progress.Listener() {
             @Override
             public void startable(Job job) {}
 
