The surely leading controller has the larger share of the state service's limits

Ruled out: an unreachable state service (it answered throughout). Now a controller has two thirds of an even share, and all the rest while it is confirmed as the leader, which excludes every other one; calls that change nothing no longer wait behind changes. CallQueue holds both, out of StoreClient.

--- a/src/main/java/io/quartzgw/store/StoreClient.java
+++ b/src/main/java/io/quartzgw/store/StoreClient.java
@@ -8,13 +8,11 @@
 import io.quartzgw.http.Json;
 import io.quartzgw.http.Reply;
 import io.quartzgw.loop.Kernel;
-import io.quartzgw.loop.Once;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -29,33 +27,32 @@
     private static final int FOLLOW_SLACK_MS = 3_000;
 
     private static final int FOLLOW_MS = 20_000;
-    /** A stage with a small buffer: what waits longer than this for the budget is refused. */
-    private static final int MAX_QUEUE_MS = 700;
     /** Failures in a row for this long mean that the service is away for this node. */
     private static final int AWAY_MS = 400;
 
     private final Kernel kernel;
     private final Endpoint endpoint;
     private final StoreLimits share;
-    private final RateBudget requests;
-    private final RateBudget writes;
-    private final Deque<Waiting> first = new ArrayDeque<>();
-    private final Deque<Waiting> normal = new ArrayDeque<>();
-    private final Once drain;
+    private final CallQueue calls;
     private boolean probing;
     private long lastAnswered = Long.MIN_VALUE / 2;
     private long failingSince = Long.MAX_VALUE;
 
-    private record Waiting(Call call, int writes, long since, Consumer<Reply> then) {}
-
-    /** @param share the part of the state service's limits that this node may use */
+    /** @param share the part of the state service's limits that this node may always use */
     public StoreClient(Kernel kernel, Endpoint endpoint, StoreLimits share) {
         this.kernel = kernel;
-        this.drain = new Once(kernel, this::drain);
         this.endpoint = endpoint;
         this.share = share;
-        this.requests = new RateBudget(share.requestsPerS(), kernel.now());
-        this.writes = new RateBudget(share.writesPerS(), kernel.now());
+        this.calls = new CallQueue(kernel, share, this::noteHealth);
+    }
+
+    /**
+     * Sets a larger share of the service's limits that this node may use at times.
+     *
+     * @param mayUse whether it may now; of all nodes at most one may
+     */
+    public void largerShare(StoreLimits larger, BooleanSupplier mayUse) {
+        calls.largerShare(larger, mayUse);
     }
 
     public int txnOps() {
@@ -85,7 +82,7 @@
 
     /** The entry; an empty list when there is none; null when the service did not tell. */
     public void get(String key, Consumer<List<Entry>> then) {
-        submit(Call.get(endpoint, "/keys/" + key, TIMEOUT_MS), 0, Urgency.NORMAL, reply -> {
+        calls.submit(Call.get(endpoint, "/keys/" + key, TIMEOUT_MS), 0, Urgency.NORMAL, reply -> {
             if (reply.ok()) {
                 then.accept(List.of(entry(reply.json())));
             } else {
@@ -109,7 +106,7 @@
 
     private void page(String prefix, String since, List<Entry> sofar, long revision, long at, Consumer<Listing> then) {
         String path = "/keys?starts=" + prefix + (since == null ? "" : "&since=" + since) + "&most=" + PAGE;
-        submit(Call.get(endpoint, path, TIMEOUT_MS), 0, Urgency.FIRST, reply -> {
+        calls.submit(Call.get(endpoint, path, TIMEOUT_MS), 0, Urgency.FIRST, reply -> {
             if (!reply.ok()) {
                 then.accept(null);
                 return;
@@ -153,7 +150,7 @@
                 put.put("permit", write.hold());
             }
         }
-        submit(
+        calls.submit(
                 Call.post(endpoint, "/multi", body, TIMEOUT_MS),
                 txn.size(),
                 urgency,
@@ -185,7 +182,7 @@
 
     /** The hold's number, or null when none was granted. */
     public void grantHold(long lifeMs, Consumer<Long> then) {
-        submit(
+        calls.submit(
                 Call.post(endpoint, "/holds", Json.object().put("life_ms", lifeMs), TIMEOUT_MS),
                 0,
                 Urgency.FIRST,
@@ -201,7 +198,7 @@
 
     /** Renews a lease of the state service. */
     public void extendHold(long hold, Consumer<Extension> then) {
-        submit(
+        calls.submit(
                 Call.post(endpoint, "/holds/" + hold + "/extend", Json.object(), TIMEOUT_MS),
                 0,
                 Urgency.FIRST,
@@ -210,7 +207,7 @@
     }
 
     public void dropHold(long hold) {
-        submit(Call.delete(endpoint, "/holds/" + hold, TIMEOUT_MS), 0, Urgency.NORMAL, reply -> {});
+        calls.submit(Call.delete(endpoint, "/holds/" + hold, TIMEOUT_MS), 0, Urgency.NORMAL, reply -> {});
     }
 
     // ---- follows
@@ -245,7 +242,7 @@
         follower.reached(since, at);
         long sent = kernel.now();
         String path = "/follow?starts=" + prefix + "&since=" + since + "&hold_ms=" + follower.waitMs();
-        submit(Call.get(endpoint, path, follower.waitMs() + FOLLOW_SLACK_MS), 0, Urgency.FIRST, reply -> {
+        calls.submit(Call.get(endpoint, path, follower.waitMs() + FOLLOW_SLACK_MS), 0, Urgency.FIRST, reply -> {
             if (!follower.wanted()) {
                 return;
             }
@@ -273,46 +270,7 @@
                 item.path("key_rev").asLong());
     }
 
-    // ---- budget
-
-    private void submit(Call call, int writeCount, Urgency urgency, Consumer<Reply> then) {
-        Waiting waiting = new Waiting(call, writeCount, kernel.now(), then);
-        (urgency == Urgency.FIRST ? first : normal).addLast(waiting);
-        drain();
-    }
-
-    private void drain() {
-        while (true) {
-            Deque<Waiting> queue = first.isEmpty() ? normal : first;
-            if (queue.isEmpty()) {
-                return;
-            }
-            Waiting next = queue.peekFirst();
-            if (queue == normal && kernel.now() - next.since > MAX_QUEUE_MS) {
-                queue.pollFirst();
-                kernel.count("store.refused", 1);
-                // Deferred, so that a refusal never runs inside the caller's own call.
-                kernel.after(0, () -> next.then.accept(new Reply(429, new byte[0])));
-                continue;
-            }
-            long wait = Math.max(
-                    requests.waitFor(1, kernel.now()),
-                    next.writes == 0 ? 0 : writes.waitFor(next.writes, kernel.now()));
-            if (wait > 0) {
-                drain.after(wait);
-                return;
-            }
-            queue.pollFirst();
-            requests.take(1, kernel.now());
-            writes.take(next.writes, kernel.now());
-            kernel.count("store.requests", 1);
-            kernel.count("store.writes", next.writes);
-            kernel.call(next.call, reply -> {
-                noteHealth(reply);
-                next.then.accept(reply);
-            });
-        }
-    }
+    // ---- health
 
     // Users are refused at once while the service is away, so nothing else would find it back.
     private void probeSoon() {
@@ -320,7 +278,7 @@
             probing = true;
             kernel.after(
                     AWAY_MS,
-                    () -> submit(
+                    () -> calls.submit(
                             Call.get(endpoint, "/keys?starts=probe/&most=1", TIMEOUT_MS), 0, Urgency.FIRST, reply -> {
                                 probing = false;
                                 if (failingSince != Long.MAX_VALUE) {
