--- a/src/main/java/io/quartzgw/fleet/Fleet.java
+++ b/src/main/java/io/quartzgw/fleet/Fleet.java
@@ -28,6 +28,7 @@
     private final RentPlan plan;
     private final MachineListing listing;
     private final Rentals rentals;
+    private final Retirement retirement;
     private final Returns returns;
     private final Consumer<Machine> gone;
     private final double keptCpus;
@@ -69,8 +70,8 @@
                 (long) (HEARD_LATELY_HOLDS * policy.silentMs()),
                 this::remove);
         this.rentals = new Rentals(kernel, cloud, term, cluster, records);
-        this.returns = new Returns(
-                kernel, cloud, term, cluster, consolidation, policy.keptCpus(), policy.silentMs(), this::remove);
+        this.retirement = new Retirement(kernel, cluster, consolidation, policy.keptCpus(), policy.silentMs());
+        this.returns = new Returns(kernel, cloud, term, cluster, this::remove);
     }
 
     /** Begins to read the cloud's machine list; nothing is rented or returned before it is known. */
@@ -104,9 +105,9 @@
         kernel.count("fleet.looks", plan.takeLooks());
         boolean more = rentals.request(wanted);
         if (all) {
-            returns.retire(rented);
+            retirement.retire(rented);
             if (coming.isEmpty() && requested.isEmpty()) {
-                returns.clearLittleUsed();
+                retirement.clearLittleUsed();
             }
         }
         return returns.deleteLeaving() || more;
--- a/src/main/java/io/quartzgw/fleet/Returns.java
+++ b/src/main/java/io/quartzgw/fleet/Returns.java
@@ -3,133 +3,31 @@
 import io.quartzgw.leadership.LeaderTerm;
 import io.quartzgw.loop.Kernel;
 import io.quartzgw.placement.Cluster;
-import io.quartzgw.placement.Consolidation;
 import io.quartzgw.placement.Machine;
-import io.quartzgw.placement.Presence;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
-/** Returns machines that are idle, never came up, are lost, or are cleared because little of them is in use. */
+/** Has machines deleted that are to be returned, once they are drained. */
 final class Returns {
-    private static final Logger LOG = LoggerFactory.getLogger(Returns.class);
-    /** Boot times vary; one that takes longer than this many usual ones is not waited for. */
-    private static final double BOOT_PATIENCE = 3;
-    /** Charged in any case, so a machine is not returned before. */
-    private static final int CHARGED_MS = 60_000;
-    /** How long before the charged time is over a machine may be cleared. */
-    private static final int CLEARING_MS = 2_000;
-    /** A pause between two jobs is bridged, no more: work with a deadline can wait for a boot. */
-    private static final double IDLE_BOOTS = 0.2;
-    /** A machine is lost when it was silent for this many holds while this leader answered. */
-    private static final double LOST_HOLDS = 1.5;
-
     private static final int RETRY_MS = 2_000;
 
     private final Kernel kernel;
     private final CloudClient cloud;
     private final LeaderTerm term;
     private final Cluster cluster;
-    private final Consolidation consolidation;
-    private final double keptCpus;
-    private final long silentMs;
     private final Consumer<Machine> removed;
-    private final long since;
     private final Set<String> deleting = new HashSet<>();
 
-    /**
-     * @param keptCpus room that is kept rented whatever the demand
-     * @param silentMs how long a silent machine keeps its room
-     * @param removed told when a machine is surely gone
-     */
-    Returns(
-            Kernel kernel,
-            CloudClient cloud,
-            LeaderTerm term,
-            Cluster cluster,
-            Consolidation consolidation,
-            double keptCpus,
-            long silentMs,
-            Consumer<Machine> removed) {
+    /** @param removed told when a machine is surely gone */
+    Returns(Kernel kernel, CloudClient cloud, LeaderTerm term, Cluster cluster, Consumer<Machine> removed) {
         this.kernel = kernel;
         this.cloud = cloud;
         this.term = term;
         this.cluster = cluster;
-        this.consolidation = consolidation;
-        this.keptCpus = keptCpus;
-        this.silentMs = silentMs;
         this.removed = removed;
-        this.since = kernel.now();
-    }
-
-    /**
-     * Marks the machines that are to be returned.
-     *
-     * @param rentedCpus the size of all machines that are rented or requested
-     */
-    void retire(double rentedCpus) {
-        double spare = rentedCpus - keptCpus;
-        for (Machine machine : cluster.machines()) {
-            double cpus = machine.type().size().cpus();
-            if (neverCame(machine) || lost(machine)) {
-                LOG.info("returning {}: {}", machine.id(), !machine.presence().vouched() ? "never came up" : "lost");
-                machine.leave();
-            } else if (idle(machine) && cpus <= spare) {
-                LOG.info("returning {}: idle", machine.id());
-                machine.leave();
-                spare -= cpus;
-            }
-        }
-    }
-
-    /** Clears a machine of which little is in use, one after the other. */
-    void clearLittleUsed() {
-        boolean clearing = cluster.machines().stream()
-                .anyMatch(machine -> machine.status() == Machine.Status.LEAVING && !machine.empty());
-        if (keptCpus > 0 || clearing) {
-            return;
-        }
-        Machine cleared = consolidation.clearOne(this::nearlyCharged, kernel.now());
-        if (cleared != null) {
-            LOG.info("clearing {}: its replicas have room elsewhere", cleared.id());
-        }
-    }
-
-    private boolean nearlyCharged(Machine machine) {
-        return kernel.now() - machine.rentedAt() > CHARGED_MS - CLEARING_MS;
-    }
-
-    private boolean idle(Machine machine) {
-        long idleMs = (long) (IDLE_BOOTS * machine.type().bootMs());
-        return machine.status() == Machine.Status.UP
-                && machine.empty()
-                && !machine.released()
-                && kernel.now() - machine.emptySince() > idleMs
-                && nearlyCharged(machine)
-                && kernel.now() - since > idleMs;
-    }
-
-    private boolean neverCame(Machine machine) {
-        return machine.status() == Machine.Status.BOOTING
-                && (!machine.used() || machine.released())
-                && kernel.now() - Math.max(machine.rentedAt(), since)
-                        > (long) (BOOT_PATIENCE * machine.type().bootMs());
-    }
-
-    // Its hold is over and it has not come back, or it reports and takes no orders: it is of no use, and
-    // those that can't be reached must not pile up while others are rented in their place.
-    private boolean lost(Machine machine) {
-        if (machine.status() != Machine.Status.UP || !machine.empty()) {
-            return false;
-        }
-        Presence presence = machine.presence();
-        long patience = (long) (LOST_HOLDS * silentMs);
-        return machine.released() && kernel.now() - Math.max(presence.lastAnswered(), since) > patience
-                || presence.unreachable() && kernel.now() - presence.unreachableSince() > patience;
     }
 
     /** Deletes marked machines that are drained; returns whether some have to wait for their turn at the cloud. */
