Idle machines are kept for tasks that are unaccounted for

Now an idle machine is returned only if those that stay can take what is in doubt or is on a silent machine.

--- a/src/main/java/io/quartzgw/fleet/Fleet.java
+++ b/src/main/java/io/quartzgw/fleet/Fleet.java
@@ -18,8 +18,6 @@
  */
 public final class Fleet {
     private static final double USUAL_BOOTS = 1.6;
-    /** A machine that was heard within this part of its hold is believed before the cloud's list. */
-    private static final double HEARD_LATELY_HOLDS = 0.25;
 
     private final Kernel kernel;
     private final LeaderTerm term;
@@ -40,7 +38,15 @@
      * @param silentMs how long a silent machine keeps its room
      * @param listLagMs how late the cloud's machine list is
      */
-    public record Policy(double keptCpus, long silentMs, long listLagMs) {}
+    public record Policy(double keptCpus, long silentMs, long listLagMs) {
+        /** A machine that was heard within this part of its hold is not silent. */
+        private static final double HEARD_LATELY_HOLDS = 0.25;
+
+        /** A machine that was heard no longer ago is believed before the cloud's list. */
+        long heardLatelyMs() {
+            return (long) (HEARD_LATELY_HOLDS * silentMs);
+        }
+    }
 
     /** @param gone told when a machine is surely gone */
     public Fleet(
@@ -60,17 +66,9 @@
         this.keptCpus = policy.keptCpus();
         this.gone = gone;
         this.plan = new RentPlan(types);
-        this.listing = new MachineListing(
-                kernel,
-                cloud,
-                term,
-                cluster,
-                types,
-                policy.listLagMs(),
-                (long) (HEARD_LATELY_HOLDS * policy.silentMs()),
-                this::remove);
+        this.listing = new MachineListing(kernel, cloud, term, cluster, types, policy, this::remove);
         this.rentals = new Rentals(kernel, cloud, term, cluster, records);
-        this.retirement = new Retirement(kernel, cluster, consolidation, policy.keptCpus(), policy.silentMs());
+        this.retirement = new Retirement(kernel, cluster, consolidation, policy);
         this.returns = new Returns(kernel, cloud, term, cluster, this::remove);
     }
 
--- a/src/main/java/io/quartzgw/fleet/MachineListing.java
+++ b/src/main/java/io/quartzgw/fleet/MachineListing.java
@@ -28,33 +28,26 @@
     private final LeaderTerm term;
     private final Cluster cluster;
     private final MachineTypes types;
-    private final long listLagMs;
-    private final long heardLatelyMs;
+    private final Fleet.Policy policy;
     private final Consumer<Machine> removed;
     private final Map<String, Long> listedAt = new HashMap<>();
     private boolean listed;
 
-    /**
-     * @param listLagMs how late the list is
-     * @param heardLatelyMs a report no older than this counts for more than the list
-     * @param removed told when a machine is surely gone
-     */
+    /** @param removed told when a machine is surely gone */
     MachineListing(
             Kernel kernel,
             CloudClient cloud,
             LeaderTerm term,
             Cluster cluster,
             MachineTypes types,
-            long listLagMs,
-            long heardLatelyMs,
+            Fleet.Policy policy,
             Consumer<Machine> removed) {
         this.kernel = kernel;
         this.cloud = cloud;
         this.term = term;
         this.cluster = cluster;
         this.types = types;
-        this.listLagMs = listLagMs;
-        this.heardLatelyMs = heardLatelyMs;
+        this.policy = policy;
         this.removed = removed;
     }
 
@@ -88,7 +81,7 @@
                 takeAbsence(machines, asked);
                 cluster.touch();
             }
-            kernel.after(Math.max(MIN_LIST_MS, (long) (LIST_EVERY_LAGS * listLagMs)), this::read);
+            kernel.after(Math.max(MIN_LIST_MS, (long) (LIST_EVERY_LAGS * policy.listLagMs())), this::read);
         });
     }
 
@@ -134,7 +127,7 @@
     private void takeAbsence(List<CloudClient.Listed> machines, long asked) {
         Set<String> present = new HashSet<>();
         machines.forEach(machine -> present.add(machine.id()));
-        long bound = (long) (OLDEST_LIST_LAGS * listLagMs);
+        long bound = (long) (OLDEST_LIST_LAGS * policy.listLagMs());
         for (Machine machine : List.copyOf(cluster.machines())) {
             // A machine of a former leader was rented at the time that its record tells.
             long last = Math.max(machine.rentedAt(), listedAt.getOrDefault(machine.id(), Long.MIN_VALUE));
@@ -147,6 +140,6 @@
 
     // The list is late, and a machine may be back: what its worker says counts for more.
     private boolean heardLately(Machine machine) {
-        return machine.presence().heardWithin(heardLatelyMs, kernel.now());
+        return machine.presence().heardWithin(policy.heardLatelyMs(), kernel.now());
     }
 }
--- a/src/main/java/io/quartzgw/fleet/Retirement.java
+++ b/src/main/java/io/quartzgw/fleet/Retirement.java
@@ -3,8 +3,10 @@
 import io.quartzgw.loop.Kernel;
 import io.quartzgw.placement.Cluster;
 import io.quartzgw.placement.Consolidation;
+import io.quartzgw.placement.Job;
 import io.quartzgw.placement.Machine;
 import io.quartzgw.placement.Presence;
+import io.quartzgw.submission.Resources;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -28,20 +30,14 @@
     private final Kernel kernel;
     private final Cluster cluster;
     private final Consolidation consolidation;
-    private final double keptCpus;
-    private final long silentMs;
+    private final Fleet.Policy policy;
     private final long since;
 
-    /**
-     * @param keptCpus room that is kept rented whatever the demand
-     * @param silentMs how long a silent machine keeps its room
-     */
-    Retirement(Kernel kernel, Cluster cluster, Consolidation consolidation, double keptCpus, long silentMs) {
+    Retirement(Kernel kernel, Cluster cluster, Consolidation consolidation, Fleet.Policy policy) {
         this.kernel = kernel;
         this.cluster = cluster;
         this.consolidation = consolidation;
-        this.keptCpus = keptCpus;
-        this.silentMs = silentMs;
+        this.policy = policy;
         this.since = kernel.now();
     }
 
@@ -51,25 +47,59 @@
      * @param rentedCpus the size of all machines that are rented or requested
      */
     void retire(double rentedCpus) {
-        double spare = rentedCpus - keptCpus;
+        double spare = rentedCpus - policy.keptCpus();
+        Resources idleRoom = idleRoom();
+        Resources unaccounted = unaccounted();
         for (Machine machine : cluster.machines()) {
             double cpus = machine.type().size().cpus();
             if (neverCame(machine) || lost(machine)) {
                 LOG.info("returning {}: {}", machine.id(), !machine.presence().vouched() ? "never came up" : "lost");
                 machine.leave();
-            } else if (idle(machine) && cpus <= spare) {
+            } else if (idle(machine)
+                    && cpus <= spare
+                    && unaccounted.fitsIn(idleRoom.minus(machine.type().size()))) {
                 LOG.info("returning {}: idle", machine.id());
                 machine.leave();
                 spare -= cpus;
+                idleRoom = idleRoom.minus(machine.type().size());
+            }
+        }
+    }
+
+    private Resources idleRoom() {
+        Resources room = Resources.NONE;
+        for (Machine machine : cluster.machines()) {
+            if (machine.status() == Machine.Status.UP && machine.empty() && !machine.released()) {
+                room = room.plus(machine.type().size());
             }
         }
+        return room;
+    }
+
+    // Guards against returning machines shortly before they are needed: tasks that may run on a silent machine wait for
+    // no place, but when its reservation ends they all do, and then the cloud may have nothing left to rent.
+    private Resources unaccounted() {
+        Resources demand = Resources.NONE;
+        for (Job job : cluster.doubtfulJobs()) {
+            demand = demand.plus(job.spec().demand().times(job.doubted().cardinality()));
+        }
+        for (Machine machine : cluster.machines()) {
+            if (!machine.empty() && !machine.released() && !heardLately(machine)) {
+                demand = demand.plus(machine.type().size().minus(machine.room()));
+            }
+        }
+        return demand;
+    }
+
+    private boolean heardLately(Machine machine) {
+        return machine.presence().heardWithin(policy.heardLatelyMs(), kernel.now());
     }
 
     /** Clears a machine of which little is in use, one after the other. */
     void clearLittleUsed() {
         boolean clearing = cluster.machines().stream()
                 .anyMatch(machine -> machine.status() == Machine.Status.LEAVING && !machine.empty());
-        if (keptCpus > 0 || clearing) {
+        if (policy.keptCpus() > 0 || clearing) {
             return;
         }
         Machine cleared = consolidation.clearOne(this::nearlyCharged, kernel.now());
@@ -106,7 +136,7 @@
             return false;
         }
         Presence presence = machine.presence();
-        long patience = (long) (LOST_HOLDS * silentMs);
+        long patience = (long) (LOST_HOLDS * policy.silentMs());
         return machine.released() && kernel.now() - Math.max(presence.lastAnswered(), since) > patience
                 || presence.unreachable() && kernel.now() - presence.unreachableSince() > patience;
     }
--- /dev/null
+++ b/src/test/java/io/quartzgw/fleet/RetirementTest.java
@@ -0,0 +1,142 @@
+package io.quartzgw.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.quartzgw.loop.Kernel;
+import io.quartzgw.loop.Time;
+import io.quartzgw.placement.Booking;
+import io.quartzgw.placement.Cluster;
+import io.quartzgw.placement.Consolidation;
+import io.quartzgw.placement.Job;
+import io.quartzgw.placement.Machine;
+import io.quartzgw.placement.Starter;
+import io.quartzgw.submission.JobSpec;
+import io.quartzgw.submission.OpenJob;
+import io.quartzgw.submission.Priority;
+import io.quartzgw.submission.Resources;
+import io.quartzgw.submission.Shape;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Which idle machines are returned while tasks are unaccounted for, and which never came up. */
+class RetirementTest {
+    private static final long SILENT_MS = 17_000;
+    private static final MachineType TYPE =
+            new MachineType("t", new Resources(16, 2, 64), 40, 1, 1, 0.3, 20, List.of("a"));
+
+    private final Kernel kernel = new Kernel(1);
+    private final Cluster cluster = new Cluster(kernel, 1);
+    private final Retirement retirement = new Retirement(
+            kernel,
+            cluster,
+            new Consolidation(cluster, machine -> true, new NoStarter(), 16_000),
+            new Fleet.Policy(0, SILENT_MS, 5_000));
+
+    private static final class NoStarter implements Starter {
+        @Override
+        public void start(Booking booking) {}
+
+        @Override
+        public void stop(Booking booking, double graceS) {}
+    }
+
+    private Machine up(int number) {
+        Machine machine = new Machine("i-" + number, TYPE, "a", false, 0, 0);
+        cluster.add(machine);
+        hear(machine);
+        return machine;
+    }
+
+    private void hear(Machine machine) {
+        machine.presence().heard(1, kernel.now() + 1, kernel.now());
+        machine.present();
+    }
+
+    private Job job(int tasks) {
+        JobSpec spec = new JobSpec(
+                "j-1",
+                "w",
+                "team",
+                Shape.ARRAY,
+                Priority.NORMAL,
+                tasks,
+                new Resources(4, 1, 8),
+                "img",
+                1,
+                null,
+                null,
+                false,
+                false,
+                true,
+                10,
+                0,
+                0,
+                null);
+        return cluster.add(new OpenJob(spec, 1, 0));
+    }
+
+    private void pass(long ms) {
+        kernel.handle(List.of(), new Time(ms, ms));
+    }
+
+    private long leaving() {
+        return cluster.machines().stream()
+                .filter(machine -> machine.status() == Machine.Status.LEAVING)
+                .count();
+    }
+
+    @Test
+    void idleMachinesAreReturnedWhenAllTasksAreAccountedFor() {
+        for (int i = 0; i < 5; i++) {
+            up(i);
+        }
+        pass(90_000);
+        retirement.retire(5 * 16);
+        assertEquals(5, leaving());
+    }
+
+    // Guards a takeover beside silent machines: what is in doubt takes room when their reservation ends.
+    @Test
+    void roomIsKeptForTasksInDoubtInEveryDimension() {
+        for (int i = 0; i < 5; i++) {
+            up(i);
+        }
+        Job job = job(6);
+        job.startBelow(6);
+        cluster.doubt(job);
+        pass(90_000);
+        retirement.retire(5 * 16);
+        assertEquals(2, leaving(), "six tasks of one GPU need three machines of two");
+        cluster.endDoubt(job);
+        retirement.retire(3 * 16);
+        assertEquals(5, leaving());
+    }
+
+    @Test
+    void roomIsKeptForTasksOnASilentMachine() {
+        Machine silent = up(0);
+        Job job = job(2);
+        cluster.book(job, 0, silent, 1);
+        cluster.book(job, 1, silent, 2);
+        up(1);
+        up(2);
+        pass(90_000);
+        retirement.retire(3 * 16);
+        assertEquals(1, leaving());
+        hear(silent);
+        retirement.retire(2 * 16);
+        assertEquals(2, leaving());
+    }
+
+    // Guards the bill and the count of machines: one that does not come up is not waited for for ever.
+    @Test
+    void aMachineThatNeverComesUpIsReturned() {
+        cluster.add(new Machine("i-9", TYPE, "a", false, 0, 0));
+        pass(59_000);
+        retirement.retire(16);
+        assertEquals(0, leaving());
+        pass(61_000);
+        retirement.retire(16);
+        assertEquals(1, leaving());
+    }
+}
--- /dev/null
+++ b/src/test/java/io/quartzgw/fleet/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of which machines are rented and returned. */
+package io.quartzgw.fleet;
