--- a/src/main/java/io/quartzgw/app/Leader.java
+++ b/src/main/java/io/quartzgw/app/Leader.java
@@ -22,8 +22,8 @@
 import io.quartzgw.placement.Starter;
 import io.quartzgw.placement.Team;
 import io.quartzgw.progress.Progress;
-import io.quartzgw.recovery.Holds;
 import io.quartzgw.recovery.Recovery;
+import io.quartzgw.recovery.RecoveryTimes;
 import io.quartzgw.store.Change;
 import io.quartzgw.store.StoreClient;
 import io.quartzgw.submission.FinalPhase;
@@ -104,7 +104,7 @@
         this.peers = peers;
         this.since = kernel.now();
         long reportMs = settings.workers().reportMs();
-        Holds holds = Holds.of(settings.workers());
+        RecoveryTimes recoveryTimes = RecoveryTimes.of(settings.workers());
         this.cluster = new Cluster(kernel, term.number());
         this.workers = new Workers(
                 kernel,
@@ -135,7 +135,9 @@
                         new ToWorkers(),
                         settings.workers().leaseMs()),
                 new Fleet.Policy(
-                        keptCpus, holds.silentMs(), settings.cloudLimits().listLagMs()),
+                        keptCpus,
+                        recoveryTimes.silentMs(),
+                        settings.cloudLimits().listLagMs()),
                 workers::forget);
         this.recovery = new Recovery(
                 kernel,
@@ -147,8 +149,7 @@
                 workers,
                 progress,
                 records,
-                holds,
-                reportMs,
+                recoveryTimes,
                 formerAnswersUntil,
                 this::knownOver,
                 new OpenJobs());
--- a/src/main/java/io/quartzgw/recovery/Recovery.java
+++ b/src/main/java/io/quartzgw/recovery/Recovery.java
@@ -26,8 +26,6 @@
 /** A takeover: reads hard state, gathers reports for a window, then lets the leader place. */
 public final class Recovery {
     private static final Logger LOG = LoggerFactory.getLogger(Recovery.class);
-    private static final double RETRY_REPORTS = 0.1;
-    private static final double CONTACT_REPORTS = 0.04;
 
     /** How far the takeover is. */
     private enum Stage {
@@ -44,10 +42,8 @@
     private final Workers workers;
     private final Progress progress;
     private final MachineRecords records;
-    private final Holds holds;
+    private final RecoveryTimes times;
     private final LeaderTerm term;
-    private final long retryMs;
-    private final long contactMs;
     private final Predicate<String> knownOver;
     private final StoreClient.Follower openJobs;
     private final long electedAt;
@@ -72,8 +68,7 @@
             Workers workers,
             Progress progress,
             MachineRecords records,
-            Holds holds,
-            long reportMs,
+            RecoveryTimes times,
             long formerAnswersUntil,
             Predicate<String> knownOver,
             StoreClient.Follower openJobs) {
@@ -85,10 +80,8 @@
         this.workers = workers;
         this.progress = progress;
         this.records = records;
-        this.holds = holds;
+        this.times = times;
         this.term = term;
-        this.retryMs = (long) (RETRY_REPORTS * reportMs);
-        this.contactMs = (long) (CONTACT_REPORTS * reportMs);
         this.formerAnswersUntil = formerAnswersUntil;
         this.knownOver = knownOver;
         this.openJobs = openJobs;
@@ -116,7 +109,7 @@
             return;
         }
         if (!types.known()) {
-            kernel.after(retryMs, this::read);
+            kernel.after(times.retryMs(), this::read);
             return;
         }
         store.list(
@@ -128,7 +121,7 @@
                                 return;
                             }
                             if (jobs == null || done == null || machines == null) {
-                                kernel.after(retryMs, this::read);
+                                kernel.after(times.retryMs(), this::read);
                                 return;
                             }
                             loaded(jobs, done.entries(), machines.entries());
@@ -164,7 +157,7 @@
         workers.openBooks();
         store.follow(JobKeys.OPEN, jobs.revision(), jobs.at(), openJobs);
         List.copyOf(cluster.jobs()).stream().filter(Job::complete).forEach(progress::end);
-        kernel.after(contactMs, this::contactSilent);
+        kernel.after(times.contactMs(), this::contactSilent);
         check();
     }
 
@@ -182,7 +175,7 @@
             return;
         }
         silent.stream().filter(this::isSilent).forEach(workers::contact);
-        kernel.after(contactMs, this::contactSilent);
+        kernel.after(times.contactMs(), this::contactSilent);
     }
 
     /** Looks who has answered meanwhile, and whether the window can close; called after every batch. */
@@ -198,7 +191,7 @@
             heard.forEach(workers::explain);
             settleDoubts();
         }
-        if (stage == Stage.GATHERING && (silent.isEmpty() || kernel.now() - electedAt >= holds.windowMs())) {
+        if (stage == Stage.GATHERING && (silent.isEmpty() || kernel.now() - electedAt >= times.windowMs())) {
             stage = Stage.PLACING;
             kernel.count("takeover.count", 1);
             kernel.count("takeover.ms", kernel.now() - electedAt);
@@ -249,7 +242,7 @@
         }
         for (Machine machine : List.copyOf(cluster.machines())) {
             boolean held = !machine.released() && (!machine.empty() || isSilent(machine));
-            if (held && kernel.now() - machine.presence().lastAnswered() > holds.silentMs()) {
+            if (held && kernel.now() - machine.presence().lastAnswered() > times.silentMs()) {
                 List<Booking> over = machine.bookingsCopy().stream()
                         .filter(booking -> !booking.loose())
                         .toList();
