--- a/src/main/java/io/quartzgw/app/Leader.java
+++ b/src/main/java/io/quartzgw/app/Leader.java
@@ -174,7 +174,11 @@
         }
         if (term.current()) {
             kernel.after((long) (CHECK_LEASES * settings.workers().leaseMs()), this::tick);
-            recovery.releaseExpired();
+            if (term.confirmed()) {
+                // Guards against judging machines by silence of this node's own: after standing still it has heard
+                // none of them, and another leader may have answered them meanwhile.
+                recovery.releaseExpired();
+            }
             cluster.touch();
         }
     }
--- a/src/main/java/io/quartzgw/recovery/Recovery.java
+++ b/src/main/java/io/quartzgw/recovery/Recovery.java
@@ -247,6 +247,7 @@
                         .filter(booking -> !booking.loose())
                         .toList();
                 LOG.info("{} was silent for its hold, giving up {} tasks", machine.id(), over.size());
+                kernel.count("machines.given_up", 1);
                 over.forEach(cluster::release);
                 machine.holdExpired();
                 if (!machine.empty()) {
--- a/src/test/java/io/quartzgw/app/ScenarioTest.java
+++ b/src/test/java/io/quartzgw/app/ScenarioTest.java
@@ -63,6 +63,23 @@
         assertNothingRestarted(world);
     }
 
+    // Guards healthy machines: a leader that stood still has heard none of them when it wakes, and may not have heard
+    // of its successor either.
+    @Test
+    void aLeaderThatStoodStillGivesUpNoMachine() {
+        for (long stillMs : List.of(3_000L, 9_000L, 30_000L, 70_000L)) {
+            SimWorld world = withServices();
+            String leader = "rig-" + world.leader();
+            world.freeze(world.leader(), stillMs);
+            world.cut(leader, "*");
+            world.runUntil(world.now() + stillMs + 2_000);
+            world.heal(leader, "*");
+            world.runUntil(world.now() + 30_000);
+            assertNothingRestarted(world);
+            assertEquals(0, world.counts().getOrDefault("machines.given_up", 0L));
+        }
+    }
+
     // Guards the grace: it counts from the moment up to which the leader knows all cancellations.
     @Test
     void anOutageLongerThanGraceAndLeaseRestartsNothing() {
