--- a/src/main/java/io/quartzgw/store/CallQueue.java
+++ b/src/main/java/io/quartzgw/store/CallQueue.java
@@ -58,12 +58,13 @@
         refuseOverdue(changes);
         sendAll(urgentReads);
         sendAll(urgentWrites);
-        if (urgentReads.isEmpty()) {
-            sendAll(reads);
-        }
         if (urgentWrites.isEmpty()) {
             sendAll(changes);
         }
+        // Last, so that many questions starve no submission: there are far fewer changes than requests to spend.
+        if (urgentReads.isEmpty()) {
+            sendAll(reads);
+        }
     }
 
     private void refuseOverdue(Deque<Waiting> queue) {
--- a/src/test/java/io/quartzgw/store/CallQueueTest.java
+++ b/src/test/java/io/quartzgw/store/CallQueueTest.java
@@ -58,4 +58,18 @@
         assertEquals(1, refused.size());
         assertEquals(429, refused.get(0).status());
     }
+
+    // Guards submissions while users ask many times as often as usual.
+    @Test
+    void manyReadsDoNotStarveAWrite() {
+        CallQueue queue = new CallQueue(kernel, TEN_AND_TWO, reply -> {});
+        for (int i = 0; i < 30; i++) {
+            submit(queue, "/read", 0, Urgency.NORMAL);
+        }
+        pass(10);
+        assertEquals(10, sent.size());
+        submit(queue, "/write", 1, Urgency.NORMAL);
+        pass(150);
+        assertEquals("/write", sent.get(10));
+    }
 }
