Workers split by duty: sessions, reported tasks, order delivery

Workers answers reports and weighs what they prove; Sessions says whom there is something to order; ReportedTasks reconciles reported tasks with bookings; OrderDelivery sends orders and takes their answers. The behaviour is unchanged.

--- /dev/null
+++ b/src/main/java/io/quartzgw/worker/OrderDelivery.java
@@ -0,0 +1,224 @@
+package io.quartzgw.worker;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.quartzgw.http.Call;
+import io.quartzgw.http.Json;
+import io.quartzgw.http.Reply;
+import io.quartzgw.leadership.LeaderTerm;
+import io.quartzgw.loop.Kernel;
+import io.quartzgw.placement.Booking;
+import io.quartzgw.placement.Cluster;
+import io.quartzgw.placement.Job;
+import io.quartzgw.placement.Machine;
+import io.quartzgw.placement.Presence;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Sends orders straight to workers, one call at a time each.
+ *
+ * <p>A start that was sent directly and not answered may still be executed minutes later. Its booking stands: the same
+ * attempt is offered again in report responses, and the task goes nowhere else until the machine answers for it, starts
+ * a new session, or is surely gone.
+ */
+final class OrderDelivery {
+    private static final Logger LOG = LoggerFactory.getLogger(OrderDelivery.class);
+    /** A direct order that takes longer than this part of a report interval is given up. */
+    private static final double ORDER_TIMEOUT_REPORTS = 0.8;
+    /** The part of the direct calls that may be spent on asking the silent, so that orders always get through. */
+    private static final double CONTACTS = 0.5;
+
+    private final Kernel kernel;
+    private final LeaderTerm term;
+    private final Cluster cluster;
+    private final Sessions sessions;
+    private final WorkerTimes times;
+    private final int mostCalls;
+    private final Listener listener;
+    private int calls;
+
+    /** What the rest of the slice wants to know of. */
+    interface Listener {
+        /** A machine has to be marked as used before its first start. */
+        void needsRecord(Machine machine);
+
+        /** It has to be recorded that a task may be started before it is. */
+        void needsRecord(Job job, int index);
+
+        /** Applies the report with which a worker has answered; false when none can be applied yet. */
+        boolean answered(Session session, Report report);
+    }
+
+    /** @param mostCalls how many direct calls may be under way at once */
+    OrderDelivery(
+            Kernel kernel,
+            LeaderTerm term,
+            Cluster cluster,
+            Sessions sessions,
+            WorkerTimes times,
+            int mostCalls,
+            Listener listener) {
+        this.kernel = kernel;
+        this.term = term;
+        this.cluster = cluster;
+        this.sessions = sessions;
+        this.times = times;
+        this.mostCalls = mostCalls;
+        this.listener = listener;
+    }
+
+    /** Sends what is due to every worker, one direct order at a time each. */
+    void flush() {
+        for (Session session : sessions.due()) {
+            if (calls >= mostCalls) {
+                return;
+            }
+            if (session.calling
+                    || !session.machine.presence().vouched()
+                    || session.machine.presence().unreachable()) {
+                continue;
+            }
+            sessions.removeDue(session);
+            List<Order> orders = pendingOrders(session, true);
+            if (!orders.isEmpty()) {
+                send(session, orders);
+            }
+        }
+    }
+
+    /**
+     * Asks a machine for its report, which also shows it this leader's token; not more often than it would report by
+     * itself, and a part of the machines at a time.
+     */
+    void contact(Machine machine) {
+        Session session = sessions.of(machine);
+        if (kernel.now() - session.contactedAt >= times.reportMs()) {
+            contact(session);
+        }
+    }
+
+    private void contact(Session session) {
+        if (session.machine.address() != null && !session.calling && calls < mostCalls * CONTACTS) {
+            session.contactedAt = kernel.now();
+            send(session, List.of());
+        }
+    }
+
+    List<Order> pendingOrders(Session session, boolean direct) {
+        List<Order> orders = new ArrayList<>();
+        for (Attempt attempt : session.reapable) {
+            // After a removal a late copy of the start would run the task again.
+            if (!session.loose.contains(attempt)) {
+                orders.add(new Order.Reap(attempt));
+            }
+        }
+        int removals = orders.size();
+        session.strays.forEach(attempt -> orders.add(new Order.Kill(attempt, 0)));
+        for (Booking booking : session.machine.bookings()) {
+            if (booking.stopping() && booking.loose() && !booking.seen() && !direct) {
+                // Makes the attempt known and ended there, so that the copy that may still come has no effect.
+                orders.add(new Order.Run(booking));
+            }
+            if (booking.stopping() && (booking.seen() || booking.loose())) {
+                orders.add(new Order.Kill(Attempt.of(booking), booking.stopGraceS()));
+            }
+        }
+        if (term.confirmed()) {
+            addStarts(session, orders);
+        }
+        // Removals alone are in no hurry: they go with the next report's response.
+        return direct && orders.size() == removals ? List.of() : orders;
+    }
+
+    private void addStarts(Session session, List<Order> orders) {
+        boolean record = false;
+        for (Booking booking : session.machine.bookings()) {
+            if (booking.seen() || booking.stopping() || booking.job().over() || session.inCall.contains(booking)) {
+                continue;
+            }
+            boolean startable = booking.index() < booking.job().startBelow();
+            if (!startable) {
+                listener.needsRecord(booking.job(), booking.index());
+            }
+            if (!session.machine.used()) {
+                record = true;
+            } else if (startable) {
+                booking.markOffered();
+                orders.add(new Order.Run(booking));
+            }
+        }
+        if (record) {
+            listener.needsRecord(session.machine);
+        }
+    }
+
+    private void send(Session session, List<Order> orders) {
+        Machine machine = session.machine;
+        ObjectNode body = Json.object()
+                .put("baton", term.number())
+                .put(
+                        "tenure",
+                        // A start names the session that is proved: one that names a later session would outlive the
+                        // release of
+                        // its booking, which a rise of the session brings.
+                        orders.isEmpty()
+                                ? machine.presence().toldTenure()
+                                : machine.presence().tenure());
+        ArrayNode list = body.putArray("orders");
+        session.calling = true;
+        calls++;
+        session.tenureAtCall = machine.presence().tenure();
+        session.counterAtCall = machine.presence().counter();
+        for (Order order : orders) {
+            list.add(order.toJson());
+            if (order instanceof Order.Run run) {
+                session.inCall.add(run.booking());
+            }
+        }
+        LOG.debug("{} is ordered {}", machine.id(), list);
+        kernel.count("orders.calls", 1);
+        kernel.count("orders.sent", orders.size());
+        long timeout = (long) (ORDER_TIMEOUT_REPORTS * times.reportMs());
+        kernel.call(Call.post(machine.address(), "/orders", body, timeout), reply -> answered(session, reply));
+    }
+
+    private void answered(Session session, Reply reply) {
+        Set<Booking> sent = new HashSet<>(session.inCall);
+        session.calling = false;
+        calls--;
+        session.inCall.clear();
+        if (!term.current() || cluster.machine(session.machine.id()) != session.machine) {
+            return;
+        }
+        Presence presence = session.machine.presence();
+        if (reply.status() != 200 && reply.status() != 409) {
+            if (reply.status() == Reply.LOST) {
+                sent.forEach(Booking::markLoose);
+                presence.lostTouch(kernel.now());
+            }
+            return;
+        }
+        Report report = Report.read(reply.body());
+        if (report == null) {
+            return;
+        }
+        term.sawToken(report.token());
+        if (!term.current() || !listener.answered(session, report)) {
+            return;
+        }
+        if (reply.status() == 409) {
+            // Nothing was executed: after the report it is told again, with the right session.
+            sessions.addDue(session);
+            if (!presence.vouched()) {
+                // The contact named no session; this one shows the worker the new token.
+                contact(session);
+            }
+        }
+        cluster.touch();
+    }
+}
--- /dev/null
+++ b/src/main/java/io/quartzgw/worker/Sessions.java
@@ -0,0 +1,81 @@
+package io.quartzgw.worker;
+
+import io.quartzgw.placement.Booking;
+import io.quartzgw.placement.Cluster;
+import io.quartzgw.placement.Job;
+import io.quartzgw.placement.Machine;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** The leader's dealings with each worker, and which of them have something to be ordered. */
+final class Sessions {
+    private final Cluster cluster;
+    private final Map<String, Session> sessions = new HashMap<>();
+    /** Sessions with something to order, in the order in which it fell due. */
+    private final Set<Session> due = new LinkedHashSet<>();
+
+    Sessions(Cluster cluster) {
+        this.cluster = cluster;
+    }
+
+    /** The dealings with a machine's worker; they begin anew when another machine has taken its name. */
+    Session of(Machine machine) {
+        Session session = sessions.get(machine.id());
+        if (session == null || session.machine != machine) {
+            session = new Session(machine);
+            sessions.put(machine.id(), session);
+        }
+        return session;
+    }
+
+    /** Drops what is kept of a machine that is gone, and returns it; null when there was nothing. */
+    Session remove(Machine machine) {
+        Session session = sessions.remove(machine.id());
+        due.remove(session);
+        return session;
+    }
+
+    /** Says that a worker has to be ordered something. */
+    void addDue(Session session) {
+        due.add(session);
+    }
+
+    /** Says that what fell due for a worker is being sent. */
+    void removeDue(Session session) {
+        due.remove(session);
+    }
+
+    /** The workers that have to be ordered something, as of now. */
+    Collection<Session> due() {
+        return List.copyOf(due);
+    }
+
+    /** Has a booking's start sent at the end of this batch. */
+    void start(Booking booking) {
+        startsDue(booking.machine());
+    }
+
+    /** Has the starts sent that wait on a machine. */
+    void startsDue(Machine machine) {
+        due.add(of(machine));
+    }
+
+    /** Has the starts sent of a job's tasks that wait for that. */
+    void startsDue(Job job) {
+        job.bookings().stream().filter(booking -> !booking.offered()).forEach(this::start);
+    }
+
+    /** Has a task stopped: directly at the end of this batch, and in report responses until it has ended. */
+    void stop(Booking booking, double graceS) {
+        if (!booking.offered() && !booking.seen()) {
+            cluster.release(booking);
+            return;
+        }
+        booking.stop(graceS);
+        due.add(of(booking.machine()));
+    }
+}
