Names: a report is current, unverified or stale; machines are verified

Presence.Proof (vouches, unproven, overtaken) is Presence.Freshness now, JobStore revalidates the records it has seen. The counters of reports under /metrics are renamed along: reports.current, reports.unverified, reports.stale.

--- a/src/main/java/io/quartzgw/fleet/Retirement.java
+++ b/src/main/java/io/quartzgw/fleet/Retirement.java
@@ -53,7 +53,7 @@
         for (Machine machine : cluster.machines()) {
             double cpus = machine.type().size().cpus();
             if (neverCame(machine) || lost(machine)) {
-                LOG.info("returning {}: {}", machine.id(), !machine.presence().vouched() ? "never came up" : "lost");
+                LOG.info("returning {}: {}", machine.id(), !machine.presence().verified() ? "never came up" : "lost");
                 machine.leave();
             } else if (idle(machine)
                     && cpus <= spare
--- a/src/main/java/io/quartzgw/placement/Cluster.java
+++ b/src/main/java/io/quartzgw/placement/Cluster.java
@@ -191,7 +191,7 @@
     }
 
     /**
-     * What a team's tasks may take at the most. On a machine that has not vouched yet, or that reports tasks the book
+     * What a team's tasks may take at the most. On a machine that is not verified yet, or that reports tasks the book
      * has no place for, there may be tasks of jobs that are over: the open jobs don't tell of those, and until they are
      * gone they count against their team's limit, whichever it is.
      */
--- a/src/main/java/io/quartzgw/placement/Machine.java
+++ b/src/main/java/io/quartzgw/placement/Machine.java
@@ -112,7 +112,7 @@
         return presence;
     }
 
-    /** Its worker has vouched for what is on it. */
+    /** A current report has told what is on it. */
     public void present() {
         released = false;
         if (status == Status.BOOTING) {
--- a/src/main/java/io/quartzgw/placement/Presence.java
+++ b/src/main/java/io/quartzgw/placement/Presence.java
@@ -3,27 +3,27 @@
 /**
  * What this leader has heard from a machine's worker, and what that proves.
  *
- * <p>Copies of reports may come late, by far more than a lease, and to a leader that knows no newer one. So a report
- * vouches for its machine only when it shows this leader's token (it was made after this leader had reached the worker)
- * and is newer than all that was heard before. Anything else is only a sign that there may be a worker: it is answered,
- * since it may be genuine, but changes nothing in the book.
+ * <p>Copies of reports may come late, by far more than a lease, and to a leader that knows no newer one. So a report is
+ * current only when it shows this leader's token (it was made after this leader had reached the worker) and is newer
+ * than all that was heard before. Anything else is only a sign that there may be a worker: it is answered, since it may
+ * be genuine, but changes nothing in the book.
  */
 public final class Presence {
 
     /** What a message proves. */
-    public enum Proof {
+    public enum Freshness {
         /** It is the newest word of a worker that this leader has reached. */
-        VOUCHES,
+        CURRENT,
         /** It may be genuine, or a copy from before this leader's term. */
-        UNPROVEN,
-        /** Something newer was heard: a copy, or one that was overtaken. */
-        OVERTAKEN
+        UNVERIFIED,
+        /** Something newer was heard: a copy, or a report that arrived late. */
+        STALE
     }
 
     private long tenure;
     private long counter = -1;
     private long heardAt;
-    private boolean vouched;
+    private boolean verified;
     /** Sessions are counted from 1, and most workers never lose their first. */
     private long toldTenure = 1;
 
@@ -47,7 +47,7 @@
         return Math.max(tenure, toldTenure);
     }
 
-    /** The counter of the newest message that vouched; negative when there was none. */
+    /** The counter of the newest current report; negative when there was none. */
     public long counter() {
         return counter;
     }
@@ -55,22 +55,22 @@
     /**
      * Whether the worker has shown this leader's token: what it reports is so, and no former leader's order runs there.
      */
-    public boolean vouched() {
-        return vouched;
+    public boolean verified() {
+        return verified;
     }
 
-    /** Whether a message that vouched came no longer ago than this. */
+    /** Whether a current report came no longer ago than this. */
     public boolean heardWithin(long ms, long now) {
-        return vouched && now - heardAt < ms;
+        return verified && now - heardAt < ms;
     }
 
     /** Weighs a message; the direct answer to an order is never a copy. */
-    public Proof weigh(long itsTenure, long itsCounter, boolean showsToken, boolean direct) {
+    public Freshness classify(long itsTenure, long itsCounter, boolean showsToken, boolean direct) {
         if (!newer(itsTenure, itsCounter, tenure, counter)) {
-            return Proof.OVERTAKEN;
+            return Freshness.STALE;
         }
         // Copies from the former worker of a machine that came back count higher than its new one.
-        return showsToken && (direct || !reborn) ? Proof.VOUCHES : Proof.UNPROVEN;
+        return showsToken && (direct || !reborn) ? Freshness.CURRENT : Freshness.UNVERIFIED;
     }
 
     /** Whether one message of a worker was made after another one. */
@@ -78,22 +78,22 @@
         return itsTenure > thanTenure || itsTenure == thanTenure && itsCounter > thanCounter;
     }
 
-    /** Notes a message that vouches. */
+    /** Notes a current report. */
     public void heard(long itsTenure, long itsCounter, long now) {
         tenure = itsTenure;
         counter = itsCounter;
         heardAt = now;
-        if (!vouched) {
+        if (!verified) {
             // A former leader may have answered it until just now, but none can any more.
-            vouched = true;
+            verified = true;
             answered = Math.max(answered, now);
         }
     }
 
     /**
-     * Notes that a report is answered with this leader's token. One that was overtaken must not be: where it is genuine
-     * it would renew a lease that this leader doesn't count. One that proves nothing has to be, or its worker would
-     * never show the token; where it is a copy, room is held a little longer than it need be.
+     * Notes that a report is answered with this leader's token. A stale one must not be: where it is genuine it would
+     * renew a lease that this leader doesn't count. One that proves nothing has to be, or its worker would never show
+     * the token; where it is a copy, room is held a little longer than it need be.
      */
     public void answered(long now) {
         answered = Math.max(answered, now);
@@ -101,7 +101,7 @@
 
     /** When a report that was answered, by this leader or a former one, can last have been sent. */
     public long lastAnswered() {
-        return vouched ? answered : Math.max(answered, formerUntil);
+        return verified ? answered : Math.max(answered, formerUntil);
     }
 
     /**
--- a/src/main/java/io/quartzgw/placement/Scheduler.java
+++ b/src/main/java/io/quartzgw/placement/Scheduler.java
@@ -120,7 +120,7 @@
     public boolean usable(Machine machine) {
         return machine.status() == Machine.Status.UP
                 && !machine.released()
-                && machine.presence().vouched()
+                && machine.presence().verified()
                 && !machine.presence().unreachable()
                 && kernel.now() - machine.presence().lastAnswered() < freshMs
                 && machine.reclaimAt() == Long.MAX_VALUE
--- a/src/main/java/io/quartzgw/recovery/Recovery.java
+++ b/src/main/java/io/quartzgw/recovery/Recovery.java
@@ -165,7 +165,7 @@
 
     private boolean isSilent(Machine machine) {
         return machine.used()
-                && !machine.presence().vouched()
+                && !machine.presence().verified()
                 && !machine.released()
                 && cluster.machine(machine.id()) == machine;
     }
--- a/src/main/java/io/quartzgw/submission/JobStore.java
+++ b/src/main/java/io/quartzgw/submission/JobStore.java
@@ -31,8 +31,8 @@
             Caffeine.newBuilder().maximumSize(CACHED).executor(Runnable::run).build();
 
     private final Map<String, SharedRead> reads = new HashMap<>();
-    private final Map<String, List<Consumer<Found>>> toVouch = new LinkedHashMap<>();
-    private boolean vouching;
+    private final Map<String, List<Consumer<Found>>> toRevalidate = new LinkedHashMap<>();
+    private boolean revalidating;
 
     /** What the state service knows of a job. */
     public sealed interface Found {
@@ -88,8 +88,8 @@
             return;
         }
         if (open.getIfPresent(id) != null) {
-            toVouch.computeIfAbsent(id, key -> new ArrayList<>()).add(then);
-            vouch();
+            toRevalidate.computeIfAbsent(id, key -> new ArrayList<>()).add(then);
+            revalidate();
             return;
         }
         read(id, then);
@@ -97,14 +97,14 @@
 
     // Asks whether the open records that callers wait for are still there: a transaction that only compares.
     // Callers that come while one is under way wait for the next, like those of a shared read.
-    private void vouch() {
-        if (vouching || toVouch.isEmpty()) {
+    private void revalidate() {
+        if (revalidating || toRevalidate.isEmpty()) {
             return;
         }
         Map<String, List<Consumer<Found>>> batch = new LinkedHashMap<>();
         Map<String, Long> revisions = new LinkedHashMap<>();
         Txn txn = new Txn();
-        var each = toVouch.entrySet().iterator();
+        var each = toRevalidate.entrySet().iterator();
         while (each.hasNext() && batch.size() < GUARDS_PER_OP * store.txnOps()) {
             Map.Entry<String, List<Consumer<Found>>> next = each.next();
             each.remove();
@@ -120,15 +120,15 @@
         if (batch.isEmpty()) {
             return;
         }
-        vouching = true;
+        revalidating = true;
         store.commit(txn, Urgency.NORMAL, outcome -> {
-            vouching = false;
-            batch.forEach((id, callers) -> vouched(id, callers, revisions.get(id), outcome));
-            vouch();
+            revalidating = false;
+            batch.forEach((id, callers) -> revalidated(id, callers, revisions.get(id), outcome));
+            revalidate();
         });
     }
 
-    private void vouched(String id, List<Consumer<Found>> callers, long revision, TxnOutcome outcome) {
+    private void revalidated(String id, List<Consumer<Found>> callers, long revision, TxnOutcome outcome) {
         if (outcome instanceof TxnOutcome.Committed) {
             callers.forEach(caller -> caller.accept(new Found.Open(revision)));
         } else if (outcome instanceof TxnOutcome.Conflict conflict) {
@@ -137,7 +137,7 @@
                 callers.forEach(caller -> read(id, caller));
             } else {
                 // Nothing says that every key that has changed is named: ask again without those that were.
-                toVouch.computeIfAbsent(id, key -> new ArrayList<>()).addAll(callers);
+                toRevalidate.computeIfAbsent(id, key -> new ArrayList<>()).addAll(callers);
             }
         } else {
             callers.forEach(caller -> caller.accept(new Found.Unclear()));
--- a/src/main/java/io/quartzgw/worker/OrderDelivery.java
+++ b/src/main/java/io/quartzgw/worker/OrderDelivery.java
@@ -79,7 +79,7 @@
                 return;
             }
             if (session.calling
-                    || !session.machine.presence().vouched()
+                    || !session.machine.presence().verified()
                     || session.machine.presence().unreachable()) {
                 continue;
             }
@@ -159,21 +159,16 @@
 
     private void send(Session session, List<Order> orders) {
         Machine machine = session.machine;
-        ObjectNode body = Json.object()
-                .put("baton", term.number())
-                .put(
-                        "tenure",
-                        // A start names the session that is proved: one that names a later session would outlive the
-                        // release of
-                        // its booking, which a rise of the session brings.
-                        orders.isEmpty()
-                                ? machine.presence().toldTenure()
-                                : machine.presence().tenure());
+        Presence presence = machine.presence();
+        // A start names the verified session: one that names a later session would outlive the release of its booking,
+        // which a rise of the session brings.
+        long tenure = orders.isEmpty() ? presence.toldTenure() : presence.tenure();
+        ObjectNode body = Json.object().put("baton", term.number()).put("tenure", tenure);
         ArrayNode list = body.putArray("orders");
         session.calling = true;
         calls++;
-        session.tenureAtCall = machine.presence().tenure();
-        session.counterAtCall = machine.presence().counter();
+        session.tenureAtCall = presence.tenure();
+        session.counterAtCall = presence.counter();
         for (Order order : orders) {
             list.add(order.toJson());
             if (order instanceof Order.Run run) {
@@ -214,7 +209,7 @@
         if (reply.status() == 409) {
             // Nothing was executed: after the report it is told again, with the right session.
             sessions.addDue(session);
-            if (!presence.vouched()) {
+            if (!presence.verified()) {
                 // The contact named no session; this one shows the worker the new token.
                 contact(session);
             }
--- a/src/main/java/io/quartzgw/worker/ReportedTasks.java
+++ b/src/main/java/io/quartzgw/worker/ReportedTasks.java
@@ -43,7 +43,7 @@
         endedOn.values().removeIf(on -> on.remove(session) && on.isEmpty());
     }
 
-    /** Applies the list of tasks of a message that vouches for its machine. */
+    /** Applies the list of tasks of a current report. */
     void apply(Session session, List<Report.TaskReport> tasks) {
         Machine machine = session.machine;
         Set<Attempt> reported = new HashSet<>();
--- a/src/main/java/io/quartzgw/worker/Workers.java
+++ b/src/main/java/io/quartzgw/worker/Workers.java
@@ -25,13 +25,13 @@
 public final class Workers {
     private static final Logger LOG = LoggerFactory.getLogger(Workers.class);
 
-    private static final Map<Presence.Proof, String> COUNTED = Map.of(
-            Presence.Proof.VOUCHES,
-            "reports.vouches",
-            Presence.Proof.UNPROVEN,
-            "reports.unproven",
-            Presence.Proof.OVERTAKEN,
-            "reports.overtaken");
+    private static final Map<Presence.Freshness, String> COUNTED = Map.of(
+            Presence.Freshness.CURRENT,
+            "reports.current",
+            Presence.Freshness.UNVERIFIED,
+            "reports.unverified",
+            Presence.Freshness.STALE,
+            "reports.stale");
 
     private final Kernel kernel;
     private final Cluster cluster;
@@ -92,19 +92,19 @@
             stopOver(report, orders);
             return response.put("baton", term.number());
         }
-        Presence.Proof proof = apply(report, false);
-        kernel.count(COUNTED.get(proof), 1);
+        Presence.Freshness freshness = apply(report, false);
+        kernel.count(COUNTED.get(freshness), 1);
         // Without a token in its answer, a worker drops it: see Presence.answered.
-        if (proof != Presence.Proof.OVERTAKEN) {
+        if (freshness != Presence.Freshness.STALE) {
             response.put("baton", term.number());
-            if (proof != Presence.Proof.VOUCHES) {
+            if (freshness != Presence.Freshness.CURRENT) {
                 stopOver(report, orders);
             }
             Machine machine = cluster.machine(report.machine());
             // Only in the session that is proved: a start offered to a later one would be executed there, while the
             // proof of that session, already on its way, gives the task to another machine.
             if (machine != null
-                    && machine.presence().vouched()
+                    && machine.presence().verified()
                     && machine.presence().tenure() == report.tenure()) {
                 delivery.pendingOrders(sessions.of(machine), false).forEach(order -> orders.add(order.toJson()));
             }
@@ -144,42 +144,42 @@
      *
      * @param direct whether it is the answer to an order, and not a report that may be a late copy
      */
-    private Presence.Proof apply(Report report, boolean direct) {
+    private Presence.Freshness apply(Report report, boolean direct) {
         Machine machine = cluster.machine(report.machine());
         if (machine == null) {
             machine = unexpected(report);
             if (machine == null) {
-                return Presence.Proof.UNPROVEN;
+                return Presence.Freshness.UNVERIFIED;
             }
         }
         Presence presence = machine.presence();
-        Presence.Proof proof =
-                presence.weigh(report.tenure(), report.counter(), report.token() >= term.number(), direct);
-        if (proof == Presence.Proof.VOUCHES) {
-            vouched(machine, report);
+        Presence.Freshness freshness =
+                presence.classify(report.tenure(), report.counter(), report.token() >= term.number(), direct);
+        if (freshness == Presence.Freshness.CURRENT) {
+            applyCurrent(machine, report);
         } else {
             machine.address(report.address());
-            if (!machine.used() || presence.vouched()) {
+            if (!machine.used() || presence.verified()) {
                 // A new worker, or the worker of a machine that came back, or a late copy: it shows by its
                 // answer. Those that a former leader has used come by themselves once they know the token.
                 delivery.contact(machine);
             }
         }
         if (!direct) {
-            if (proof != Presence.Proof.OVERTAKEN) {
+            if (freshness != Presence.Freshness.STALE) {
                 presence.answered(kernel.now());
             }
             if (presence.unreachable()) {
                 delivery.contact(machine);
             }
         }
-        return proof;
+        return freshness;
     }
 
-    private void vouched(Machine machine, Report report) {
+    private void applyCurrent(Machine machine, Report report) {
         Presence presence = machine.presence();
         Session session = sessions.of(machine);
-        boolean first = !presence.vouched();
+        boolean first = !presence.verified();
         boolean restarted = !first && report.tenure() > presence.tenure();
         boolean back = machine.released();
         machine.address(report.address());
@@ -264,7 +264,7 @@
     private void applyAnswer(Session session, Report report) {
         Presence presence = session.machine.presence();
         presence.answersOrders();
-        if (presence.vouched()
+        if (presence.verified()
                 && !Presence.newer(report.tenure(), report.counter(), session.tenureAtCall, session.counterAtCall)) {
             reborn(session, report);
         }
--- a/src/test/java/io/quartzgw/placement/PresenceTest.java
+++ b/src/test/java/io/quartzgw/placement/PresenceTest.java
@@ -12,37 +12,37 @@
 
     // Guards the gather window: a new leader knows no older counter to hold a late copy against.
     @Test
-    void aReportWithoutThisLeadersTokenVouchesForNothing() {
+    void aReportWithoutThisLeadersTokenIsUnverified() {
         presence.formerAnswers(30_000);
-        assertEquals(Presence.Proof.UNPROVEN, presence.weigh(1, 70, false, false));
+        assertEquals(Presence.Freshness.UNVERIFIED, presence.classify(1, 70, false, false));
         presence.answered(1_000);
-        assertFalse(presence.vouched());
+        assertFalse(presence.verified());
         assertEquals(30_000, presence.lastAnswered(), "a former leader may answer it until its grace ends");
-        assertEquals(Presence.Proof.VOUCHES, presence.weigh(1, 71, true, false));
+        assertEquals(Presence.Freshness.CURRENT, presence.classify(1, 71, true, false));
         presence.heard(1, 71, 2_000);
         assertEquals(2_000, presence.lastAnswered(), "no former leader can any more");
     }
 
-    // Guards the hold: what was overtaken renews nothing, and brings nothing back.
+    // Guards the hold: a stale report renews nothing, and brings nothing back.
     @Test
-    void anOvertakenReportProvesNothing() {
+    void aReportOlderThanTheLastIsStale() {
         presence.heard(2, 5, 1_000);
         presence.answered(1_000);
-        assertEquals(Presence.Proof.OVERTAKEN, presence.weigh(2, 5, true, false));
-        assertEquals(Presence.Proof.OVERTAKEN, presence.weigh(1, 900, true, false));
-        assertEquals(Presence.Proof.VOUCHES, presence.weigh(3, 1, true, false));
+        assertEquals(Presence.Freshness.STALE, presence.classify(2, 5, true, false));
+        assertEquals(Presence.Freshness.STALE, presence.classify(1, 900, true, false));
+        assertEquals(Presence.Freshness.CURRENT, presence.classify(3, 1, true, false));
     }
 
     // Guards a machine with a new worker against copies of the former one's reports, which count higher.
     @Test
-    void afterANewWorkerOnlyAnswersToOrdersVouch() {
+    void afterANewWorkerOnlyAnswersToOrdersAreCurrent() {
         presence.heard(1, 80, 1_000);
         presence.reborn(1, 2);
-        assertEquals(Presence.Proof.VOUCHES, presence.weigh(1, 2, true, true));
+        assertEquals(Presence.Freshness.CURRENT, presence.classify(1, 2, true, true));
         presence.heard(1, 2, 1_500);
-        assertEquals(Presence.Proof.UNPROVEN, presence.weigh(1, 81, true, false), "a copy");
-        assertEquals(Presence.Proof.UNPROVEN, presence.weigh(1, 3, true, false), "or not");
-        assertEquals(Presence.Proof.VOUCHES, presence.weigh(1, 4, true, true));
+        assertEquals(Presence.Freshness.UNVERIFIED, presence.classify(1, 81, true, false), "a copy");
+        assertEquals(Presence.Freshness.UNVERIFIED, presence.classify(1, 3, true, false), "or not");
+        assertEquals(Presence.Freshness.CURRENT, presence.classify(1, 4, true, true));
     }
 
     @Test
