--- a/src/main/java/io/quartzgw/app/Leader.java
+++ b/src/main/java/io/quartzgw/app/Leader.java
@@ -24,20 +24,13 @@
 import io.quartzgw.progress.Progress;
 import io.quartzgw.recovery.Recovery;
 import io.quartzgw.recovery.RecoveryTimes;
-import io.quartzgw.store.Change;
 import io.quartzgw.store.StoreClient;
 import io.quartzgw.submission.FinalPhase;
 import io.quartzgw.submission.JobCounts;
-import io.quartzgw.submission.JobKeys;
 import io.quartzgw.submission.JobStore;
 import io.quartzgw.submission.OpenJob;
 import io.quartzgw.worker.Report;
 import io.quartzgw.worker.Workers;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.Set;
-import java.util.stream.Collectors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -50,19 +43,14 @@
     private static final double CUT_PART = 0.25;
 
     private static final double FLEET_REPORTS = 0.1;
-    /** How long a follow of the open jobs waits: what it has told is known up to when it was asked. */
-    private static final double FOLLOW_REPORTS = 0.6;
     /** After giving up for lack of reports, this node does not stand again for so long. */
     private static final int ABSTAIN_REPORTS = 6;
 
     private final Kernel kernel;
     private final Settings settings;
     private final Leadership leadership;
-    private final StoreClient store;
     private final JobStore jobs;
     private final Cancellations cancellations;
-    private final Horizon horizon;
-    private final long followMs;
     private final LeaderTerm term;
     private final long since;
     private final Peers peers;
@@ -73,12 +61,11 @@
     private final Scheduler scheduler;
     private final MachineRecords records;
     private final Fleet fleet;
+    private final OpenJobs openJobs;
+    private final CountPages countPages;
     private boolean fleetStarted;
     private boolean fleetDue;
     private boolean fleetPaused;
-    private long followedTo = Long.MAX_VALUE;
-    /** The last job of the last page of counts. */
-    private String countedTo = "";
 
     Leader(
             Kernel kernel,
@@ -95,11 +82,8 @@
         this.kernel = kernel;
         this.settings = settings;
         this.leadership = leadership;
-        this.store = store;
         this.jobs = jobs;
         this.cancellations = cancellations;
-        this.horizon = horizon;
-        this.followMs = (long) (FOLLOW_REPORTS * settings.workers().reportMs());
         this.term = new LeaderTerm(leadership);
         this.peers = peers;
         this.since = kernel.now();
@@ -139,6 +123,8 @@
                         recoveryTimes.silentMs(),
                         settings.cloudLimits().listLagMs()),
                 workers::forget);
+        this.openJobs = new OpenJobs(kernel, store, term, cluster, horizon, reportMs, this::knownOver, this::over);
+        this.countPages = new CountPages(cluster);
         this.recovery = new Recovery(
                 kernel,
                 store,
@@ -152,7 +138,7 @@
                 recoveryTimes,
                 formerAnswersUntil,
                 this::knownOver,
-                new OpenJobs());
+                openJobs);
     }
 
     // Where the guarantee is an aim, its room is there before the work comes.
@@ -241,18 +227,7 @@
     // ---- jobs
 
     void accepted(OpenJob open) {
-        // A notice may be held up and come late, when the job is over already: what the follow has
-        // passed, it has told better.
-        if (open.revision() > followedTo) {
-            add(open);
-        }
-    }
-
-    // What is known to be over comes no more: a follow or a notice may tell of the acceptance after the end.
-    private void add(OpenJob open) {
-        if (!knownOver(open.spec().id())) {
-            cluster.add(open);
-        }
+        openJobs.accepted(open);
     }
 
     private boolean knownOver(String id) {
@@ -276,82 +251,9 @@
         progress.dropped(id);
     }
 
-    /**
-     * Counts for display of the open jobs that have any, a page each time: thousands of jobs don't fit one message.
-     *
-     * @param most how many jobs a page may name
-     */
+    /** The next page of counts for display. */
     JobCounts counts(int most) {
-        String after = countedTo;
-        Map<String, JobCounts.Counts> page = new LinkedHashMap<>();
-        countedTo = "";
-        for (Job job : cluster.jobsAfter(after)) {
-            int running = job.runningCount();
-            if (running > 0 || job.doneCount() > 0) {
-                if (page.size() == most) {
-                    return new JobCounts(after, countedTo, page);
-                }
-                page.put(job.id(), new JobCounts.Counts(job.doneCount(), running));
-            }
-            countedTo = job.id();
-        }
-        countedTo = "";
-        return new JobCounts(after, null, page);
-    }
-
-    private final class OpenJobs implements StoreClient.Follower {
-        @Override
-        public boolean wanted() {
-            return term.current();
-        }
-
-        @Override
-        public void reached(long revision, long at) {
-            followedTo = revision;
-            horizon.read(at);
-        }
-
-        @Override
-        public long waitMs() {
-            return followMs;
-        }
-
-        @Override
-        public void changed(List<Change> changes) {
-            for (Change change : changes) {
-                if (change.value() == null) {
-                    over(change.key().substring(JobKeys.OPEN.length()));
-                } else {
-                    add(OpenJob.fromRecord(change.value(), change.revision()));
-                }
-            }
-        }
-
-        @Override
-        public void outdated() {
-            store.list(JobKeys.OPEN, listing -> {
-                if (!term.current()) {
-                    return;
-                }
-                if (listing == null) {
-                    kernel.after(settings.workers().reportMs(), this::outdated);
-                    return;
-                }
-                List<OpenJob> open = listing.entries().stream()
-                        .map(entry -> OpenJob.fromRecord(entry.value(), entry.revision()))
-                        .toList();
-                Set<String> ids = open.stream().map(job -> job.spec().id()).collect(Collectors.toSet());
-                cluster.jobs().stream()
-                        .filter(job -> !job.over()
-                                && !ids.contains(job.id())
-                                && job.open().revision() <= listing.revision())
-                        .map(Job::id)
-                        .toList()
-                        .forEach(Leader.this::over);
-                open.forEach(Leader.this::add);
-                store.follow(JobKeys.OPEN, listing.revision(), listing.at(), this);
-            });
-        }
+        return countPages.next(most);
     }
 
     // ---- between the slices
