--- a/src/main/java/io/quartzgw/placement/Booking.java
+++ b/src/main/java/io/quartzgw/placement/Booking.java
@@ -22,7 +22,7 @@
     private Phase phase = Phase.ORDERED;
     private long runningSince;
     private boolean offered;
-    private boolean loose;
+    private boolean unacknowledged;
     private boolean stopping;
     private double saveS;
 
@@ -95,12 +95,12 @@
     }
 
     /** Whether a copy of the start order is unaccounted for and may still be executed. */
-    public boolean loose() {
-        return loose;
+    public boolean unacknowledged() {
+        return unacknowledged;
     }
 
-    public void markLoose() {
-        loose = true;
+    public void markUnacknowledged() {
+        unacknowledged = true;
     }
 
     public boolean stopping() {
--- a/src/main/java/io/quartzgw/worker/OrderDelivery.java
+++ b/src/main/java/io/quartzgw/worker/OrderDelivery.java
@@ -113,18 +113,18 @@
         List<Order> orders = new ArrayList<>();
         for (Attempt attempt : session.reapable) {
             // After a removal a late copy of the start would run the task again.
-            if (!session.loose.contains(attempt)) {
+            if (!session.unacknowledged.contains(attempt)) {
                 orders.add(new Order.Reap(attempt));
             }
         }
         int removals = orders.size();
         session.strays.forEach(attempt -> orders.add(new Order.Kill(attempt, 0)));
         for (Booking booking : session.machine.bookings()) {
-            if (booking.stopping() && booking.loose() && !booking.seen() && !direct) {
+            if (booking.stopping() && booking.unacknowledged() && !booking.seen() && !direct) {
                 // Makes the attempt known and ended there, so that the copy that may still come has no effect.
                 orders.add(new Order.Run(booking));
             }
-            if (booking.stopping() && (booking.seen() || booking.loose())) {
+            if (booking.stopping() && (booking.seen() || booking.unacknowledged())) {
                 orders.add(new Order.Kill(Attempt.of(booking), booking.stopGraceS()));
             }
         }
@@ -193,7 +193,7 @@
         Presence presence = session.machine.presence();
         if (reply.status() != 200 && reply.status() != 409) {
             if (reply.status() == Reply.LOST) {
-                sent.forEach(Booking::markLoose);
+                sent.forEach(Booking::markUnacknowledged);
                 presence.lostTouch(kernel.now());
             }
             return;
--- a/src/main/java/io/quartzgw/worker/Session.java
+++ b/src/main/java/io/quartzgw/worker/Session.java
@@ -14,7 +14,7 @@
     /** Of those, the attempts that may be removed: what came of them is in the state service. */
     final Set<Attempt> reapable = new HashSet<>();
     /** Attempts of which a copy of the start order is unaccounted for in this session. */
-    final Set<Attempt> loose = new HashSet<>();
+    final Set<Attempt> unacknowledged = new HashSet<>();
     /** Attempts to be stopped that the book does not have. */
     final Set<Attempt> strays = new HashSet<>();
     /** Whether a direct order is under way; there is one at a time, so that orders keep their order. */
@@ -46,7 +46,7 @@
         // The worker has forgotten everything, and refuses late copies that name the old session.
         ended.clear();
         reapable.clear();
-        loose.clear();
+        unacknowledged.clear();
         strays.clear();
     }
 }
--- a/src/main/java/io/quartzgw/worker/Workers.java
+++ b/src/main/java/io/quartzgw/worker/Workers.java
@@ -223,16 +223,16 @@
     private void reborn(Session session, Report report) {
         Machine machine = session.machine;
         LOG.info("{} has a new worker", machine.id());
-        Set<Attempt> loose = new HashSet<>(session.loose);
+        Set<Attempt> unacknowledged = new HashSet<>(session.unacknowledged);
         session.newTenure();
         tasks.explain(machine);
         machine.presence().reborn(report.tenure(), report.counter());
         for (Booking booking : machine.bookingsCopy()) {
-            if (!booking.loose()) {
+            if (!booking.unacknowledged()) {
                 cluster.release(booking);
             }
         }
-        session.loose.addAll(loose);
+        session.unacknowledged.addAll(unacknowledged);
     }
 
     private final class FromDelivery implements OrderDelivery.Listener {
