--- a/src/main/java/io/quartzgw/fleet/MachineRecords.java
+++ b/src/main/java/io/quartzgw/fleet/MachineRecords.java
@@ -20,7 +20,7 @@
 
 /**
  * Rented machines in the state service, packed. A machine is marked as used before its first start, so that after a
- * takeover one that never ran anything puts no task in doubt.
+ * takeover one that never ran anything leaves no task unaccounted.
  */
 public final class MachineRecords {
     public static final String PREFIX = "mach/";
--- a/src/main/java/io/quartzgw/fleet/Retirement.java
+++ b/src/main/java/io/quartzgw/fleet/Retirement.java
@@ -80,8 +80,8 @@
     // no place, but when its reservation ends they all do, and then the cloud may have nothing left to rent.
     private Resources unaccounted() {
         Resources demand = Resources.NONE;
-        for (Job job : cluster.doubtfulJobs()) {
-            demand = demand.plus(job.spec().demand().times(job.doubted().cardinality()));
+        for (Job job : cluster.jobsWithUnaccounted()) {
+            demand = demand.plus(job.spec().demand().times(job.unaccounted().cardinality()));
         }
         for (Machine machine : cluster.machines()) {
             if (!machine.empty() && !machine.released() && !heardLately(machine)) {
--- a/src/main/java/io/quartzgw/placement/Cluster.java
+++ b/src/main/java/io/quartzgw/placement/Cluster.java
@@ -25,10 +25,10 @@
     private final Map<String, Machine> machines = new TreeMap<>();
     private final Set<String> gone = new HashSet<>();
     private final Map<String, Resources> teamUse = new HashMap<>();
-    /** Jobs with a task that waits for a place, and jobs with a task in doubt: few among many that run. */
+    /** Jobs with a task that waits for a place, and jobs with an unaccounted task: few among many that run. */
     private final Map<String, Job> waiting = new TreeMap<>();
 
-    private final Map<String, Job> doubtful = new TreeMap<>();
+    private final Map<String, Job> withUnaccounted = new TreeMap<>();
     private final Set<Machine> unexplained = new HashSet<>();
     private Resources unexplainedRoom = Resources.NONE;
     private final long term;
@@ -72,31 +72,31 @@
         return waiting.values();
     }
 
-    /** Jobs with a task in doubt. */
-    public Collection<Job> doubtfulJobs() {
-        return doubtful.values();
+    /** Jobs with an unaccounted task. */
+    public Collection<Job> jobsWithUnaccounted() {
+        return withUnaccounted.values();
     }
 
-    /** Puts the waiting tasks of a job in doubt that a former leader may have started: on a silent machine. */
-    public void doubt(Job job) {
-        alter(job, Job::doubtWaiting);
+    /** Marks the waiting tasks of a job as unaccounted that a former leader may have started on a silent machine. */
+    public void markUnaccounted(Job job) {
+        alter(job, Job::markStartedUnaccounted);
     }
 
-    /** Ends the doubt about a job: whatever is not explained by now runs nowhere. */
-    public void endDoubt(Job job) {
-        alter(job, Job::endDoubt);
+    /** Settles a job: whatever of it is not explained by now runs nowhere. */
+    public void resolveUnaccounted(Job job) {
+        alter(job, Job::resolveUnaccounted);
     }
 
     // Every change of a job's tasks goes through here, so that the sums and the short lists stay true.
     private void alter(Job job, Consumer<Job> change) {
-        int doubted = job.doubted().cardinality();
+        int before = job.unaccounted().cardinality();
         change.accept(job);
-        int more = job.doubted().cardinality() - doubted;
+        int more = job.unaccounted().cardinality() - before;
         if (more != 0) {
             teamUse.merge(job.spec().team(), job.spec().demand().times(more), Resources::plus);
         }
         index(waiting, job, !job.waiting().isEmpty());
-        index(doubtful, job, !job.doubted().isEmpty());
+        index(withUnaccounted, job, !job.unaccounted().isEmpty());
         changed = true;
     }
 
@@ -185,7 +185,7 @@
         alter(job, done -> done.markDone(index));
     }
 
-    /** What a team's tasks take or may take: booked ones and those in doubt. */
+    /** What a team's tasks take or may take: booked ones and unaccounted ones. */
     public Resources teamUse(String team) {
         return teamUse.getOrDefault(team, Resources.NONE);
     }
--- a/src/main/java/io/quartzgw/placement/Job.java
+++ b/src/main/java/io/quartzgw/placement/Job.java
@@ -12,8 +12,8 @@
 import java.util.Set;
 
 /**
- * An open job as the leader sees it. Each task is in exactly one state: done, booked on a machine, in doubt (it may run
- * on a machine that is silent since the takeover), or waiting for a place.
+ * An open job as the leader sees it. Each task is in exactly one state: done, booked on a machine, unaccounted (it may
+ * run on a machine that is silent since the takeover), or waiting for a place.
  */
 public final class Job {
     private final OpenJob open;
@@ -21,7 +21,7 @@
     private final BitSet done = new BitSet();
     private final BitSet recorded = new BitSet();
     private final BitSet waiting = new BitSet();
-    private final BitSet doubted = new BitSet();
+    private final BitSet unaccounted = new BitSet();
     private final Map<Integer, Booking> bookings = new HashMap<>();
     private final Map<String, Integer> perZone = new HashMap<>();
     private final Set<String> avoided = new HashSet<>();
@@ -108,13 +108,13 @@
         return waiting.nextSetBit(0);
     }
 
-    public BitSet doubted() {
-        return doubted;
+    public BitSet unaccounted() {
+        return unaccounted;
     }
 
     void booked(Booking booking) {
         waiting.clear(booking.index());
-        doubted.clear(booking.index());
+        unaccounted.clear(booking.index());
         bookings.put(booking.index(), booking);
         perZone.merge(booking.machine().zone(), 1, Integer::sum);
     }
@@ -139,7 +139,7 @@
     void markDone(int index) {
         done.set(index);
         waiting.clear(index);
-        doubted.clear(index);
+        unaccounted.clear(index);
     }
 
     /** Tasks from this one on have never been started by anyone, as the state service tells. */
@@ -151,17 +151,17 @@
         startBelow = Math.max(startBelow, recorded);
     }
 
-    void doubtWaiting() {
+    void markStartedUnaccounted() {
         BitSet started = waiting.get(0, startBelow);
-        doubted.or(started);
+        unaccounted.or(started);
         waiting.andNot(started);
     }
 
-    void endDoubt() {
+    void resolveUnaccounted() {
         if (!over) {
-            waiting.or(doubted);
+            waiting.or(unaccounted);
         }
-        doubted.clear();
+        unaccounted.clear();
     }
 
     /** Whether a gang has lost a member while others still have their places: it restarts whole. */
@@ -171,7 +171,7 @@
 
     /** How many tasks are or may be running anywhere. */
     public int mayRun() {
-        return bookings.size() + doubted.cardinality();
+        return bookings.size() + unaccounted.cardinality();
     }
 
     /** The CPU time that its waiting tasks will take, as far as its owner guesses. */
@@ -183,14 +183,14 @@
 
     /** Whether one more task may start in the zone, given where the others are or may be. */
     public boolean zoneAllowed(String zone) {
-        if (spec().spread() && perZone.getOrDefault(zone, 0) + doubted.cardinality() >= spec().tasksPerZone()) {
+        if (spec().spread() && perZone.getOrDefault(zone, 0) + unaccounted.cardinality() >= spec().tasksPerZone()) {
             return false;
         }
         if (!spec().oneZone() || mayRun() == 0) {
             return true;
         }
-        // A task in doubt may be in any zone: until it is found, nothing else of the job starts.
-        return doubted.isEmpty() && perZone.getOrDefault(zone, 0) == bookings.size();
+        // An unaccounted task may be in any zone: until it is found, nothing else of the job starts.
+        return unaccounted.isEmpty() && perZone.getOrDefault(zone, 0) == bookings.size();
     }
 
     public int inZone(String zone) {
@@ -206,7 +206,7 @@
     void end() {
         over = true;
         waiting.clear();
-        doubted.clear();
+        unaccounted.clear();
     }
 
     /** Notes a failed attempt: the next one waits, longer each time, and avoids the machine. */
--- a/src/main/java/io/quartzgw/recovery/Recovery.java
+++ b/src/main/java/io/quartzgw/recovery/Recovery.java
@@ -153,7 +153,7 @@
         silent.removeIf(machine -> !isSilent(machine));
         silent.forEach(machine -> cluster.unexplained(machine, true));
         // Until a task is explained it may be on any machine that has not answered yet.
-        List.copyOf(cluster.waitingJobs()).stream().filter(this::mayBeSilent).forEach(cluster::doubt);
+        List.copyOf(cluster.waitingJobs()).stream().filter(this::mayBeSilent).forEach(cluster::markUnaccounted);
         workers.openBooks();
         store.follow(JobKeys.OPEN, jobs.revision(), jobs.at(), openJobs);
         List.copyOf(cluster.jobs()).stream().filter(Job::complete).forEach(progress::end);
@@ -189,7 +189,7 @@
         if (!heard.isEmpty()) {
             heard.forEach(silent::remove);
             heard.forEach(workers::explain);
-            settleDoubts();
+            settleUnaccounted();
         }
         if (stage == Stage.GATHERING && (silent.isEmpty() || kernel.now() - electedAt >= times.windowMs())) {
             stage = Stage.PLACING;
@@ -198,11 +198,11 @@
             kernel.count("takeover.silent", silent.size());
             cluster.touch();
             LOG.info(
-                    "term {}: window closed after {} ms, {} machines silent, {} jobs in doubt",
+                    "term {}: window closed after {} ms, {} machines silent, {} jobs with unaccounted tasks",
                     term.number(),
                     kernel.now() - electedAt,
                     silent.size(),
-                    cluster.doubtfulJobs().size());
+                    cluster.jobsWithUnaccounted().size());
         }
     }
 
@@ -227,10 +227,10 @@
         return silent.stream().anyMatch(machine -> mayHold(job, machine));
     }
 
-    private void settleDoubts() {
-        List.copyOf(cluster.doubtfulJobs()).stream()
+    private void settleUnaccounted() {
+        List.copyOf(cluster.jobsWithUnaccounted()).stream()
                 .filter(job -> !mayBeSilent(job))
-                .forEach(cluster::endDoubt);
+                .forEach(cluster::resolveUnaccounted);
     }
 
     // ---- silence
--- a/src/test/java/io/quartzgw/app/ScenarioTest.java
+++ b/src/test/java/io/quartzgw/app/ScenarioTest.java
@@ -129,7 +129,7 @@
         assertNothingRestarted(world);
     }
 
-    // Guards the doubt: a machine that is silent to the successor may be answered by the former leader for
+    // Guards unaccounted tasks: a machine that is silent to the successor may be answered by the former leader for
     // longer than the window lasts, and its tasks run on.
     @Test
     void tasksThatOnlyTheFormerLeaderReachesRunNowhereElse() {
--- a/src/test/java/io/quartzgw/fleet/RetirementTest.java
+++ b/src/test/java/io/quartzgw/fleet/RetirementTest.java
@@ -95,19 +95,19 @@
         assertEquals(5, leaving());
     }
 
-    // Guards a takeover beside silent machines: what is in doubt takes room when their reservation ends.
+    // Guards a takeover beside silent machines: what is unaccounted takes room when their reservation ends.
     @Test
-    void roomIsKeptForTasksInDoubtInEveryDimension() {
+    void roomIsKeptForUnaccountedTasksInEveryDimension() {
         for (int i = 0; i < 5; i++) {
             up(i);
         }
         Job job = job(6);
         job.startBelow(6);
-        cluster.doubt(job);
+        cluster.markUnaccounted(job);
         pass(90_000);
         retirement.retire(5 * 16);
         assertEquals(2, leaving(), "six tasks of one GPU need three machines of two");
-        cluster.endDoubt(job);
+        cluster.resolveUnaccounted(job);
         retirement.retire(3 * 16);
         assertEquals(5, leaving());
     }
