--- a/src/main/java/io/quartzgw/app/Leader.java
+++ b/src/main/java/io/quartzgw/app/Leader.java
@@ -197,7 +197,7 @@
             return;
         }
         recovery.check();
-        if (recovery.booksOpen()) {
+        if (recovery.stateLoaded()) {
             if (term.confirmed() && cluster.takeChanged()) {
                 scheduler.run();
                 fleetDue = true;
@@ -209,7 +209,7 @@
             adjustFleet();
         }
         workers.flush();
-        if (recovery.booksOpen()) {
+        if (recovery.stateLoaded()) {
             records.flush();
             progress.flush();
         }
--- a/src/main/java/io/quartzgw/placement/Cluster.java
+++ b/src/main/java/io/quartzgw/placement/Cluster.java
@@ -14,8 +14,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * The leader's book: open jobs, machines, and which task has a place where. Only this class books and releases, so that
- * rooms, quotas and zones always add up.
+ * The leader's state: open jobs, machines, and which task has a place where. Only this class books and releases, so
+ * that rooms, quotas and zones always add up.
  */
 public final class Cluster {
     private static final Logger LOG = LoggerFactory.getLogger(Cluster.class);
@@ -108,7 +108,7 @@
         }
     }
 
-    /** Ends a job: nothing of it is started any more; it leaves the book with its last booking. */
+    /** Ends a job: nothing of it is started any more; it leaves the cluster state with its last booking. */
     public void end(Job job) {
         LOG.debug("{} is over", job.id());
         alter(job, Job::end);
@@ -191,7 +191,7 @@
     }
 
     /**
-     * What a team's tasks may take at the most. On a machine that is not verified yet, or that reports tasks the book
+     * What a team's tasks may take at the most. On a machine that is not verified yet, or that reports tasks the leader
      * has no place for, there may be tasks of jobs that are over: the open jobs don't tell of those, and until they are
      * gone they count against their team's limit, whichever it is.
      */
--- a/src/main/java/io/quartzgw/placement/Presence.java
+++ b/src/main/java/io/quartzgw/placement/Presence.java
@@ -6,7 +6,7 @@
  * <p>Copies of reports may come late, by far more than a lease, and to a leader that knows no newer one. So a report is
  * current only when it shows this leader's token (it was made after this leader had reached the worker) and is newer
  * than all that was heard before. Anything else is only a sign that there may be a worker: it is answered, since it may
- * be genuine, but changes nothing in the book.
+ * be genuine, but changes nothing in the cluster state.
  */
 public final class Presence {
 
--- a/src/main/java/io/quartzgw/recovery/Recovery.java
+++ b/src/main/java/io/quartzgw/recovery/Recovery.java
@@ -92,8 +92,8 @@
         read();
     }
 
-    /** Whether the book is open: what no silent machine can have may be placed on those that answered. */
-    public boolean booksOpen() {
+    /** Whether hard state was read: what no silent machine can have may be placed on those that answered. */
+    public boolean stateLoaded() {
         return stage != Stage.READING;
     }
 
@@ -154,7 +154,7 @@
         silent.forEach(machine -> cluster.unexplained(machine, true));
         // Until a task is explained it may be on any machine that has not answered yet.
         List.copyOf(cluster.waitingJobs()).stream().filter(this::mayBeSilent).forEach(cluster::markUnaccounted);
-        workers.openBooks();
+        workers.beginApplying();
         store.follow(JobKeys.OPEN, jobs.revision(), jobs.at(), openJobs);
         List.copyOf(cluster.jobs()).stream().filter(Job::complete).forEach(progress::end);
         kernel.after(times.contactMs(), this::contactSilent);
--- a/src/main/java/io/quartzgw/worker/ReportedTasks.java
+++ b/src/main/java/io/quartzgw/worker/ReportedTasks.java
@@ -79,7 +79,7 @@
                         && !sessions.of(machine).strays.isEmpty());
     }
 
-    /** @param booking the attempt's place on the machine, or null when the book has none */
+    /** @param booking the attempt's place on the machine, or null when there is none */
     private void present(Session session, Report.TaskReport task, Booking booking) {
         Booking.Phase phase =
                 switch (task.state()) {
@@ -97,7 +97,7 @@
         Attempt attempt = task.attempt();
         Job job = openJob(attempt);
         if (job != null && !job.isDone(attempt.index()) && job.booking(attempt.index()) == null) {
-            // The report outranks the book: the task is there, and gets its place back.
+            // The report outranks the bookings: the task is there, and gets its place back.
             cluster.book(job, attempt.index(), session.machine, attempt.number())
                     .seen(phase, kernel.now());
             return;
--- a/src/main/java/io/quartzgw/worker/Session.java
+++ b/src/main/java/io/quartzgw/worker/Session.java
@@ -15,7 +15,7 @@
     final Set<Attempt> reapable = new HashSet<>();
     /** Attempts of which a copy of the start order is unaccounted for in this session. */
     final Set<Attempt> unacknowledged = new HashSet<>();
-    /** Attempts to be stopped that the book does not have. */
+    /** Attempts to be stopped that the leader has no place for. */
     final Set<Attempt> strays = new HashSet<>();
     /** Whether a direct order is under way; there is one at a time, so that orders keep their order. */
     boolean calling;
--- a/src/main/java/io/quartzgw/worker/Workers.java
+++ b/src/main/java/io/quartzgw/worker/Workers.java
@@ -40,9 +40,9 @@
     private final Sessions sessions;
     private final ReportedTasks tasks;
     private final OrderDelivery delivery;
-    private final Map<String, Report> early = new HashMap<>();
+    private final Map<String, Report> buffered = new HashMap<>();
     private final Predicate<String> cancelled;
-    private boolean booksOpen;
+    private boolean stateLoaded;
 
     /** What the rest of the leader wants to know of. */
     public interface Listener {
@@ -86,9 +86,9 @@
     public ObjectNode report(Report report) {
         ObjectNode response = Json.object();
         ArrayNode orders = response.putArray("orders");
-        if (!booksOpen) {
+        if (!stateLoaded) {
             // Hard state is still being read: keep the newest word of each machine for then.
-            early.merge(report.machine(), report, (old, now) -> now.newerThan(old) ? now : old);
+            buffered.merge(report.machine(), report, (old, now) -> now.newerThan(old) ? now : old);
             stopOver(report, orders);
             return response.put("baton", term.number());
         }
@@ -121,17 +121,17 @@
         for (Report.TaskReport task : report.tasks()) {
             Attempt attempt = task.attempt();
             if (task.state() != Report.State.ENDED
-                    && (cancelled.test(attempt.job()) || booksOpen && tasks.openJob(attempt) == null)) {
+                    && (cancelled.test(attempt.job()) || stateLoaded && tasks.openJob(attempt) == null)) {
                 orders.add(new Order.Kill(attempt, 0).toJson());
             }
         }
     }
 
-    /** Hard state has been read: reports change the book from now on. */
-    public void openBooks() {
-        booksOpen = true;
-        early.values().forEach(report -> apply(report, false));
-        early.clear();
+    /** Hard state has been read: reports change the cluster state from now on. */
+    public void beginApplying() {
+        stateLoaded = true;
+        buffered.values().forEach(report -> apply(report, false));
+        buffered.clear();
     }
 
     /** Drops what is kept of a machine that is gone. */
@@ -254,10 +254,10 @@
 
         @Override
         public boolean answered(Session session, Report report) {
-            if (booksOpen) {
+            if (stateLoaded) {
                 applyAnswer(session, report);
             }
-            return booksOpen;
+            return stateLoaded;
         }
     }
 
