--- a/src/main/java/io/quartzgw/fleet/CloudClient.java
+++ b/src/main/java/io/quartzgw/fleet/CloudClient.java
@@ -8,7 +8,7 @@
 import io.quartzgw.http.Json;
 import io.quartzgw.http.Reply;
 import io.quartzgw.loop.Kernel;
-import io.quartzgw.loop.Once;
+import io.quartzgw.loop.CoalescedTask;
 import io.quartzgw.store.RateBudget;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -30,7 +30,7 @@
     private final Endpoint endpoint;
     private final RateBudget budget;
     private final Deque<Waiting> queue = new ArrayDeque<>();
-    private final Once drain;
+    private final CoalescedTask drain;
 
     private record Waiting(Call call, Consumer<Reply> then) {}
 
@@ -53,7 +53,7 @@
     /** @param limits how many requests the cloud takes from this node */
     public CloudClient(Kernel kernel, Endpoint endpoint, CloudLimits limits) {
         this.kernel = kernel;
-        this.drain = new Once(kernel, this::drain);
+        this.drain = new CoalescedTask(kernel, this::drain);
         this.endpoint = endpoint;
         this.budget = new RateBudget(limits.requestsPerS() * USED, kernel.now());
     }
--- a/src/main/java/io/quartzgw/fleet/MachineListing.java
+++ b/src/main/java/io/quartzgw/fleet/MachineListing.java
@@ -121,7 +121,7 @@
         return machine;
     }
 
-    // Once listed, a machine stays listed until it is gone; but a list may be older than the one
+    // CoalescedTask listed, a machine stays listed until it is gone; but a list may be older than the one
     // before it. A machine is gone when it is missing in a list that can't be older than the last
     // one that had it.
     private void takeAbsence(List<CloudClient.Listed> machines, long asked) {
--- a/src/main/java/io/quartzgw/loop/Once.java
+++ b/src/main/java/io/quartzgw/loop/CoalescedTask.java
@@ -1,12 +1,12 @@
 package io.quartzgw.loop;
 
 /** A task that waits for its time once: what is asked for while it waits is done along with it. */
-public final class Once {
+public final class CoalescedTask {
     private final Kernel kernel;
     private final Runnable task;
     private boolean waiting;
 
-    public Once(Kernel kernel, Runnable task) {
+    public CoalescedTask(Kernel kernel, Runnable task) {
         this.kernel = kernel;
         this.task = task;
     }
--- a/src/main/java/io/quartzgw/progress/Progress.java
+++ b/src/main/java/io/quartzgw/progress/Progress.java
@@ -4,7 +4,7 @@
 import io.quartzgw.leadership.LeaderTerm;
 import io.quartzgw.leadership.Leadership;
 import io.quartzgw.loop.Kernel;
-import io.quartzgw.loop.Once;
+import io.quartzgw.loop.CoalescedTask;
 import io.quartzgw.placement.Cluster;
 import io.quartzgw.placement.Job;
 import io.quartzgw.store.Entry;
@@ -45,7 +45,7 @@
     private final long batchMs;
     private final long retryMs;
     private final PackedRecords records;
-    private final Once write;
+    private final CoalescedTask write;
     private final Map<Job, Set<Integer>> unwritten = new LinkedHashMap<>();
     private final Map<Job, Integer> toStart = new LinkedHashMap<>();
     private final Map<String, Set<Integer>> chunks = new HashMap<>();
@@ -71,7 +71,7 @@
     /** @param term guards every write: those of a later leader make them fail */
     public Progress(Kernel kernel, StoreClient store, LeaderTerm term, long reportMs, Listener listener) {
         this.kernel = kernel;
-        this.write = new Once(kernel, this::write);
+        this.write = new CoalescedTask(kernel, this::write);
         this.store = store;
         this.term = term;
         this.packing = new Packing(store.valueBytes());
