--- a/src/main/java/io/quartzgw/app/Leader.java
+++ b/src/main/java/io/quartzgw/app/Leader.java
@@ -19,7 +19,7 @@
 import io.quartzgw.placement.Job;
 import io.quartzgw.placement.Machine;
 import io.quartzgw.placement.Scheduler;
-import io.quartzgw.placement.Starter;
+import io.quartzgw.placement.TaskControl;
 import io.quartzgw.placement.Team;
 import io.quartzgw.progress.Progress;
 import io.quartzgw.recovery.Recovery;
@@ -258,7 +258,7 @@
 
     // ---- between the slices
 
-    private final class ToWorkers implements Starter {
+    private final class ToWorkers implements TaskControl {
         @Override
         public void start(Booking booking) {
             workers.start(booking);
--- a/src/main/java/io/quartzgw/placement/Consolidation.java
+++ b/src/main/java/io/quartzgw/placement/Consolidation.java
@@ -20,11 +20,11 @@
 
     private final Cluster cluster;
     private final Predicate<Machine> usable;
-    private final Starter starter;
+    private final TaskControl starter;
     private final long settledMs;
 
     /** @param usable whether something may be placed on a machine now */
-    public Consolidation(Cluster cluster, Predicate<Machine> usable, Starter starter, long leaseMs) {
+    public Consolidation(Cluster cluster, Predicate<Machine> usable, TaskControl starter, long leaseMs) {
         this.cluster = cluster;
         this.usable = usable;
         this.starter = starter;
--- a/src/main/java/io/quartzgw/placement/Scheduler.java
+++ b/src/main/java/io/quartzgw/placement/Scheduler.java
@@ -22,7 +22,7 @@
     private final Kernel kernel;
     private final Cluster cluster;
     private final Map<String, Team> teams;
-    private final Starter starter;
+    private final TaskControl starter;
     private final Goals goals;
     private final Queue queue;
     private final BestFit bestFit;
@@ -39,7 +39,7 @@
             Goals goals,
             boolean roomIsKept,
             WorkerTimes times,
-            Starter starter) {
+            TaskControl starter) {
         this.kernel = kernel;
         this.cluster = cluster;
         this.teams = teams;
--- a/src/test/java/io/quartzgw/fleet/RetirementTest.java
+++ b/src/test/java/io/quartzgw/fleet/RetirementTest.java
@@ -9,7 +9,7 @@
 import io.quartzgw.placement.Consolidation;
 import io.quartzgw.placement.Job;
 import io.quartzgw.placement.Machine;
-import io.quartzgw.placement.Starter;
+import io.quartzgw.placement.TaskControl;
 import io.quartzgw.submission.JobSpec;
 import io.quartzgw.submission.OpenJob;
 import io.quartzgw.submission.Priority;
@@ -32,7 +32,7 @@
             new Consolidation(cluster, machine -> true, new NoStarter(), 16_000),
             new Fleet.Policy(0, SILENT_MS, 5_000));
 
-    private static final class NoStarter implements Starter {
+    private static final class NoStarter implements TaskControl {
         @Override
         public void start(Booking booking) {}
 
--- a/src/test/java/io/quartzgw/placement/SchedulerTest.java
+++ b/src/test/java/io/quartzgw/placement/SchedulerTest.java
@@ -37,7 +37,7 @@
             new Goals(Map.of(), Map.of()),
             false,
             new WorkerTimes(2_500, 16_000, 36_000),
-            new Starter() {
+            new TaskControl() {
                 @Override
                 public void start(Booking booking) {
                     booking.markOffered();
