--- a/src/main/java/io/quartzgw/app/Node.java
+++ b/src/main/java/io/quartzgw/app/Node.java
@@ -6,7 +6,7 @@
 import io.quartzgw.cancellation.Horizon;
 import io.quartzgw.fleet.CloudClient;
 import io.quartzgw.fleet.MachineTypes;
-import io.quartzgw.http.Door;
+import io.quartzgw.http.ListenerKind;
 import io.quartzgw.http.Json;
 import io.quartzgw.http.Request;
 import io.quartzgw.http.Response;
@@ -101,7 +101,7 @@
 
     private void route(Request request) {
         String path = request.path();
-        if (request.door() == Door.PEER) {
+        if (request.listener() == ListenerKind.PEER) {
             servePeer(request);
         } else if (path.equals(Submissions.PATH) || path.startsWith(Submissions.PATH + "/")) {
             submissions.serve(request);
--- a/src/main/java/io/quartzgw/app/Service.java
+++ b/src/main/java/io/quartzgw/app/Service.java
@@ -1,6 +1,6 @@
 package io.quartzgw.app;
 
-import io.quartzgw.http.Door;
+import io.quartzgw.http.ListenerKind;
 import io.quartzgw.http.HttpClient;
 import io.quartzgw.http.HttpServer;
 import io.quartzgw.http.Request;
@@ -84,7 +84,7 @@
         worker.shutdown();
     }
 
-    int port(Door door) {
+    int port(ListenerKind listener) {
         return server.port(door);
     }
 
--- a/src/main/java/io/quartzgw/http/HttpServer.java
+++ b/src/main/java/io/quartzgw/http/HttpServer.java
@@ -66,14 +66,14 @@
                 .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, MAX_BODY)
                 .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
                 .setServerOption(UndertowOptions.DECODE_URL, false)
-                .addHttpListener(client.port(), client.host(), exchange -> receive(exchange, Door.CLIENT))
-                .addHttpListener(peer.port(), peer.host(), exchange -> receive(exchange, Door.PEER))
+                .addHttpListener(client.port(), client.host(), exchange -> receive(exchange, ListenerKind.CLIENT))
+                .addHttpListener(peer.port(), peer.host(), exchange -> receive(exchange, ListenerKind.PEER))
                 .build();
     }
 
     public void start() {
         undertow.start();
-        clients = listener(Door.CLIENT).getConnectorStatistics();
+        clients = listener(ListenerKind.CLIENT).getConnectorStatistics();
     }
 
     public void stop() {
@@ -81,11 +81,11 @@
     }
 
     /** The port that a listener got; for settings that ask for port 0. */
-    public int port(Door door) {
+    public int port(ListenerKind listener) {
         return ((InetSocketAddress) listener(door).getAddress()).getPort();
     }
 
-    private Undertow.ListenerInfo listener(Door door) {
+    private Undertow.ListenerInfo listener(ListenerKind listener) {
         return undertow.getListenerInfo().get(door.ordinal());
     }
 
@@ -97,7 +97,7 @@
         }
     }
 
-    private void receive(HttpServerExchange exchange, Door door) {
+    private void receive(HttpServerExchange exchange, ListenerKind listener) {
         if (exchange.getRequestContentLength() > MAX_BODY) {
             refuse(exchange);
             return;
@@ -126,7 +126,7 @@
                         });
     }
 
-    private void take(HttpServerExchange exchange, Door door, byte[] body) {
+    private void take(HttpServerExchange exchange, ListenerKind listener, byte[] body) {
         long id = exchanges.incrementAndGet();
         open.put(id, exchange);
         exchange.addExchangeCompleteListener((ended, next) -> {
--- a/src/main/java/io/quartzgw/http/Door.java
+++ b/src/main/java/io/quartzgw/http/ListenerKind.java
@@ -1,7 +1,7 @@
 package io.quartzgw.http;
 
 /** Which listener a request came through. */
-public enum Door {
+public enum ListenerKind {
     CLIENT,
     PEER
 }
--- a/src/main/java/io/quartzgw/http/Request.java
+++ b/src/main/java/io/quartzgw/http/Request.java
@@ -9,7 +9,7 @@
  * @param exchange names the exchange that has to be answered
  * @param query the raw query string, perhaps empty
  */
-public record Request(long exchange, Door door, String method, String path, String query, byte[] body) {
+public record Request(long exchange, ListenerKind listener, String method, String path, String query, byte[] body) {
 
     /** The first value of a query parameter, or null. */
     public String parameter(String name) {
--- a/src/test/java/io/quartzgw/http/HttpServerTest.java
+++ b/src/test/java/io/quartzgw/http/HttpServerTest.java
@@ -42,7 +42,7 @@
         List<Client> clients = new ArrayList<>();
         try {
             for (int i = 0; i < 40; i++) {
-                clients.add(new Client(server[0].port(Door.CLIENT)));
+                clients.add(new Client(server[0].port(ListenerKind.CLIENT)));
             }
             int lasting = 0;
             for (int round = 0; round < 3; round++) {
--- a/src/test/java/io/quartzgw/leadership/PeersTest.java
+++ b/src/test/java/io/quartzgw/leadership/PeersTest.java
@@ -6,7 +6,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.quartzgw.cancellation.Cancellations;
 import io.quartzgw.cancellation.Horizon;
-import io.quartzgw.http.Door;
+import io.quartzgw.http.ListenerKind;
 import io.quartzgw.http.Endpoint;
 import io.quartzgw.http.Json;
 import io.quartzgw.http.Reply;
@@ -50,7 +50,7 @@
     private void serve(ObjectNode message) {
         kernel.handle(
                 List.of(new Command.Arrived(
-                        new Request(1, Door.PEER, "POST", Peers.PATH, "", Json.writeCbor(message)))),
+                        new Request(1, ListenerKind.PEER, "POST", Peers.PATH, "", Json.writeCbor(message)))),
                 new Time(2, 2));
     }
 
--- a/src/test/java/io/quartzgw/standin/SimWorld.java
+++ b/src/test/java/io/quartzgw/standin/SimWorld.java
@@ -6,7 +6,7 @@
 import io.quartzgw.app.Settings;
 import io.quartzgw.fleet.CloudLimits;
 import io.quartzgw.http.Call;
-import io.quartzgw.http.Door;
+import io.quartzgw.http.ListenerKind;
 import io.quartzgw.http.Endpoint;
 import io.quartzgw.http.Json;
 import io.quartzgw.http.Reply;
@@ -356,7 +356,7 @@
         }
     }
 
-    private void deliver(int index, Door door, Call call, Consumer<Reply> then) {
+    private void deliver(int index, ListenerKind listener, Call call, Consumer<Reply> then) {
         SimNode sim = nodes.get(index);
         if (sim.node == null) {
             return;
@@ -615,7 +615,7 @@
         } else if (to.equals(CLOUD)) {
             cloud.handle(call, now, then);
         } else if (to.startsWith("rig-")) {
-            deliver(Integer.parseInt(to.substring(4)), Door.PEER, call, then);
+            deliver(Integer.parseInt(to.substring(4)), ListenerKind.PEER, call, then);
         } else {
             SimWorker sim = workers.get(to);
             if (sim == null) {
@@ -686,9 +686,9 @@
         };
         at(now + WORKER_TIMEOUT_MS, () -> end.accept(Reply.lost()));
         if (!isCut(sim.worker.id, name) && !mute.contains(sim.worker.id)) {
-            perhapsCopy(() -> deliver(target, Door.CLIENT, call, reply -> {}));
+            perhapsCopy(() -> deliver(target, ListenerKind.CLIENT, call, reply -> {}));
         }
-        Runnable arrive = () -> deliver(target, Door.CLIENT, call, reply -> {
+        Runnable arrive = () -> deliver(target, ListenerKind.CLIENT, call, reply -> {
             if (!isCut(sim.worker.id, name) && !deaf.contains(sim.worker.id)) {
                 at(now + 1 + link(), () -> end.accept(reply));
             }
@@ -790,7 +790,7 @@
                 now + 1,
                 () -> deliver(
                         node,
-                        Door.CLIENT,
+                        ListenerKind.CLIENT,
                         new Call(call.to(), method, path, call.type(), call.body(), 5_000),
                         reply -> at(now + 1, () -> once.accept(reply))));
     }
