--- a/src/main/java/io/quartzgw/leadership/Peers.java
+++ b/src/main/java/io/quartzgw/leadership/Peers.java
@@ -38,7 +38,7 @@
     private final Map<String, Endpoint> others;
     private final Map<String, Known> known = new HashMap<>();
     private final Set<String> busy = new HashSet<>();
-    private final TurnedAway turnedAway;
+    private final RedirectedWorkers turnedAway;
     private final Cancellations cancellations;
     private final Horizon horizon;
     private long messages;
@@ -81,7 +81,7 @@
         this.others = new LinkedHashMap<>(others);
         this.cancellations = cancellations;
         this.horizon = horizon;
-        this.turnedAway = new TurnedAway(kernel, times.heartbeatMs());
+        this.turnedAway = new RedirectedWorkers(kernel, times.heartbeatMs());
     }
 
     /**
--- a/src/main/java/io/quartzgw/leadership/TurnedAway.java
+++ b/src/main/java/io/quartzgw/leadership/RedirectedWorkers.java
@@ -14,7 +14,7 @@
  * But workers that hear nobody turn up everywhere as well, and no leader would serve them better: so one of them is
  * asked now and then, and only those that answer speak for another leader.
  */
-final class TurnedAway {
+final class RedirectedWorkers {
     /** How long a worker counts: it tries the leader for some seconds in between. */
     private static final int COUNTED_HEARTBEATS = 6;
     /** A node that has missed so many heartbeats stood still; what it reads for a while after that is old. */
@@ -31,7 +31,7 @@
 
     private record Seen(Endpoint address, long at) {}
 
-    TurnedAway(Kernel kernel, long heartbeatMs) {
+    RedirectedWorkers(Kernel kernel, long heartbeatMs) {
         this.kernel = kernel;
         this.heartbeatMs = heartbeatMs;
         this.probedAt = kernel.now();
--- a/src/test/java/io/quartzgw/leadership/TurnedAwayTest.java
+++ b/src/test/java/io/quartzgw/leadership/RedirectedWorkersTest.java
@@ -12,12 +12,12 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
-class TurnedAwayTest {
+class RedirectedWorkersTest {
     private static final long HEARTBEAT_MS = 1_000;
     private static final Endpoint WORKER = new Endpoint("10.1.0.1", 9000);
 
     private final Kernel kernel = new Kernel(1);
-    private final TurnedAway turnedAway = new TurnedAway(kernel, HEARTBEAT_MS);
+    private final RedirectedWorkers turnedAway = new RedirectedWorkers(kernel, HEARTBEAT_MS);
 
     /** A worker reports, a heartbeat later it is asked, and it answers. */
     private int countAfterReportAndHeartbeat(long now) {
