--- a/src/main/java/io/quartzgw/app/Leader.java
+++ b/src/main/java/io/quartzgw/app/Leader.java
@@ -2,7 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.quartzgw.cancellation.Cancellations;
-import io.quartzgw.cancellation.Horizon;
+import io.quartzgw.cancellation.CancellationWatermark;
 import io.quartzgw.fleet.CloudClient;
 import io.quartzgw.fleet.Fleet;
 import io.quartzgw.fleet.MachineRecords;
@@ -75,7 +75,7 @@
             StoreClient store,
             JobStore jobs,
             Cancellations cancellations,
-            Horizon horizon,
+            CancellationWatermark horizon,
             MachineTypes types,
             CloudClient cloud,
             long formerAnswersUntil) {
--- a/src/main/java/io/quartzgw/app/Node.java
+++ b/src/main/java/io/quartzgw/app/Node.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.quartzgw.cancellation.Cancellations;
-import io.quartzgw.cancellation.Horizon;
+import io.quartzgw.cancellation.CancellationWatermark;
 import io.quartzgw.fleet.CloudClient;
 import io.quartzgw.fleet.MachineTypes;
 import io.quartzgw.http.ListenerKind;
@@ -35,7 +35,7 @@
     private final CloudClient cloud;
     private final LeadershipTimes times;
     private final Cancellations cancellations;
-    private final Horizon horizon;
+    private final CancellationWatermark horizon;
     private final Leadership leadership;
     private final Peers peers;
     private final MachineTypes types;
@@ -59,7 +59,7 @@
                 settings.workers().reportMs() / 1000.0, settings.workers().leaseMs() / 1000.0, settings.cancelS());
         long cancelMs = settings.workers().cancelMs();
         this.cancellations = new Cancellations(kernel, cancelMs);
-        this.horizon = new Horizon(kernel, cancelMs, settings.peers().keySet());
+        this.horizon = new CancellationWatermark(kernel, cancelMs, settings.peers().keySet());
         this.leadership = new Leadership(kernel, store, times, settings.member(), process, horizon);
         this.peers = new Peers(
                 kernel, leadership, store, times, settings.member(), process, settings.peers(), cancellations, horizon);
--- a/src/main/java/io/quartzgw/app/OpenJobs.java
+++ b/src/main/java/io/quartzgw/app/OpenJobs.java
@@ -1,6 +1,6 @@
 package io.quartzgw.app;
 
-import io.quartzgw.cancellation.Horizon;
+import io.quartzgw.cancellation.CancellationWatermark;
 import io.quartzgw.leadership.LeaderTerm;
 import io.quartzgw.loop.Kernel;
 import io.quartzgw.placement.Cluster;
@@ -24,7 +24,7 @@
     private final StoreClient store;
     private final LeaderTerm term;
     private final Cluster cluster;
-    private final Horizon horizon;
+    private final CancellationWatermark horizon;
     private final long reportMs;
     private final Predicate<String> knownOver;
     private final Consumer<String> ended;
@@ -39,7 +39,7 @@
             StoreClient store,
             LeaderTerm term,
             Cluster cluster,
-            Horizon horizon,
+            CancellationWatermark horizon,
             long reportMs,
             Predicate<String> knownOver,
             Consumer<String> ended) {
--- a/src/main/java/io/quartzgw/cancellation/Horizon.java
+++ b/src/main/java/io/quartzgw/cancellation/CancellationWatermark.java
@@ -15,7 +15,7 @@
  * after the next process had shown itself, or when that process is older than the cancel limit: whatever was told
  * before it began is over by then. This controller's own former process leaves one too.
  */
-public final class Horizon {
+public final class CancellationWatermark {
     private static final long NEVER = Long.MIN_VALUE / 2;
 
     private final Kernel kernel;
@@ -48,7 +48,7 @@
     }
 
     /** @param others the names of the other controllers */
-    public Horizon(Kernel kernel, long cancelMs, Collection<String> others) {
+    public CancellationWatermark(Kernel kernel, long cancelMs, Collection<String> others) {
         this.kernel = kernel;
         this.cancelMs = cancelMs;
         this.startedAt = kernel.now();
--- a/src/main/java/io/quartzgw/leadership/Leadership.java
+++ b/src/main/java/io/quartzgw/leadership/Leadership.java
@@ -1,6 +1,6 @@
 package io.quartzgw.leadership;
 
-import io.quartzgw.cancellation.Horizon;
+import io.quartzgw.cancellation.CancellationWatermark;
 import io.quartzgw.http.Json;
 import io.quartzgw.loop.Kernel;
 import io.quartzgw.store.Change;
@@ -47,7 +47,7 @@
     private final LeadershipTimes times;
     private final String member;
     private final long process;
-    private final Horizon horizon;
+    private final CancellationWatermark horizon;
     private Listener listener;
 
     private boolean observed;
@@ -68,7 +68,7 @@
 
     /** @param process number of this process, which no other process of the member has */
     public Leadership(
-            Kernel kernel, StoreClient store, LeadershipTimes times, String member, long process, Horizon horizon) {
+            Kernel kernel, StoreClient store, LeadershipTimes times, String member, long process, CancellationWatermark horizon) {
         this.kernel = kernel;
         this.store = store;
         this.times = times;
--- a/src/main/java/io/quartzgw/leadership/Peers.java
+++ b/src/main/java/io/quartzgw/leadership/Peers.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.quartzgw.cancellation.Cancellations;
-import io.quartzgw.cancellation.Horizon;
+import io.quartzgw.cancellation.CancellationWatermark;
 import io.quartzgw.http.Call;
 import io.quartzgw.http.Endpoint;
 import io.quartzgw.http.Json;
@@ -40,7 +40,7 @@
     private final Set<String> busy = new HashSet<>();
     private final RedirectedWorkers turnedAway;
     private final Cancellations cancellations;
-    private final Horizon horizon;
+    private final CancellationWatermark horizon;
     private long messages;
     private IntFunction<JsonNode> countsToTell = most -> null;
     private Consumer<JsonNode> countsTold = counts -> {};
@@ -71,7 +71,7 @@
             long process,
             Map<String, Endpoint> others,
             Cancellations cancellations,
-            Horizon horizon) {
+            CancellationWatermark horizon) {
         this.kernel = kernel;
         this.leadership = leadership;
         this.store = store;
--- a/src/test/java/io/quartzgw/cancellation/HorizonTest.java
+++ b/src/test/java/io/quartzgw/cancellation/CancellationWatermarkTest.java
@@ -12,7 +12,7 @@
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 
-class HorizonTest {
+class CancellationWatermarkTest {
     private static final long CANCEL_MS = 36_000;
     private static final List<String> OTHERS = List.of("rig-1", "rig-2");
 
@@ -22,19 +22,19 @@
         kernel.handle(List.of(), new Time(now, now));
     }
 
-    private Horizon started(long at) {
+    private CancellationWatermark started(long at) {
         time(at);
-        return new Horizon(kernel, CANCEL_MS, OTHERS);
+        return new CancellationWatermark(kernel, CANCEL_MS, OTHERS);
     }
 
-    private void answered(Horizon horizon, long at, long process, long upMs) {
+    private void answered(CancellationWatermark horizon, long at, long process, long upMs) {
         time(at);
         OTHERS.forEach(name -> horizon.answered(name, process, upMs, at - 5, true));
     }
 
     @Test
     void nothingIsKnownBeforeThisProcessIsOldEnoughOrHasRead() {
-        Horizon horizon = started(1_000);
+        CancellationWatermark horizon = started(1_000);
         answered(horizon, 2_000, 7, 90_000);
         assertTrue(horizon.until(2_000) < 0, "its former process may have told of some just before");
         horizon.read(1_900);
@@ -48,7 +48,7 @@
     // What was read after the term was last confirmed must not count: a successor reckons with that.
     @Test
     void whatWasReadCountsUpToTheConfirmation() {
-        Horizon horizon = started(1_000);
+        CancellationWatermark horizon = started(1_000);
         horizon.read(9_000);
         assertEquals(5_000, horizon.until(5_000));
         assertEquals(9_000, horizon.until(12_000));
@@ -56,7 +56,7 @@
 
     @Test
     void aRestartLeavesAGapUntilItIsReadOrSettled() {
-        Horizon horizon = started(0);
+        CancellationWatermark horizon = started(0);
         answered(horizon, 50_000, 7, 50_000);
         time(52_000);
         horizon.answered("rig-1", 8, 100, 51_990, true);
@@ -77,7 +77,7 @@
 
     @Test
     void anAnswerThatDoesNotNameAllCountsForNothing() {
-        Horizon horizon = started(0);
+        CancellationWatermark horizon = started(0);
         answered(horizon, 50_000, 7, 50_000);
         time(51_000);
         horizon.answered("rig-1", 7, 51_000, 50_990, false);
@@ -93,7 +93,7 @@
         int bounded = 0;
         for (int seed = 0; seed < 300; seed++) {
             SplittableRandom random = new SplittableRandom(seed);
-            Horizon horizon = started(0);
+            CancellationWatermark horizon = started(0);
             List<Told> told = new ArrayList<>();
             Set<Told> named = new HashSet<>();
             Set<Told> read = new HashSet<>();
--- a/src/test/java/io/quartzgw/leadership/PeersTest.java
+++ b/src/test/java/io/quartzgw/leadership/PeersTest.java
@@ -5,7 +5,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.quartzgw.cancellation.Cancellations;
-import io.quartzgw.cancellation.Horizon;
+import io.quartzgw.cancellation.CancellationWatermark;
 import io.quartzgw.http.ListenerKind;
 import io.quartzgw.http.Endpoint;
 import io.quartzgw.http.Json;
@@ -29,7 +29,7 @@
     private final Kernel kernel = new Kernel(1);
     private final StoreClient store =
             new StoreClient(kernel, new Endpoint("10.2.0.1", 1), new StoreLimits(10, 10, 8192, 16));
-    private final Horizon horizon = new Horizon(kernel, 36_000, Set.of("rig-1"));
+    private final CancellationWatermark horizon = new CancellationWatermark(kernel, 36_000, Set.of("rig-1"));
     private final Leadership leadership = new Leadership(kernel, store, TIMES, "rig-0", 1, horizon);
     private final Peers peers = new Peers(
             kernel,
--- a/src/test/java/io/quartzgw/progress/ProgressTest.java
+++ b/src/test/java/io/quartzgw/progress/ProgressTest.java
@@ -3,7 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.quartzgw.cancellation.Horizon;
+import io.quartzgw.cancellation.CancellationWatermark;
 import io.quartzgw.http.Endpoint;
 import io.quartzgw.leadership.LeaderTerm;
 import io.quartzgw.leadership.Leadership;
@@ -35,7 +35,7 @@
     private final StoreClient store =
             new StoreClient(kernel, new Endpoint("10.2.0.1", 1), new StoreLimits(100_000, 100_000, 8192, 16));
     private final Leadership leadership = new Leadership(
-            kernel, store, LeadershipTimes.of(2.5, 16, 36), "rig-0", 1, new Horizon(kernel, 36_000, List.of()));
+            kernel, store, LeadershipTimes.of(2.5, 16, 36), "rig-0", 1, new CancellationWatermark(kernel, 36_000, List.of()));
 
     private Progress progress() {
         return new Progress(kernel, store, new LeaderTerm(leadership), REPORT_MS, new Progress.Listener() {
