--- a/src/main/java/io/quartzgw/fleet/Fleet.java
+++ b/src/main/java/io/quartzgw/fleet/Fleet.java
@@ -127,7 +127,7 @@
         if (keptCpus > 0) {
             return unplaced;
         }
-        Slack slack = new Slack(cluster.machines(), kernel.now());
+        ReusablePlaces slack = new ReusablePlaces(cluster.machines(), kernel.now());
         List<Unplaced> left = new ArrayList<>();
         for (Unplaced work : unplaced) {
             int lacking = work.count() - slack.take(work.job(), work.count());
--- a/src/main/java/io/quartzgw/fleet/Slack.java
+++ b/src/main/java/io/quartzgw/fleet/ReusablePlaces.java
@@ -12,7 +12,7 @@
  * How much of the work that lacks room the machines at hand can still finish in time, one task after the other: a job
  * with a deadline needs no new machine for that part.
  */
-final class Slack {
+final class ReusablePlaces {
     /** Owners guess too low as often as too high, and machines differ. */
     private static final double CAUTION = 1.25;
 
@@ -20,7 +20,7 @@
     /** When each place for one task is free, by machine; places in use by batch work only. */
     private final Map<Machine, List<Long>> places = new LinkedHashMap<>();
 
-    Slack(Iterable<Machine> machines, long now) {
+    ReusablePlaces(Iterable<Machine> machines, long now) {
         this.now = now;
         for (Machine machine : machines) {
             List<Long> free = new ArrayList<>();
