--- a/src/main/java/io/quartzgw/app/Leader.java
+++ b/src/main/java/io/quartzgw/app/Leader.java
@@ -1,8 +1,8 @@
 package io.quartzgw.app;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.quartzgw.cancellation.Cancellations;
 import io.quartzgw.cancellation.CancellationWatermark;
+import io.quartzgw.cancellation.Cancellations;
 import io.quartzgw.fleet.CloudClient;
 import io.quartzgw.fleet.Fleet;
 import io.quartzgw.fleet.MachineRecords;
@@ -75,7 +75,7 @@
             StoreClient store,
             JobStore jobs,
             Cancellations cancellations,
-            CancellationWatermark horizon,
+            CancellationWatermark watermark,
             MachineTypes types,
             CloudClient cloud,
             long formerAnswersUntil) {
@@ -123,7 +123,7 @@
                         recoveryTimes.silentMs(),
                         settings.cloudLimits().listLagMs()),
                 workers::forget);
-        this.openJobs = new OpenJobs(kernel, store, term, cluster, horizon, reportMs, this::knownOver, this::over);
+        this.openJobs = new OpenJobs(kernel, store, term, cluster, watermark, reportMs, this::knownOver, this::over);
         this.countPages = new CountPages(cluster);
         this.recovery = new Recovery(
                 kernel,
--- a/src/main/java/io/quartzgw/app/Node.java
+++ b/src/main/java/io/quartzgw/app/Node.java
@@ -2,12 +2,12 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.quartzgw.cancellation.Cancellations;
 import io.quartzgw.cancellation.CancellationWatermark;
+import io.quartzgw.cancellation.Cancellations;
 import io.quartzgw.fleet.CloudClient;
 import io.quartzgw.fleet.MachineTypes;
-import io.quartzgw.http.ListenerKind;
 import io.quartzgw.http.Json;
+import io.quartzgw.http.ListenerKind;
 import io.quartzgw.http.Request;
 import io.quartzgw.http.Response;
 import io.quartzgw.leadership.Leadership;
@@ -35,7 +35,7 @@
     private final CloudClient cloud;
     private final LeadershipTimes times;
     private final Cancellations cancellations;
-    private final CancellationWatermark horizon;
+    private final CancellationWatermark watermark;
     private final Leadership leadership;
     private final Peers peers;
     private final MachineTypes types;
@@ -59,10 +59,19 @@
                 settings.workers().reportMs() / 1000.0, settings.workers().leaseMs() / 1000.0, settings.cancelS());
         long cancelMs = settings.workers().cancelMs();
         this.cancellations = new Cancellations(kernel, cancelMs);
-        this.horizon = new CancellationWatermark(kernel, cancelMs, settings.peers().keySet());
-        this.leadership = new Leadership(kernel, store, times, settings.member(), process, horizon);
+        this.watermark =
+                new CancellationWatermark(kernel, cancelMs, settings.peers().keySet());
+        this.leadership = new Leadership(kernel, store, times, settings.member(), process, watermark);
         this.peers = new Peers(
-                kernel, leadership, store, times, settings.member(), process, settings.peers(), cancellations, horizon);
+                kernel,
+                leadership,
+                store,
+                times,
+                settings.member(),
+                process,
+                settings.peers(),
+                cancellations,
+                watermark);
         this.types = new MachineTypes(kernel, store, cloud, leadership::leading);
         this.jobs = new JobStore(store);
         this.submissions = new Submissions(kernel, store, jobs, types, new Admission(settings.teams()), new JobNews());
@@ -151,7 +160,7 @@
             kernel.answer(request.exchange(), Response.json(200, leader.report(report)));
             return;
         }
-        peers.turnedAway(report.machine(), report.address());
+        peers.redirected(report.machine(), report.address());
         String home = leadership.leaderMember();
         if (home == null || home.equals(settings.member())) {
             kernel.answer(request.exchange(), Response.unavailable("no leader", 1));
@@ -188,7 +197,7 @@
                     store,
                     jobs,
                     cancellations,
-                    horizon,
+                    watermark,
                     types,
                     cloud,
                     formerAnswersUntil);
--- a/src/main/java/io/quartzgw/app/OpenJobs.java
+++ b/src/main/java/io/quartzgw/app/OpenJobs.java
@@ -24,7 +24,7 @@
     private final StoreClient store;
     private final LeaderTerm term;
     private final Cluster cluster;
-    private final CancellationWatermark horizon;
+    private final CancellationWatermark watermark;
     private final long reportMs;
     private final Predicate<String> knownOver;
     private final Consumer<String> ended;
@@ -39,7 +39,7 @@
             StoreClient store,
             LeaderTerm term,
             Cluster cluster,
-            CancellationWatermark horizon,
+            CancellationWatermark watermark,
             long reportMs,
             Predicate<String> knownOver,
             Consumer<String> ended) {
@@ -47,7 +47,7 @@
         this.store = store;
         this.term = term;
         this.cluster = cluster;
-        this.horizon = horizon;
+        this.watermark = watermark;
         this.reportMs = reportMs;
         this.knownOver = knownOver;
         this.ended = ended;
@@ -77,7 +77,7 @@
     @Override
     public void reached(long revision, long at) {
         followedTo = revision;
-        horizon.read(at);
+        watermark.read(at);
     }
 
     @Override
--- a/src/main/java/io/quartzgw/app/Service.java
+++ b/src/main/java/io/quartzgw/app/Service.java
@@ -1,8 +1,8 @@
 package io.quartzgw.app;
 
-import io.quartzgw.http.ListenerKind;
 import io.quartzgw.http.HttpClient;
 import io.quartzgw.http.HttpServer;
+import io.quartzgw.http.ListenerKind;
 import io.quartzgw.http.Request;
 import io.quartzgw.http.Sockets;
 import io.quartzgw.loop.Command;
@@ -85,7 +85,7 @@
     }
 
     int port(ListenerKind listener) {
-        return server.port(door);
+        return server.port(listener);
     }
 
     private boolean take(Request request) {
--- a/src/main/java/io/quartzgw/fleet/Fleet.java
+++ b/src/main/java/io/quartzgw/fleet/Fleet.java
@@ -127,10 +127,10 @@
         if (keptCpus > 0) {
             return unplaced;
         }
-        ReusablePlaces slack = new ReusablePlaces(cluster.machines(), kernel.now());
+        ReusablePlaces places = new ReusablePlaces(cluster.machines(), kernel.now());
         List<Unplaced> left = new ArrayList<>();
         for (Unplaced work : unplaced) {
-            int lacking = work.count() - slack.take(work.job(), work.count());
+            int lacking = work.count() - places.take(work.job(), work.count());
             if (lacking > 0) {
                 left.add(new Unplaced(work.job(), lacking));
             }
--- a/src/main/java/io/quartzgw/http/HttpServer.java
+++ b/src/main/java/io/quartzgw/http/HttpServer.java
@@ -82,11 +82,11 @@
 
     /** The port that a listener got; for settings that ask for port 0. */
     public int port(ListenerKind listener) {
-        return ((InetSocketAddress) listener(door).getAddress()).getPort();
+        return ((InetSocketAddress) listener(listener).getAddress()).getPort();
     }
 
     private Undertow.ListenerInfo listener(ListenerKind listener) {
-        return undertow.getListenerInfo().get(door.ordinal());
+        return undertow.getListenerInfo().get(listener.ordinal());
     }
 
     /** Answers an exchange; callable from any thread. */
@@ -116,7 +116,7 @@
                             if (slow != null) {
                                 slow.remove();
                             }
-                            complete.dispatch(SameThreadExecutor.INSTANCE, () -> take(complete, door, body));
+                            complete.dispatch(SameThreadExecutor.INSTANCE, () -> take(complete, listener, body));
                         },
                         (failed, error) -> {
                             if (slow != null) {
@@ -135,7 +135,7 @@
         });
         Request request = new Request(
                 id,
-                door,
+                listener,
                 exchange.getRequestMethod().toString(),
                 exchange.getRequestPath(),
                 exchange.getQueryString(),
--- a/src/main/java/io/quartzgw/leadership/Leadership.java
+++ b/src/main/java/io/quartzgw/leadership/Leadership.java
@@ -47,7 +47,7 @@
     private final LeadershipTimes times;
     private final String member;
     private final long process;
-    private final CancellationWatermark horizon;
+    private final CancellationWatermark watermark;
     private Listener listener;
 
     private boolean observed;
@@ -68,13 +68,18 @@
 
     /** @param process number of this process, which no other process of the member has */
     public Leadership(
-            Kernel kernel, StoreClient store, LeadershipTimes times, String member, long process, CancellationWatermark horizon) {
+            Kernel kernel,
+            StoreClient store,
+            LeadershipTimes times,
+            String member,
+            long process,
+            CancellationWatermark watermark) {
         this.kernel = kernel;
         this.store = store;
         this.times = times;
         this.member = member;
         this.process = process;
-        this.horizon = horizon;
+        this.watermark = watermark;
     }
 
     /** Begins to follow the leader record and to stand for election. */
@@ -103,7 +108,7 @@
      * doesn't know. That holds from the election on, also while hard state is being read.
      */
     public boolean answering() {
-        return leading && kernel.now() < horizon.until(confirmedAt) + times.graceMs();
+        return leading && kernel.now() < watermark.until(confirmedAt) + times.graceMs();
     }
 
     /** The revision of the term key under this node's term. */
@@ -314,7 +319,7 @@
         term = won;
         hold = withHold;
         confirmedAt = since;
-        horizon.nothingRead();
+        watermark.nothingRead();
         LOG.info("leading with term {}", term);
         renew();
         listener.elected(term, termRevision);
--- a/src/main/java/io/quartzgw/leadership/Peers.java
+++ b/src/main/java/io/quartzgw/leadership/Peers.java
@@ -2,8 +2,8 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.quartzgw.cancellation.Cancellations;
 import io.quartzgw.cancellation.CancellationWatermark;
+import io.quartzgw.cancellation.Cancellations;
 import io.quartzgw.http.Call;
 import io.quartzgw.http.Endpoint;
 import io.quartzgw.http.Json;
@@ -38,9 +38,9 @@
     private final Map<String, Endpoint> others;
     private final Map<String, Known> known = new HashMap<>();
     private final Set<String> busy = new HashSet<>();
-    private final RedirectedWorkers turnedAway;
+    private final RedirectedWorkers redirected;
     private final Cancellations cancellations;
-    private final CancellationWatermark horizon;
+    private final CancellationWatermark watermark;
     private long messages;
     private IntFunction<JsonNode> countsToTell = most -> null;
     private Consumer<JsonNode> countsTold = counts -> {};
@@ -71,7 +71,7 @@
             long process,
             Map<String, Endpoint> others,
             Cancellations cancellations,
-            CancellationWatermark horizon) {
+            CancellationWatermark watermark) {
         this.kernel = kernel;
         this.leadership = leadership;
         this.store = store;
@@ -80,8 +80,8 @@
         this.process = process;
         this.others = new LinkedHashMap<>(others);
         this.cancellations = cancellations;
-        this.horizon = horizon;
-        this.turnedAway = new RedirectedWorkers(kernel, times.heartbeatMs());
+        this.watermark = watermark;
+        this.redirected = new RedirectedWorkers(kernel, times.heartbeatMs());
     }
 
     /**
@@ -95,7 +95,7 @@
         this.noticeTold = notice;
         beat();
         kernel.every(times.heartbeatMs(), () -> {
-            turnedAway.probe();
+            redirected.probe();
             beat();
         });
     }
@@ -136,8 +136,8 @@
     }
 
     /** Notes that a worker reported to this node while another one leads, or none. */
-    public void turnedAway(String machine, Endpoint address) {
-        turnedAway.add(machine, address);
+    public void redirected(String machine, Endpoint address) {
+        redirected.add(machine, address);
     }
 
     /** How many workers some other controller, heard of lately, has turned away lately and reaches. */
@@ -204,9 +204,9 @@
         cancellations.tell(state);
         return state.put("member", member)
                 .put("sequence", ++messages)
-                .put("workers", turnedAway.count())
+                .put("workers", redirected.count())
                 .put("process", process)
-                .put("up_ms", horizon.upMs())
+                .put("up_ms", watermark.upMs())
                 .put("leading", leadership.leading() ? leadership.term() : 0)
                 .put("term", leadership.highestTerm())
                 .put("store", store.reachable() && store.answeredWithin(FORGET_HEARTBEATS * times.heartbeatMs()));
@@ -223,7 +223,7 @@
         }
         heard(peer, answer);
         boolean whole = takeForGood(answer);
-        horizon.answered(name, itsProcess, answer.path("up_ms").asLong(), sent, whole);
+        watermark.answered(name, itsProcess, answer.path("up_ms").asLong(), sent, whole);
         leadership.memberRuns(name, itsProcess, recordAtCall);
     }
 
--- a/src/test/java/io/quartzgw/cancellation/CancellationWatermarkTest.java
+++ b/src/test/java/io/quartzgw/cancellation/CancellationWatermarkTest.java
@@ -27,73 +27,73 @@
         return new CancellationWatermark(kernel, CANCEL_MS, OTHERS);
     }
 
-    private void answered(CancellationWatermark horizon, long at, long process, long upMs) {
+    private void answered(CancellationWatermark watermark, long at, long process, long upMs) {
         time(at);
-        OTHERS.forEach(name -> horizon.answered(name, process, upMs, at - 5, true));
+        OTHERS.forEach(name -> watermark.answered(name, process, upMs, at - 5, true));
     }
 
     @Test
     void nothingIsKnownBeforeThisProcessIsOldEnoughOrHasRead() {
-        CancellationWatermark horizon = started(1_000);
-        answered(horizon, 2_000, 7, 90_000);
-        assertTrue(horizon.until(2_000) < 0, "its former process may have told of some just before");
-        horizon.read(1_900);
-        assertEquals(1_995, horizon.until(2_000));
-        horizon.nothingRead();
-        assertTrue(horizon.until(2_000) < 0, "a new term's book has nothing of what an earlier one read");
-        answered(horizon, 1_000 + CANCEL_MS, 7, 90_000 + CANCEL_MS);
-        assertEquals(995 + CANCEL_MS, horizon.until(0));
+        CancellationWatermark watermark = started(1_000);
+        answered(watermark, 2_000, 7, 90_000);
+        assertTrue(watermark.until(2_000) < 0, "its former process may have told of some just before");
+        watermark.read(1_900);
+        assertEquals(1_995, watermark.until(2_000));
+        watermark.nothingRead();
+        assertTrue(watermark.until(2_000) < 0, "a new term's book has nothing of what an earlier one read");
+        answered(watermark, 1_000 + CANCEL_MS, 7, 90_000 + CANCEL_MS);
+        assertEquals(995 + CANCEL_MS, watermark.until(0));
     }
 
     // What was read after the term was last confirmed must not count: a successor reckons with that.
     @Test
     void whatWasReadCountsUpToTheConfirmation() {
-        CancellationWatermark horizon = started(1_000);
-        horizon.read(9_000);
-        assertEquals(5_000, horizon.until(5_000));
-        assertEquals(9_000, horizon.until(12_000));
+        CancellationWatermark watermark = started(1_000);
+        watermark.read(9_000);
+        assertEquals(5_000, watermark.until(5_000));
+        assertEquals(9_000, watermark.until(12_000));
     }
 
     @Test
     void aRestartLeavesAGapUntilItIsReadOrSettled() {
-        CancellationWatermark horizon = started(0);
-        answered(horizon, 50_000, 7, 50_000);
+        CancellationWatermark watermark = started(0);
+        answered(watermark, 50_000, 7, 50_000);
         time(52_000);
-        horizon.answered("rig-1", 8, 100, 51_990, true);
-        answered(horizon, 52_000, 8, 100);
-        assertEquals(49_995, horizon.until(0));
-        answered(horizon, 53_000, 9, 100);
-        assertEquals(49_995, horizon.until(0), "a second restart does not hide the first one's gap");
-        answered(horizon, 60_000, 9, 7_100);
-        assertEquals(49_995, horizon.until(0));
-        horizon.read(52_999);
-        assertEquals(49_995, horizon.until(0), "read before the last restart was noticed, and not confirmed since");
-        horizon.read(53_000);
-        assertEquals(59_995, horizon.until(0));
-        horizon.nothingRead();
-        answered(horizon, 52_900 + CANCEL_MS, 9, CANCEL_MS);
-        assertEquals(52_895 + CANCEL_MS, horizon.until(0), "whatever was told before is settled");
+        watermark.answered("rig-1", 8, 100, 51_990, true);
+        answered(watermark, 52_000, 8, 100);
+        assertEquals(49_995, watermark.until(0));
+        answered(watermark, 53_000, 9, 100);
+        assertEquals(49_995, watermark.until(0), "a second restart does not hide the first one's gap");
+        answered(watermark, 60_000, 9, 7_100);
+        assertEquals(49_995, watermark.until(0));
+        watermark.read(52_999);
+        assertEquals(49_995, watermark.until(0), "read before the last restart was noticed, and not confirmed since");
+        watermark.read(53_000);
+        assertEquals(59_995, watermark.until(0));
+        watermark.nothingRead();
+        answered(watermark, 52_900 + CANCEL_MS, 9, CANCEL_MS);
+        assertEquals(52_895 + CANCEL_MS, watermark.until(0), "whatever was told before is settled");
     }
 
     @Test
     void anAnswerThatDoesNotNameAllCountsForNothing() {
-        CancellationWatermark horizon = started(0);
-        answered(horizon, 50_000, 7, 50_000);
+        CancellationWatermark watermark = started(0);
+        answered(watermark, 50_000, 7, 50_000);
         time(51_000);
-        horizon.answered("rig-1", 7, 51_000, 50_990, false);
-        horizon.answered("rig-2", 7, 51_000, 50_990, true);
-        assertEquals(49_995, horizon.until(0));
+        watermark.answered("rig-1", 7, 51_000, 50_990, false);
+        watermark.answered("rig-2", 7, 51_000, 50_990, true);
+        assertEquals(49_995, watermark.until(0));
     }
 
     private record Told(long at, int by, long process) {}
 
     // The plain model keeps every cancellation that was told, and what this controller has heard of.
     @Test
-    void noCancellationThatMattersIsUnknownBeforeTheHorizon() {
+    void noCancellationThatMattersIsUnknownBeforeTheWatermark() {
         int bounded = 0;
         for (int seed = 0; seed < 300; seed++) {
             SplittableRandom random = new SplittableRandom(seed);
-            CancellationWatermark horizon = started(0);
+            CancellationWatermark watermark = started(0);
             List<Told> told = new ArrayList<>();
             Set<Told> named = new HashSet<>();
             Set<Told> read = new HashSet<>();
@@ -112,13 +112,13 @@
                     }
                     case 3 -> {
                         if (random.nextInt(3) == 0) {
-                            horizon.read(now);
+                            watermark.read(now);
                             read.addAll(told);
                         }
                     }
                     case 4 -> {
                         if (random.nextInt(20) == 0) {
-                            horizon.nothingRead();
+                            watermark.nothingRead();
                             read.clear();
                         }
                     }
@@ -127,10 +127,10 @@
                         told.stream()
                                 .filter(one -> one.by() == peer && one.process() == process[peer])
                                 .forEach(named::add);
-                        horizon.answered(OTHERS.get(peer), process[peer], now - began[peer], now, true);
+                        watermark.answered(OTHERS.get(peer), process[peer], now - began[peer], now, true);
                     }
                 }
-                long until = horizon.until(now);
+                long until = watermark.until(now);
                 for (Told one : told) {
                     if (!named.contains(one) && !read.contains(one) && now - one.at() < CANCEL_MS) {
                         assertTrue(one.at() >= until, "seed " + seed + " at " + now + ": " + one + " before " + until);
--- a/src/test/java/io/quartzgw/leadership/PeersTest.java
+++ b/src/test/java/io/quartzgw/leadership/PeersTest.java
@@ -4,11 +4,11 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.quartzgw.cancellation.Cancellations;
 import io.quartzgw.cancellation.CancellationWatermark;
-import io.quartzgw.http.ListenerKind;
+import io.quartzgw.cancellation.Cancellations;
 import io.quartzgw.http.Endpoint;
 import io.quartzgw.http.Json;
+import io.quartzgw.http.ListenerKind;
 import io.quartzgw.http.Reply;
 import io.quartzgw.http.Request;
 import io.quartzgw.loop.Command;
@@ -29,8 +29,8 @@
     private final Kernel kernel = new Kernel(1);
     private final StoreClient store =
             new StoreClient(kernel, new Endpoint("10.2.0.1", 1), new StoreLimits(10, 10, 8192, 16));
-    private final CancellationWatermark horizon = new CancellationWatermark(kernel, 36_000, Set.of("rig-1"));
-    private final Leadership leadership = new Leadership(kernel, store, TIMES, "rig-0", 1, horizon);
+    private final CancellationWatermark watermark = new CancellationWatermark(kernel, 36_000, Set.of("rig-1"));
+    private final Leadership leadership = new Leadership(kernel, store, TIMES, "rig-0", 1, watermark);
     private final Peers peers = new Peers(
             kernel,
             leadership,
@@ -40,7 +40,7 @@
             1,
             Map.of("rig-1", new Endpoint("10.0.0.2", 8081)),
             new Cancellations(kernel, 36_000),
-            horizon);
+            watermark);
     private final List<JsonNode> told = new ArrayList<>();
 
     private static ObjectNode message(long process, long sequence) {
--- a/src/test/java/io/quartzgw/leadership/RedirectedWorkersTest.java
+++ b/src/test/java/io/quartzgw/leadership/RedirectedWorkersTest.java
@@ -17,17 +17,17 @@
     private static final Endpoint WORKER = new Endpoint("10.1.0.1", 9000);
 
     private final Kernel kernel = new Kernel(1);
-    private final RedirectedWorkers turnedAway = new RedirectedWorkers(kernel, HEARTBEAT_MS);
+    private final RedirectedWorkers redirected = new RedirectedWorkers(kernel, HEARTBEAT_MS);
 
     /** A worker reports, a heartbeat later it is asked, and it answers. */
     private int countAfterReportAndHeartbeat(long now) {
-        act(now, () -> turnedAway.add("i-000001", WORKER));
+        act(now, () -> redirected.add("i-000001", WORKER));
         List<Command> answers = new ArrayList<>();
-        for (Effect effect : act(now + HEARTBEAT_MS, turnedAway::probe)) {
+        for (Effect effect : act(now + HEARTBEAT_MS, redirected::probe)) {
             answers.add(new Command.CallEnded(((Effect.Send) effect).call(), new Reply(200, new byte[0])));
         }
         kernel.handle(answers, new Time(now + HEARTBEAT_MS, 0));
-        return turnedAway.count();
+        return redirected.count();
     }
 
     private List<Effect> act(long now, Runnable action) {
@@ -38,17 +38,17 @@
 
     @Test
     void aWorkerThatReportsHereAndIsReachedCounts() {
-        act(0, turnedAway::probe);
+        act(0, redirected::probe);
         assertEquals(1, countAfterReportAndHeartbeat(HEARTBEAT_MS));
     }
 
     // Guards a healthy leader: reports that waited for a node that stood still are no sign of the present.
     @Test
     void whatWaitedForANodeThatStoodStillDoesNotCount() {
-        act(0, turnedAway::probe);
+        act(0, redirected::probe);
         long awake = 30 * HEARTBEAT_MS;
-        act(awake, () -> turnedAway.add("i-000001", WORKER));
-        act(awake + 1, turnedAway::probe);
+        act(awake, () -> redirected.add("i-000001", WORKER));
+        act(awake + 1, redirected::probe);
         assertEquals(0, countAfterReportAndHeartbeat(awake + HEARTBEAT_MS));
         assertEquals(1, countAfterReportAndHeartbeat(awake + 4 * HEARTBEAT_MS));
     }
--- a/src/test/java/io/quartzgw/progress/ProgressTest.java
+++ b/src/test/java/io/quartzgw/progress/ProgressTest.java
@@ -35,7 +35,12 @@
     private final StoreClient store =
             new StoreClient(kernel, new Endpoint("10.2.0.1", 1), new StoreLimits(100_000, 100_000, 8192, 16));
     private final Leadership leadership = new Leadership(
-            kernel, store, LeadershipTimes.of(2.5, 16, 36), "rig-0", 1, new CancellationWatermark(kernel, 36_000, List.of()));
+            kernel,
+            store,
+            LeadershipTimes.of(2.5, 16, 36),
+            "rig-0",
+            1,
+            new CancellationWatermark(kernel, 36_000, List.of()));
 
     private Progress progress() {
         return new Progress(kernel, store, new LeaderTerm(leadership), REPORT_MS, new Progress.Listener() {
--- a/src/test/java/io/quartzgw/standin/SimWorld.java
+++ b/src/test/java/io/quartzgw/standin/SimWorld.java
@@ -1,14 +1,13 @@
 package io.quartzgw.standin;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.quartzgw.app.Node;
 import io.quartzgw.app.Settings;
 import io.quartzgw.fleet.CloudLimits;
 import io.quartzgw.http.Call;
-import io.quartzgw.http.ListenerKind;
 import io.quartzgw.http.Endpoint;
 import io.quartzgw.http.Json;
+import io.quartzgw.http.ListenerKind;
 import io.quartzgw.http.Reply;
 import io.quartzgw.http.Request;
 import io.quartzgw.http.Response;
@@ -366,7 +365,12 @@
         handle(
                 sim,
                 List.of(new Command.Arrived(new Request(
-                        id, door, call.method(), call.path(), "", call.body() == null ? new byte[0] : call.body()))));
+                        id,
+                        listener,
+                        call.method(),
+                        call.path(),
+                        "",
+                        call.body() == null ? new byte[0] : call.body()))));
     }
 
     // ---- network
@@ -462,37 +466,13 @@
             }
         }
         String id = "j-9" + now;
-        ObjectNode good = Json.object()
-                .put("id", id)
-                .put("workload", "odd")
-                .put("crew", "blue")
-                .put("shape", "array")
-                .put("urgency", "standard")
-                .put("shards", 1)
-                .put("cpus", 1.0)
-                .put("gpus", 0.0)
-                .put("ram_gb", 1.0)
-                .put("bundle", "img-0")
-                .put("pull_gb", 1.0)
-                .put("together", false)
-                .put("scatter", false)
-                .put("loaner", false)
-                .put("runtime_guess_s", 1.0)
-                .put("snapshot_every_s", 0.0)
-                .put("snapshot_cost_s", 0.0);
-        List<ObjectNode> bad = new ArrayList<>();
-        good.fieldNames().forEachRemaining(field -> bad.add(good.deepCopy().without(field)));
-        bad.add(good.deepCopy().put("cpus", 99.0));
-        bad.add(good.deepCopy().put("crew", "nobody"));
-        bad.add(good.deepCopy()
-                .put("crew", "red")
-                .put("shape", "daemon")
-                .put("shards", 30)
-                .put("cpus", 4.0));
-        bad.add(good.deepCopy().put("shards", "one"));
-        bad.add(good.deepCopy().put("yard", "nowhere"));
-        bad.forEach(spec -> user(
-                anyNode(), "POST", "/submissions", spec, reply -> rules.toldOfBadJob(spec.toString(), reply.status())));
+        BadJobs.of(id)
+                .forEach(spec -> user(
+                        anyNode(),
+                        "POST",
+                        "/submissions",
+                        spec,
+                        reply -> rules.toldOfBadJob(spec.toString(), reply.status())));
         user(anyNode(), "GET", "/submissions/" + id, null, reply -> rules.toldOfNoJob(id, reply.status()));
         user(
                 anyNode(),
