Normal work stops low work while the cloud gives no more machines

Where a machine can be rented nothing changes: what low work has done would be lost for a wait that a boot ends.

--- a/src/main/java/io/quartzgw/app/Leader.java
+++ b/src/main/java/io/quartzgw/app/Leader.java
@@ -103,7 +103,14 @@
         double keptCpus = keptCpus(settings);
         Goals goals = new Goals(settings.finishGoals(), settings.startGoals());
         this.scheduler = new Scheduler(
-                kernel, cluster, settings.teams(), goals, keptCpus > 0, settings.workers(), new ToWorkers());
+                kernel,
+                cluster,
+                settings.teams(),
+                goals,
+                keptCpus > 0,
+                settings.workers(),
+                this::cloudExhausted,
+                new ToWorkers());
         this.records =
                 new MachineRecords(kernel, store, term, cluster, 2 * (long) settings.timeBoundMs(), workers::startsDue);
         this.fleet = new Fleet(
@@ -148,6 +155,11 @@
                 : 0;
     }
 
+    // Asked by the scheduler, which is there before the fleet.
+    private boolean cloudExhausted() {
+        return fleet.exhausted();
+    }
+
     void start() {
         recovery.start();
         tick();
--- a/src/main/java/io/quartzgw/fleet/Fleet.java
+++ b/src/main/java/io/quartzgw/fleet/Fleet.java
@@ -111,6 +111,11 @@
         return returns.deleteLeaving() || more;
     }
 
+    /** Whether the cloud has refused every offer lately. */
+    public boolean exhausted() {
+        return plan.offers().stream().noneMatch(rentals::available);
+    }
+
     private double rentedCpus(List<Offer> requested) {
         double asked = requested.stream()
                 .mapToDouble(offer -> offer.type().size().cpus())
--- a/src/main/java/io/quartzgw/fleet/RentPlan.java
+++ b/src/main/java/io/quartzgw/fleet/RentPlan.java
@@ -162,7 +162,8 @@
         return offer.type().price(offer.spot()) / offer.type().size().cpus();
     }
 
-    private List<Offer> offers() {
+    /** All that the cloud offers, whether or not it has any at present. */
+    List<Offer> offers() {
         List<Offer> offers = new ArrayList<>();
         for (MachineType type : types.all()) {
             for (String zone : type.zones()) {
--- a/src/main/java/io/quartzgw/placement/Scheduler.java
+++ b/src/main/java/io/quartzgw/placement/Scheduler.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 
 /** Places waiting tasks; what only lacks room is left for the fleet to rent for. */
 public final class Scheduler {
@@ -26,12 +27,19 @@
     private final Goals goals;
     private final Queue queue;
     private final BestFit bestFit;
+    private final BooleanSupplier cloudExhausted;
     private final long freshMs;
     private List<Unplaced> unplaced = List.of();
+    /** Whether normal work stops low work in this pass. */
+    private boolean normalPreempts;
+
     /** When a paused job is to be tried again, as far as a timer is set for it. */
     private long retryAt = Long.MAX_VALUE;
 
-    /** @param roomIsKept whether room is kept rented whatever the demand */
+    /**
+     * @param roomIsKept whether room is kept rented whatever the demand
+     * @param cloudExhausted whether the cloud gives no more machines at present
+     */
     public Scheduler(
             Kernel kernel,
             Cluster cluster,
@@ -39,10 +47,12 @@
             Goals goals,
             boolean roomIsKept,
             WorkerTimes times,
+            BooleanSupplier cloudExhausted,
             TaskControl starter) {
         this.kernel = kernel;
         this.cluster = cluster;
         this.teams = teams;
+        this.cloudExhausted = cloudExhausted;
         this.starter = starter;
         this.goals = goals;
         this.queue = new Queue(cluster, teams, goals, times.reportMs());
@@ -67,6 +77,9 @@
                     cluster.machines().stream().filter(this::usable).toList();
             List<Machine> roomy = roomyFor(order, machines);
             bestFit.zoneUse(zoneUse(machines));
+            // As a rule no low work runs, and there is nothing to look for.
+            normalPreempts = cloudExhausted.getAsBoolean()
+                    && machines.stream().anyMatch(machine -> machine.holdsBelow(Priority.NORMAL));
             for (Job job : order) {
                 int lacking = job.spec().gang() ? placeGang(job, roomy) : place(job, machines, roomy);
                 // A job that fails everywhere must not have machines rented for it.
@@ -202,9 +215,11 @@
                 && !job.avoids(machine.id());
     }
 
-    // Only work that is above normal: batch work must not push out batch work.
-    private static boolean preempts(Job job) {
-        return job.spec().priority().above(Priority.NORMAL);
+    // Work above normal does so at once. Normal work stops low work only where no machine can be rented for it: else
+    // what the low work has done would be lost for a wait that a boot ends.
+    private boolean preempts(Job job) {
+        Priority priority = job.spec().priority();
+        return priority.above(Priority.NORMAL) || priority == Priority.NORMAL && normalPreempts;
     }
 
     /** Where the tasks of one job may go in this pass. They are alike: what one can't have, none can. */
--- a/src/test/java/io/quartzgw/placement/SchedulerTest.java
+++ b/src/test/java/io/quartzgw/placement/SchedulerTest.java
@@ -30,6 +30,7 @@
     private final Kernel kernel = new Kernel(1);
     private final Cluster cluster = new Cluster(kernel, 1);
     private final List<Booking> stopped = new ArrayList<>();
+    private boolean cloudExhausted;
     private final Scheduler scheduler = new Scheduler(
             kernel,
             cluster,
@@ -37,6 +38,7 @@
             new Goals(Map.of(), Map.of()),
             false,
             new WorkerTimes(2_500, 16_000, 36_000),
+            () -> cloudExhausted,
             new TaskControl() {
                 @Override
                 public void start(Booking booking) {
@@ -228,6 +230,27 @@
         assertEquals(machine, service.booking(0).machine());
     }
 
+    // Guards deadlines on days when guests' work of low priority has taken the last machine.
+    @Test
+    void normalWorkStopsLowWorkOnlyWhenTheCloudGivesNoMore() {
+        machine(0, false);
+        Job low = job(1, "free", Shape.ARRAY, Priority.LOW, 4, 2, false, false, false);
+        kernel.handle(List.of(), new Time(1_000, 1_000));
+        scheduler.run();
+        low.bookings().forEach(booking -> booking.seen(Booking.Phase.RUNNING, 1_000));
+        Job normal = job(2, "free", Shape.ARRAY, Priority.NORMAL, 1, 4, false, false, false);
+        scheduler.run();
+        assertEquals(List.of(), stopped);
+        assertEquals(1, normal.waiting().cardinality());
+        cloudExhausted = true;
+        scheduler.run();
+        assertEquals(2, stopped.size());
+        assertEquals(1, normal.bookings().size());
+        job(3, "free", Shape.ARRAY, Priority.LOW, 1, 4, false, false, false);
+        scheduler.run();
+        assertEquals(2, stopped.size(), "low work stops nothing");
+    }
+
     @Test
     void equalWorkIsNotStopped() {
         machine(0, false);
