--- a/src/main/java/io/quartzgw/app/Leader.java
+++ b/src/main/java/io/quartzgw/app/Leader.java
@@ -1,7 +1,6 @@
 package io.quartzgw.app;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.quartzgw.cancellation.CancellationWatermark;
 import io.quartzgw.cancellation.Cancellations;
 import io.quartzgw.fleet.CloudClient;
 import io.quartzgw.fleet.Fleet;
@@ -67,26 +66,18 @@
     private boolean fleetDue;
     private boolean fleetPaused;
 
-    Leader(
-            Kernel kernel,
-            Settings settings,
-            Leadership leadership,
-            Peers peers,
-            StoreClient store,
-            JobStore jobs,
-            Cancellations cancellations,
-            CancellationWatermark watermark,
-            MachineTypes types,
-            CloudClient cloud,
-            long formerAnswersUntil) {
-        this.kernel = kernel;
-        this.settings = settings;
-        this.leadership = leadership;
-        this.jobs = jobs;
-        this.cancellations = cancellations;
+    /** @param formerAnswersUntil when a former leader can last answer a report */
+    Leader(ControllerServices services, long formerAnswersUntil) {
+        this.kernel = services.kernel();
+        this.settings = services.settings();
+        this.leadership = services.leadership();
+        this.jobs = services.jobs();
+        this.cancellations = services.cancellations();
+        this.peers = services.peers();
         this.term = new LeaderTerm(leadership);
-        this.peers = peers;
         this.since = kernel.now();
+        StoreClient store = services.store();
+        MachineTypes types = services.types();
         long reportMs = settings.workers().reportMs();
         RecoveryTimes recoveryTimes = RecoveryTimes.of(settings.workers());
         this.cluster = new Cluster(kernel, term.number());
@@ -100,37 +91,12 @@
                 cancellations::knows,
                 new FromWorkers());
         this.progress = new Progress(kernel, store, term, reportMs, new FromProgress());
-        double keptCpus = keptCpus(settings);
-        Goals goals = new Goals(settings.finishGoals(), settings.startGoals());
-        this.scheduler = new Scheduler(
-                kernel,
-                cluster,
-                settings.teams(),
-                goals,
-                keptCpus > 0,
-                settings.workers(),
-                this::cloudExhausted,
-                new ToWorkers());
+        this.scheduler = newScheduler();
         this.records =
                 new MachineRecords(kernel, store, term, cluster, 2 * (long) settings.timeBoundMs(), workers::startsDue);
-        this.fleet = new Fleet(
-                kernel,
-                cloud,
-                term,
-                cluster,
-                types,
-                records,
-                new Consolidation(
-                        cluster,
-                        scheduler::usable,
-                        new ToWorkers(),
-                        settings.workers().leaseMs()),
-                new Fleet.Policy(
-                        keptCpus,
-                        recoveryTimes.silentMs(),
-                        settings.cloudLimits().listLagMs()),
-                workers::forget);
-        this.openJobs = new OpenJobs(kernel, store, term, cluster, watermark, reportMs, this::knownOver, this::over);
+        this.fleet = newFleet(services.cloud(), types, recoveryTimes);
+        this.openJobs =
+                new OpenJobs(kernel, store, term, cluster, services.watermark(), reportMs, this::knownOver, this::over);
         this.countPages = new CountPages(cluster);
         this.recovery = new Recovery(
                 kernel,
@@ -148,6 +114,28 @@
                 openJobs);
     }
 
+    private Scheduler newScheduler() {
+        return new Scheduler(
+                kernel,
+                cluster,
+                settings.teams(),
+                new Goals(settings.finishGoals(), settings.startGoals()),
+                keptCpus(settings) > 0,
+                settings.workers(),
+                this::cloudExhausted,
+                new ToWorkers());
+    }
+
+    private Fleet newFleet(CloudClient cloud, MachineTypes types, RecoveryTimes recoveryTimes) {
+        Consolidation consolidation = new Consolidation(
+                cluster, scheduler::usable, new ToWorkers(), settings.workers().leaseMs());
+        Fleet.Policy policy = new Fleet.Policy(
+                keptCpus(settings),
+                recoveryTimes.silentMs(),
+                settings.cloudLimits().listLagMs());
+        return new Fleet(kernel, cloud, term, cluster, types, records, consolidation, policy, workers::forget);
+    }
+
     // Where the guarantee is an aim, its room is there before the work comes.
     private static double keptCpus(Settings settings) {
         return settings.aimsAt("guarantee")
--- a/src/main/java/io/quartzgw/app/Node.java
+++ b/src/main/java/io/quartzgw/app/Node.java
@@ -183,24 +183,18 @@
 
     // ---- leadership
 
+    private ControllerServices services() {
+        return new ControllerServices(
+                kernel, settings, leadership, peers, store, jobs, cancellations, watermark, types, cloud);
+    }
+
     private final class Elections implements Leadership.Listener {
         @Override
         public void elected(long term, long termRevision) {
             // A former leader answers for its grace from the last moment up to which it knew of all
             // cancellations; this node, for one, has told it of none since it was elected.
             long formerAnswersUntil = kernel.now() + times.graceMs();
-            leader = new Leader(
-                    kernel,
-                    settings,
-                    leadership,
-                    peers,
-                    store,
-                    jobs,
-                    cancellations,
-                    watermark,
-                    types,
-                    cloud,
-                    formerAnswersUntil);
+            leader = new Leader(services(), formerAnswersUntil);
             leader.start();
             peers.beat();
         }
