--- a/src/test/java/io/quartzgw/app/MeetingsTest.java
+++ b/src/test/java/io/quartzgw/app/MeetingsTest.java
@@ -14,13 +14,13 @@
 class MeetingsTest {
     private static final long LEASE_MS = 16_000;
 
-    private static void assertAllWell(SimWorld world) {
+    static void assertAllWell(SimWorld world) {
         assertEquals(List.of(), world.rules.broken());
         assertEquals(List.of(), world.rules.missingReplicas());
         assertEquals(0, world.failures());
     }
 
-    private static List<String> arrays(SimWorld world, int jobs, int tasks, double runS, String crew) {
+    static List<String> arrays(SimWorld world, int jobs, int tasks, double runS, String crew) {
         List<String> ids = new ArrayList<>();
         for (int i = 0; i < jobs; i++) {
             String id = String.format("j-%06d", 300 + i);
@@ -30,7 +30,7 @@
         return ids;
     }
 
-    private static void assertDone(SimWorld world, List<String> jobs) {
+    static void assertDone(SimWorld world, List<String> jobs) {
         assertEquals(
                 List.of(),
                 jobs.stream()
@@ -38,7 +38,7 @@
                         .toList());
     }
 
-    private static List<String> firstHalf(List<String> machines) {
+    static List<String> firstHalf(List<String> machines) {
         return machines.subList(0, (machines.size() + 1) / 2);
     }
 
--- a/src/test/java/io/quartzgw/standin/CloudStandIn.java
+++ b/src/test/java/io/quartzgw/standin/CloudStandIn.java
@@ -20,7 +20,7 @@
 /** The cloud as its protocol page describes it, with a machine list that lags; time is handed in. */
 public final class CloudStandIn {
     private final long lagMs;
-    private final long bootMs;
+    private long bootMs;
     private final int capacity;
     private final TreeMap<String, Rented> machines = new TreeMap<>();
     private final Map<String, List<String>> answered = new HashMap<>();
@@ -67,6 +67,11 @@
         }
     }
 
+    /** Sets how long machines boot from now on. */
+    public void bootMs(long ms) {
+        bootMs = ms;
+    }
+
     /** The machines that are up. */
     public List<String> running() {
         return machines.keySet().stream()
