--- a/src/main/java/io/quartzgw/fleet/Fleet.java
+++ b/src/main/java/io/quartzgw/fleet/Fleet.java
@@ -97,11 +97,9 @@
         List<Machine> coming = cluster.machines().stream().filter(this::coming).toList();
         List<Offer> requested = rentals.requested();
         double rented = rentedCpus(requested);
-        Map<Offer, Integer> wanted = plan.plan(
-                beyondSlack(unplaced), coming, requested, rentals::available, keptCpus - rented, machinesPerZone());
-        kernel.count("fleet.plans", 1);
-        kernel.count("fleet.looks", plan.takeLooks());
-        boolean more = rentals.request(wanted);
+        // Guards the leader's processor time while the cloud gives nothing: then there is nothing to be planned, and
+        // most work waits.
+        boolean more = !exhausted() && rent(unplaced, coming, requested, rented);
         if (all) {
             retirement.retire(rented);
             if (coming.isEmpty() && requested.isEmpty()) {
@@ -111,6 +109,14 @@
         return returns.deleteLeaving() || more;
     }
 
+    private boolean rent(List<Unplaced> unplaced, List<Machine> coming, List<Offer> requested, double rented) {
+        Map<Offer, Integer> wanted = plan.plan(
+                beyondSlack(unplaced), coming, requested, rentals::available, keptCpus - rented, machinesPerZone());
+        kernel.count("fleet.plans", 1);
+        kernel.count("fleet.looks", plan.takeLooks());
+        return rentals.request(wanted);
+    }
+
     /** Whether the cloud has refused every offer lately. */
     public boolean exhausted() {
         return plan.offers().stream().noneMatch(rentals::available);
--- a/src/main/java/io/quartzgw/placement/Scheduler.java
+++ b/src/main/java/io/quartzgw/placement/Scheduler.java
@@ -200,12 +200,7 @@
     private int lacking(Job job) {
         Team team = teams.get(job.spec().team());
         Resources use = cluster.mayUse(job.spec().team());
-        int count = 0;
-        int waiting = job.waiting().cardinality();
-        while (count < waiting && team.withinLimit(use = use.plus(job.spec().demand()))) {
-            count++;
-        }
-        return count;
+        return team.tasksWithinLimit(use, job.spec().demand(), job.waiting().cardinality());
     }
 
     private boolean allowed(Job job, Machine machine) {
--- a/src/main/java/io/quartzgw/placement/Team.java
+++ b/src/main/java/io/quartzgw/placement/Team.java
@@ -18,4 +18,22 @@
     private static boolean within(double used, double limit) {
         return limit == 0 || used <= limit + EPSILON;
     }
+
+    /**
+     * How many more tasks fit the limit, up to a number. Halves the range at each step: arrays have up to 100,000
+     * tasks, and this is asked at each pass.
+     */
+    int tasksWithinLimit(Resources use, Resources demand, int most) {
+        int fits = 0;
+        int tooMany = most + 1;
+        while (tooMany - fits > 1) {
+            int middle = (fits + tooMany) / 2;
+            if (withinLimit(use.plus(demand.times(middle)))) {
+                fits = middle;
+            } else {
+                tooMany = middle;
+            }
+        }
+        return fits;
+    }
 }
--- a/src/test/java/io/quartzgw/placement/SchedulerTest.java
+++ b/src/test/java/io/quartzgw/placement/SchedulerTest.java
@@ -251,6 +251,23 @@
         assertEquals(2, stopped.size(), "low work stops nothing");
     }
 
+    @Test
+    void tasksWithinTheLimitAreCountedLikeOneByOne() {
+        Resources demand = new Resources(2.5, 0, 1);
+        for (Team team : TEAMS.values()) {
+            for (double used = 0; used <= 30; used += 1.5) {
+                for (int most : List.of(0, 1, 7, 40)) {
+                    int count = 0;
+                    Resources use = new Resources(used, 0, 0);
+                    while (count < most && team.withinLimit(use = use.plus(demand))) {
+                        count++;
+                    }
+                    assertEquals(count, team.tasksWithinLimit(new Resources(used, 0, 0), demand, most));
+                }
+            }
+        }
+    }
+
     @Test
     void equalWorkIsNotStopped() {
         machine(0, false);
