--- a/src/main/java/io/quartzgw/app/Leader.java
+++ b/src/main/java/io/quartzgw/app/Leader.java
@@ -14,9 +14,9 @@
 import io.quartzgw.placement.Booking;
 import io.quartzgw.placement.Cluster;
 import io.quartzgw.placement.Consolidation;
-import io.quartzgw.placement.Goals;
 import io.quartzgw.placement.Job;
 import io.quartzgw.placement.Machine;
+import io.quartzgw.placement.Objectives;
 import io.quartzgw.placement.Scheduler;
 import io.quartzgw.placement.TaskControl;
 import io.quartzgw.placement.Team;
@@ -119,7 +119,7 @@
                 kernel,
                 cluster,
                 settings.teams(),
-                new Goals(settings.finishGoals(), settings.startGoals()),
+                new Objectives(settings.finishGoals(), settings.startGoals()),
                 keptCpus(settings) > 0,
                 settings.workers(),
                 this::cloudExhausted,
--- a/src/main/java/io/quartzgw/leadership/Peers.java
+++ b/src/main/java/io/quartzgw/leadership/Peers.java
@@ -130,7 +130,7 @@
     }
 
     /** Whether every other controller has said that it answers workers with no term below this one. */
-    public boolean allRenouncedBelow(long term) {
+    public boolean allSteppedDownBelow(long term) {
         return others.keySet().stream()
                 .allMatch(name -> known.containsKey(name) && known.get(name).renouncedBelow >= term);
     }
--- a/src/main/java/io/quartzgw/placement/Goals.java
+++ b/src/main/java/io/quartzgw/placement/Objectives.java
@@ -7,7 +7,7 @@
 import java.util.stream.Collectors;
 
 /** By when users want jobs of each class to be finished, as the objectives and deadlines say. */
-public final class Goals {
+public final class Objectives {
     /** The part of the time to start that a fetch may take, as far as it can be foretold. */
     private static final double FETCH_PART = 0.75;
 
@@ -18,7 +18,7 @@
      * @param withinS by class, the times from submission within which its jobs should be finished
      * @param startS by class, the time from submission within which its tasks should be started
      */
-    public Goals(Map<String, List<Double>> withinS, Map<String, Double> startS) {
+    public Objectives(Map<String, List<Double>> withinS, Map<String, Double> startS) {
         this.startS = Map.copyOf(startS);
         this.withinS = withinS.entrySet().stream()
                 .collect(Collectors.toUnmodifiableMap(Map.Entry::getKey, entry -> entry.getValue().stream()
--- a/src/main/java/io/quartzgw/placement/Queue.java
+++ b/src/main/java/io/quartzgw/placement/Queue.java
@@ -24,10 +24,10 @@
 
     private final Cluster cluster;
     private final Map<String, Team> teams;
-    private final Goals goals;
+    private final Objectives goals;
     private final long reportMs;
 
-    Queue(Cluster cluster, Map<String, Team> teams, Goals goals, long reportMs) {
+    Queue(Cluster cluster, Map<String, Team> teams, Objectives goals, long reportMs) {
         this.cluster = cluster;
         this.reportMs = reportMs;
         this.goals = goals;
--- a/src/main/java/io/quartzgw/placement/Scheduler.java
+++ b/src/main/java/io/quartzgw/placement/Scheduler.java
@@ -24,7 +24,7 @@
     private final Cluster cluster;
     private final Map<String, Team> teams;
     private final TaskControl starter;
-    private final Goals goals;
+    private final Objectives goals;
     private final Queue queue;
     private final BestFit bestFit;
     private final BooleanSupplier cloudExhausted;
@@ -44,7 +44,7 @@
             Kernel kernel,
             Cluster cluster,
             Map<String, Team> teams,
-            Goals goals,
+            Objectives goals,
             boolean roomIsKept,
             WorkerTimes times,
             BooleanSupplier cloudExhausted,
--- a/src/main/java/io/quartzgw/recovery/Recovery.java
+++ b/src/main/java/io/quartzgw/recovery/Recovery.java
@@ -48,7 +48,7 @@
     private final StoreClient.Follower openJobs;
     private final long electedAt;
     private long formerAnswersUntil;
-    private boolean renounced;
+    private boolean steppedDown;
     private Stage stage = Stage.READING;
     /** Machines that may run something and have not shown this leader's token yet. */
     private final Set<Machine> silent = new LinkedHashSet<>();
@@ -183,7 +183,7 @@
         if (stage == Stage.READING || !term.current()) {
             return;
         }
-        noteRenounced();
+        noteStepDown();
         List<Machine> heard =
                 silent.stream().filter(machine -> !isSilent(machine)).toList();
         if (!heard.isEmpty()) {
@@ -208,9 +208,9 @@
 
     // Every other controller has seen this term, so none of them answers workers any more: the holds
     // of machines that are silent since the takeover count from now at the latest.
-    private void noteRenounced() {
-        if (!renounced && peers.allRenouncedBelow(term.number())) {
-            renounced = true;
+    private void noteStepDown() {
+        if (!steppedDown && peers.allSteppedDownBelow(term.number())) {
+            steppedDown = true;
             formerAnswersUntil = Math.min(formerAnswersUntil, kernel.now());
             cluster.machines().forEach(machine -> machine.presence().formerAnswers(formerAnswersUntil));
         }
--- a/src/main/java/io/quartzgw/worker/Sessions.java
+++ b/src/main/java/io/quartzgw/worker/Sessions.java
@@ -11,7 +11,7 @@
 import java.util.Map;
 import java.util.Set;
 
-/** The leader's dealings with each worker, and which of them have something to be ordered. */
+/** What the leader has under way with each worker, and which of them have something to be ordered. */
 final class Sessions {
     private final Cluster cluster;
     private final Map<String, Session> sessions = new HashMap<>();
@@ -22,7 +22,7 @@
         this.cluster = cluster;
     }
 
-    /** The dealings with a machine's worker; they begin anew when another machine has taken its name. */
+    /** The session with a machine's worker; it begins anew when another machine has taken the name. */
     Session of(Machine machine) {
         Session session = sessions.get(machine.id());
         if (session == null || session.machine != machine) {
--- a/src/test/java/io/quartzgw/placement/SchedulerTest.java
+++ b/src/test/java/io/quartzgw/placement/SchedulerTest.java
@@ -35,7 +35,7 @@
             kernel,
             cluster,
             TEAMS,
-            new Goals(Map.of(), Map.of()),
+            new Objectives(Map.of(), Map.of()),
             false,
             new WorkerTimes(2_500, 16_000, 36_000),
             () -> cloudExhausted,
