WorkersTest shows what an unacknowledged start guards against

With the mark taken out on a scratch copy, two of its three tests fail: an ended attempt is removed while a copy of its start may still arrive, and a stop that overtakes its start is not sent.

--- /dev/null
+++ b/src/test/java/io/quartzgw/worker/WorkersTest.java
@@ -0,0 +1,205 @@
+package io.quartzgw.worker;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.quartzgw.cancellation.CancellationWatermark;
+import io.quartzgw.fleet.CloudClient;
+import io.quartzgw.fleet.CloudLimits;
+import io.quartzgw.fleet.MachineType;
+import io.quartzgw.fleet.MachineTypes;
+import io.quartzgw.http.Endpoint;
+import io.quartzgw.http.Json;
+import io.quartzgw.http.Reply;
+import io.quartzgw.leadership.LeaderTerm;
+import io.quartzgw.leadership.Leadership;
+import io.quartzgw.leadership.LeadershipTimes;
+import io.quartzgw.loop.Command;
+import io.quartzgw.loop.Effect;
+import io.quartzgw.loop.Kernel;
+import io.quartzgw.loop.Time;
+import io.quartzgw.placement.Booking;
+import io.quartzgw.placement.Cluster;
+import io.quartzgw.placement.Job;
+import io.quartzgw.placement.Machine;
+import io.quartzgw.standin.StoreStandIn;
+import io.quartzgw.store.StoreClient;
+import io.quartzgw.store.StoreLimits;
+import io.quartzgw.submission.JobSpec;
+import io.quartzgw.submission.OpenJob;
+import io.quartzgw.submission.Priority;
+import io.quartzgw.submission.Resources;
+import io.quartzgw.submission.Shape;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** A start that was ordered directly and not answered, from the loss of its answer to the end of the attempt. */
+class WorkersTest {
+    private static final Endpoint STATE = new Endpoint("10.2.0.1", 1);
+    private static final MachineType TYPE =
+            new MachineType("t", new Resources(8, 0, 32), 40, 1, 1, 0.3, 10, List.of("a"));
+
+    private final Kernel kernel = new Kernel(1);
+    private final StoreStandIn service = new StoreStandIn();
+    private final StoreClient store = new StoreClient(kernel, STATE, new StoreLimits(100_000, 100_000, 8192, 16));
+    private final Leadership leadership = new Leadership(
+            kernel,
+            store,
+            LeadershipTimes.of(2.5, 16, 36),
+            "rig-0",
+            1,
+            new CancellationWatermark(kernel, 36_000, List.of()));
+    private long now;
+    private long counter;
+    private Cluster cluster;
+    private Workers workers;
+    private Machine machine;
+    private Booking booking;
+
+    @BeforeEach
+    void startOneTaskWhoseOrderIsNotAnswered() {
+        elect();
+        cluster = new Cluster(kernel, 1);
+        CloudClient cloud = new CloudClient(kernel, STATE, new CloudLimits(4, 5_000));
+        workers = new Workers(
+                kernel,
+                new LeaderTerm(leadership),
+                cluster,
+                new MachineTypes(kernel, store, cloud, () -> true),
+                new WorkerTimes(2_500, 16_000, 36_000),
+                10,
+                id -> false,
+                new NoRecords());
+        workers.beginApplying();
+        machine = new Machine("i-1", TYPE, "a", false, now, now);
+        machine.markUsed();
+        cluster.add(machine);
+        report("");
+        Job job = cluster.add(new OpenJob(spec(), 1, 0));
+        job.startBelow(1);
+        booking = cluster.book(job, 0, machine, cluster.nextAttempt());
+        workers.start(booking);
+        workers.flush();
+        pass(2_500);
+        assertTrue(booking.unacknowledged(), "the order was lost");
+    }
+
+    private static JobSpec spec() {
+        return new JobSpec(
+                "j-000001",
+                "w",
+                "team",
+                Shape.SERVICE,
+                Priority.NORMAL,
+                1,
+                new Resources(2, 0, 4),
+                "img",
+                1,
+                null,
+                null,
+                false,
+                false,
+                false,
+                0,
+                0,
+                0,
+                null);
+    }
+
+    private static final class NoRecords implements Workers.Listener {
+        @Override
+        public void finished(Job job, int index) {}
+
+        @Override
+        public void needsRecord(Machine machine) {}
+
+        @Override
+        public void needsRecord(Job job, int index) {}
+    }
+
+    private void elect() {
+        leadership.start(new Leadership.Listener() {
+            @Override
+            public void elected(long term, long termRevision) {}
+
+            @Override
+            public void deposed() {}
+        });
+        while (!leadership.leading()) {
+            pass(50);
+        }
+    }
+
+    /** Lets time pass; the state service answers, orders get no answer. */
+    private void pass(long ms) {
+        now += ms;
+        List<Effect> effects = kernel.handle(List.of(), new Time(now, now));
+        while (!effects.isEmpty()) {
+            List<Command> ends = new ArrayList<>();
+            for (Effect effect : effects) {
+                Effect.Send send = (Effect.Send) effect;
+                if (send.request().path().equals("/orders")) {
+                    ends.add(new Command.CallEnded(send.call(), Reply.lost()));
+                } else {
+                    service.handle(send.request(), now, reply -> ends.add(new Command.CallEnded(send.call(), reply)));
+                }
+            }
+            effects = ends.isEmpty() ? List.of() : kernel.handle(ends, new Time(++now, now));
+        }
+    }
+
+    /** Has the worker report, with what it says of the attempt, and returns the orders of the answer. */
+    private List<String> report(String phase) {
+        ObjectNode report = Json.object()
+                .put("host", "i-1")
+                .put("address", "10.1.0.2:9000")
+                .put("host_type", "t")
+                .put("yard", "a")
+                .put("loaner", false)
+                .put("tenure", 1)
+                .put("counter", ++counter)
+                .put("baton", leadership.term());
+        var tasks = report.putArray("shards");
+        if (!phase.isEmpty()) {
+            tasks.addObject()
+                    .put("shard", "j-000001/0")
+                    .put("try_no", booking.attempt())
+                    .put("phase", phase)
+                    .put("exit_cause", "stopped");
+        }
+        ObjectNode answer = workers.report(Report.read(Json.write(report)));
+        List<String> verbs = new ArrayList<>();
+        for (JsonNode order : answer.path("orders")) {
+            verbs.add(order.path("verb").asText());
+        }
+        return verbs;
+    }
+
+    @Test
+    void theSameAttemptIsOfferedAgainWithTheNextReport() {
+        assertEquals(List.of("run"), report(""));
+    }
+
+    // Guards the task that is placed elsewhere next: after a removal the copy of the start that is still under way
+    // would run the attempt again.
+    @Test
+    void anEndedAttemptIsNotRemovedWhileACopyOfItsStartMayStillArrive() {
+        report("running");
+        workers.stop(booking, 0);
+        assertEquals(List.of("kill"), report("running"));
+        assertFalse(report("ended").contains("reap"));
+        assertTrue(machine.empty(), "its place is free all the same");
+    }
+
+    // Guards a stop that overtakes the start: the attempt is made known and ended, so that the copy has no effect.
+    @Test
+    void anAttemptThatWasNeverSeenIsStartedAndStoppedInOneAnswer() {
+        workers.stop(booking, 0);
+        assertEquals(List.of("run", "kill"), report(""));
+    }
+}
--- /dev/null
+++ b/src/test/java/io/quartzgw/worker/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the orders that workers get. */
+package io.quartzgw.worker;
