--- /dev/null
+++ b/src/test/java/io/quartzgw/app/BadInputTest.java
@@ -0,0 +1,134 @@
+package io.quartzgw.app;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.quartzgw.standin.LoopbackWorld;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What the client listener answers to requests that it can't take, as users see it over HTTP. */
+@Timeout(60)
+class BadInputTest {
+    private static final String JOBS = "/submissions";
+    private static final int TOO_LONG = 70_000;
+    private static final int TRIES = 200;
+
+    @TempDir
+    Path folder;
+
+    private final HttpClient http =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private LoopbackWorld world;
+    private Service service;
+
+    @BeforeEach
+    void start() throws Exception {
+        world = new LoopbackWorld(1);
+        service = new Service(SettingsReader.read(world.settings(0, folder)), 100);
+        service.start();
+    }
+
+    @AfterEach
+    void stop() {
+        service.stop();
+        world.close();
+    }
+
+    private HttpResponse<String> ask(String method, String path, String body) throws Exception {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + world.clientPort(0) + path))
+                .method(method, HttpRequest.BodyPublishers.ofString(body))
+                .build();
+        return http.send(request, HttpResponse.BodyHandlers.ofString());
+    }
+
+    private int status(String method, String path, String body) throws Exception {
+        return ask(method, path, body).statusCode();
+    }
+
+    private static ObjectNode job(String id) {
+        return FailureTest.job(id, "blue", "array", 1, 1, 1);
+    }
+
+    private void untilReady() throws Exception {
+        for (int i = 0; i < TRIES && status("GET", "/ready", "") != 200; i++) {
+            LoopbackWorld.pause(50);
+        }
+        assertEquals(200, status("GET", "/ready", ""));
+    }
+
+    @Test
+    void malformedSubmissionsGet400() throws Exception {
+        untilReady();
+        List<String> bodies = new ArrayList<>(List.of("", "{", "[]", "17", "null", "{}", "{\"id\":\"j-1\"}"));
+        ObjectNode good = job("j-000001");
+        good.fieldNames().forEachRemaining(field -> {
+            if (!good.path(field).isNull() && !field.equals("each_longer_s")) {
+                bodies.add(good.deepCopy().without(field).toString());
+            }
+        });
+        bodies.add(job("j-000001").put("shards", "one").toString());
+        bodies.add(job("j-000001").put("cpus", -1.0).toString());
+        bodies.add(job("j-000001").put("urgency", "now").toString());
+        List<String> accepted = new ArrayList<>();
+        for (String body : bodies) {
+            if (status("POST", JOBS, body) != 400) {
+                accepted.add(body);
+            }
+        }
+        assertEquals(List.of(), accepted);
+        assertEquals(404, status("GET", JOBS + "/j-000001", ""));
+    }
+
+    @Test
+    void jobsThatCanNeverRunGet422() throws Exception {
+        untilReady();
+        assertEquals(422, status("POST", JOBS, job("j-000001").put("cpus", 99.0).toString()));
+        assertEquals(
+                422, status("POST", JOBS, job("j-000002").put("crew", "nobody").toString()));
+        assertEquals(
+                422, status("POST", JOBS, job("j-000003").put("yard", "nowhere").toString()));
+    }
+
+    @Test
+    void whatIsUnknownOrNotAllowedIsSaidSo() throws Exception {
+        untilReady();
+        assertEquals(404, status("GET", JOBS + "/j-999999", ""));
+        assertEquals(404, status("POST", JOBS + "/j-999999/abort", "{}"));
+        assertEquals(404, status("GET", "/nowhere", ""));
+        assertEquals(405, status("DELETE", JOBS + "/j-999999", ""));
+        assertEquals(405, status("GET", JOBS, ""));
+        assertEquals(405, status("GET", "/hello", ""));
+        assertEquals(405, status("POST", "/ready", ""));
+        assertEquals(400, status("POST", "/hello", "{\"host\":7}"));
+        assertEquals(413, status("POST", JOBS, " ".repeat(TOO_LONG)));
+    }
+
+    // Guards users against a wait: what can't be decided is refused at once, with the time to come back.
+    @Test
+    void whatCannotBeDecidedGets503WithRetryAfter() throws Exception {
+        untilReady();
+        world.storeOutage(true);
+        HttpResponse<String> refused = ask("POST", JOBS, job("j-000001").toString());
+        for (int i = 0; i < TRIES && refused.statusCode() != 503; i++) {
+            LoopbackWorld.pause(50);
+            refused = ask("POST", JOBS, job("j-00" + (1_000 + i)).toString());
+        }
+        assertEquals(503, refused.statusCode());
+        int retryAfterS =
+                Integer.parseInt(refused.headers().firstValue("Retry-After").orElse("0"));
+        assertTrue(retryAfterS >= 1 && retryAfterS <= 30, "within what users heed");
+        assertEquals(503, status("GET", JOBS + "/j-999999", ""));
+    }
+}
--- a/src/test/java/io/quartzgw/standin/LoopbackWorld.java
+++ b/src/test/java/io/quartzgw/standin/LoopbackWorld.java
@@ -222,6 +222,16 @@
         return exchange(clientPorts[node], method, path, body);
     }
 
+    /** The port of a node's client listener. */
+    public int clientPort(int node) {
+        return clientPorts[node];
+    }
+
+    /** Begins or ends an outage of the state service. */
+    public synchronized void storeOutage(boolean on) {
+        store.outage(on);
+    }
+
     /** Asks a node's peer listener, which answers operators too. */
     public Reply peer(int node, String path) {
         return exchange(peerPorts[node], "GET", path, HttpRequest.BodyPublishers.noBody());
