Review: one test for a silent machine, no twin listener for orders, comments that a rename garbled

Renaming Once had also changed three comments that began with that word. Whether a machine was heard lately stood in MachineListing and Retirement; Fleet.Policy has it now. OrderDelivery had a listener of its own, two thirds of which only passed calls on to that of Workers; it takes that one. Two tests share the assertion that every job has ended. The behaviour is unchanged.

--- a/src/main/java/io/quartzgw/fleet/Fleet.java
+++ b/src/main/java/io/quartzgw/fleet/Fleet.java
@@ -42,9 +42,12 @@
         /** A machine that was heard within this part of its hold is not silent. */
         private static final double HEARD_LATELY_HOLDS = 0.25;
 
-        /** A machine that was heard no longer ago is believed before the cloud's list. */
-        long heardLatelyMs() {
-            return (long) (HEARD_LATELY_HOLDS * silentMs);
+        /**
+         * Whether a machine is not silent. Such a machine is also believed before the cloud's list, which is late: the
+         * machine may be back.
+         */
+        boolean heardLately(Machine machine, long now) {
+            return machine.presence().heardWithin((long) (HEARD_LATELY_HOLDS * silentMs), now);
         }
     }
 
--- a/src/main/java/io/quartzgw/fleet/MachineListing.java
+++ b/src/main/java/io/quartzgw/fleet/MachineListing.java
@@ -100,7 +100,7 @@
         if (machine.address() == null) {
             machine.address(Endpoint.parse(entry.address()));
         }
-        if (entry.phase().equals("failed") && !heardLately(machine)) {
+        if (entry.phase().equals("failed") && !policy.heardLately(machine, kernel.now())) {
             // It has stopped on its own, with all that was on it.
             LOG.info("{} has failed", entry.id());
             machine.bookingsCopy().forEach(cluster::release);
@@ -121,7 +121,7 @@
         return machine;
     }
 
-    // CoalescedTask listed, a machine stays listed until it is gone; but a list may be older than the one
+    // Once listed, a machine stays listed until it is gone; but a list may be older than the one
     // before it. A machine is gone when it is missing in a list that can't be older than the last
     // one that had it.
     private void takeAbsence(List<CloudClient.Listed> machines, long asked) {
@@ -131,15 +131,10 @@
         for (Machine machine : List.copyOf(cluster.machines())) {
             // A machine of a former leader was rented at the time that its record tells.
             long last = Math.max(machine.rentedAt(), listedAt.getOrDefault(machine.id(), Long.MIN_VALUE));
-            if (!present.contains(machine.id()) && asked - last > bound && !heardLately(machine)) {
+            if (!present.contains(machine.id()) && asked - last > bound && !policy.heardLately(machine, kernel.now())) {
                 LOG.info("{} is gone from the list", machine.id());
                 removed.accept(machine);
             }
         }
     }
-
-    // The list is late, and a machine may be back: what its worker says counts for more.
-    private boolean heardLately(Machine machine) {
-        return machine.presence().heardWithin(policy.heardLatelyMs(), kernel.now());
-    }
 }
--- a/src/main/java/io/quartzgw/fleet/Retirement.java
+++ b/src/main/java/io/quartzgw/fleet/Retirement.java
@@ -84,17 +84,13 @@
             demand = demand.plus(job.spec().demand().times(job.unaccounted().cardinality()));
         }
         for (Machine machine : cluster.machines()) {
-            if (!machine.empty() && !machine.released() && !heardLately(machine)) {
+            if (!machine.empty() && !machine.released() && !policy.heardLately(machine, kernel.now())) {
                 demand = demand.plus(machine.type().size().minus(machine.room()));
             }
         }
         return demand;
     }
 
-    private boolean heardLately(Machine machine) {
-        return machine.presence().heardWithin(policy.heardLatelyMs(), kernel.now());
-    }
-
     /** Clears a machine of which little is in use, one after the other. */
     void clearLittleUsed() {
         boolean clearing = cluster.machines().stream()
--- a/src/main/java/io/quartzgw/worker/OrderDelivery.java
+++ b/src/main/java/io/quartzgw/worker/OrderDelivery.java
@@ -9,13 +9,13 @@
 import io.quartzgw.loop.Kernel;
 import io.quartzgw.placement.Booking;
 import io.quartzgw.placement.Cluster;
-import io.quartzgw.placement.Job;
 import io.quartzgw.placement.Machine;
 import io.quartzgw.placement.Presence;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.BiPredicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -39,22 +39,15 @@
     private final Sessions sessions;
     private final WorkerTimes times;
     private final int mostCalls;
-    private final Listener listener;
+    private final Workers.Listener listener;
+    private final BiPredicate<Session, Report> answered;
     private int calls;
 
-    /** What the rest of the slice wants to know of. */
-    interface Listener {
-        /** A machine has to be marked as used before its first start. */
-        void needsRecord(Machine machine);
-
-        /** It has to be recorded that a task may be started before it is. */
-        void needsRecord(Job job, int index);
-
-        /** Applies the report with which a worker has answered; false when none can be applied yet. */
-        boolean answered(Session session, Report report);
-    }
-
-    /** @param mostCalls how many direct calls may be under way at once */
+    /**
+     * @param mostCalls how many direct calls may be under way at once
+     * @param listener told what has to be recorded before a start
+     * @param answered applies the report with which a worker has answered; false when none can be applied yet
+     */
     OrderDelivery(
             Kernel kernel,
             LeaderTerm term,
@@ -62,7 +55,8 @@
             Sessions sessions,
             WorkerTimes times,
             int mostCalls,
-            Listener listener) {
+            Workers.Listener listener,
+            BiPredicate<Session, Report> answered) {
         this.kernel = kernel;
         this.term = term;
         this.cluster = cluster;
@@ -70,6 +64,7 @@
         this.times = times;
         this.mostCalls = mostCalls;
         this.listener = listener;
+        this.answered = answered;
     }
 
     /** Sends what is due to every worker, one direct order at a time each. */
@@ -203,7 +198,7 @@
             return;
         }
         term.sawToken(report.token());
-        if (!term.current() || !listener.answered(session, report)) {
+        if (!term.current() || !answered.test(session, report)) {
             return;
         }
         if (reply.status() == 409) {
--- a/src/main/java/io/quartzgw/worker/Workers.java
+++ b/src/main/java/io/quartzgw/worker/Workers.java
@@ -76,8 +76,7 @@
         this.term = term;
         this.sessions = new Sessions(cluster);
         this.tasks = new ReportedTasks(kernel, cluster, sessions, times, listener::finished);
-        this.delivery =
-                new OrderDelivery(kernel, term, cluster, sessions, times, mostCalls, new FromDelivery(listener));
+        this.delivery = new OrderDelivery(kernel, term, cluster, sessions, times, mostCalls, listener, this::answered);
     }
 
     // ---- reports
@@ -236,33 +235,11 @@
         session.unacknowledged.addAll(unacknowledged);
     }
 
-    private final class FromDelivery implements OrderDelivery.Listener {
-        private final Listener listener;
-
-        FromDelivery(Listener listener) {
-            this.listener = listener;
-        }
-
-        @Override
-        public void needsRecord(Machine machine) {
-            listener.needsRecord(machine);
-        }
-
-        @Override
-        public void needsRecord(Job job, int index) {
-            listener.needsRecord(job, index);
-        }
-
-        @Override
-        public boolean answered(Session session, Report report) {
-            if (stateLoaded) {
-                applyAnswer(session, report);
-            }
-            return stateLoaded;
+    /** Applies the report with which a worker has answered an order, unless hard state is still being read. */
+    private boolean answered(Session session, Report report) {
+        if (!stateLoaded) {
+            return false;
         }
-    }
-
-    private void applyAnswer(Session session, Report report) {
         Presence presence = session.machine.presence();
         presence.answersOrders();
         if (presence.verified()
@@ -271,6 +248,7 @@
         }
         presence.told(report.tenure());
         apply(report, true);
+        return true;
     }
 
     // ---- orders
--- a/src/test/java/io/quartzgw/app/ConcurrentFaultsTest.java
+++ b/src/test/java/io/quartzgw/app/ConcurrentFaultsTest.java
@@ -1,10 +1,11 @@
 package io.quartzgw.app;
 
+import static io.quartzgw.app.MeetingsTest.LEASE_MS;
 import static io.quartzgw.app.MeetingsTest.arrays;
+import static io.quartzgw.app.MeetingsTest.assertAllEnded;
 import static io.quartzgw.app.MeetingsTest.assertAllWell;
 import static io.quartzgw.app.MeetingsTest.assertDone;
 import static io.quartzgw.app.MeetingsTest.firstHalf;
-import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.quartzgw.standin.SimWorld;
@@ -14,14 +15,6 @@
 
 /** Faults that fall together with a change of leader or with many requests at once. */
 class ConcurrentFaultsTest {
-    private static final long LEASE_MS = 16_000;
-
-    private static void assertAllEnded(SimWorld world, List<String> jobs) {
-        assertEquals(
-                List.of(),
-                jobs.stream().filter(id -> world.rules.finalPhase(id) == null).toList());
-    }
-
     // Guards against a leader that falls behind: every job costs an acceptance, a start, an end and questions.
     @Test
     void oneTaskJobsFourASecondWithAQuarterCancelled() {
--- a/src/test/java/io/quartzgw/app/MeetingsTest.java
+++ b/src/test/java/io/quartzgw/app/MeetingsTest.java
@@ -12,7 +12,7 @@
 
 /** Two troubles at once, as operators have met them; docs/design.md lists them all. */
 class MeetingsTest {
-    private static final long LEASE_MS = 16_000;
+    static final long LEASE_MS = 16_000;
 
     static void assertAllWell(SimWorld world) {
         assertEquals(List.of(), world.rules.broken());
@@ -30,6 +30,12 @@
         return ids;
     }
 
+    static void assertAllEnded(SimWorld world, List<String> jobs) {
+        assertEquals(
+                List.of(),
+                jobs.stream().filter(id -> world.rules.finalPhase(id) == null).toList());
+    }
+
     static void assertDone(SimWorld world, List<String> jobs) {
         assertEquals(
                 List.of(),
@@ -125,7 +131,7 @@
             mute.forEach(machine -> world.mute(machine, false));
             world.play(90_000);
             assertAllWell(world);
-            assertTrue(jobs.stream().allMatch(id -> world.rules.finalPhase(id) != null));
+            assertAllEnded(world, jobs);
         }
     }
 
@@ -142,7 +148,7 @@
         world.lateTransactions(0);
         world.play(100_000);
         assertAllWell(world);
-        assertTrue(jobs.stream().allMatch(id -> world.rules.finalPhase(id) != null));
+        assertAllEnded(world, jobs);
     }
 
     // Guards the first end: whatever meets the last task's end is told the same by every controller from then on.
@@ -191,7 +197,7 @@
         world.heldOrders(0);
         world.play(90_000);
         assertAllWell(world);
-        assertTrue(jobs.stream().allMatch(id -> world.rules.finalPhase(id) != null));
+        assertAllEnded(world, jobs);
     }
 
     // Guards the order of stops and starts where every message takes long.
@@ -245,7 +251,7 @@
             }
             world.play(100_000);
             assertAllWell(world);
-            assertTrue(jobs.stream().allMatch(id -> world.rules.finalPhase(id) != null));
+            assertAllEnded(world, jobs);
         }
     }
 
@@ -275,7 +281,7 @@
             });
             world.play(120_000);
             assertAllWell(world);
-            assertTrue(jobs.stream().allMatch(id -> world.rules.finalPhase(id) != null));
+            assertAllEnded(world, jobs);
         }
     }
 
@@ -329,7 +335,7 @@
             silent.forEach(machine -> world.heal(machine, "*"));
             world.play(250_000);
             assertAllWell(world);
-            assertTrue(jobs.stream().allMatch(id -> world.rules.finalPhase(id) != null));
+            assertAllEnded(world, jobs);
         }
     }
 
@@ -372,7 +378,7 @@
                 assertTrue(leads || world.leader() == leader, "who wakes deposes nobody");
                 world.play(75_000);
                 assertAllWell(world);
-                assertTrue(jobs.stream().allMatch(id -> world.rules.finalPhase(id) != null));
+                assertAllEnded(world, jobs);
             }
         }
     }
--- a/src/test/java/io/quartzgw/standin/Rules.java
+++ b/src/test/java/io/quartzgw/standin/Rules.java
@@ -14,9 +14,9 @@
 
 /** Watches machines and users' answers, and notes every breach of the protocol's rules. */
 public final class Rules implements WorkerStandIn.Watcher {
-    /** CoalescedTask all troubles are over, every job has an answered question in such a time. */
+    /** Once all troubles are over, every job has an answered question in such a time. */
     private static final long ANSWERED_MS = 75_000;
-    /** CoalescedTask all troubles are over, no job waits so long while a machine that fits has room. */
+    /** Once all troubles are over, no job waits so long while a machine that fits has room. */
     private static final long WAITING_MS = 90_000;
 
     private final long cancelMs;
