A packed write ends with what had changed when it began; marks have own pages

PackedRecords.write told its end only when no page was dirty any more; with 2.7 changes a second a write of 17 pages takes 6 s, and machines were rented, returned or listed meanwhile, so it went on until the fleet was full. Starts wait for that end. Ruled out: refusals by the state service (0), room, reports that were not taken. Now a write takes the pages that are dirty when it begins. The new test of PackedRecords fails with the former loop (on a scratch copy).

--- a/src/main/java/io/quartzgw/progress/Progress.java
+++ b/src/main/java/io/quartzgw/progress/Progress.java
@@ -31,6 +31,12 @@
 public final class Progress {
     private static final double BATCH_REPORTS = 0.2;
     private static final double RETRY_REPORTS = 0.1;
+    /**
+     * The part of this node's changes that finishes may take. They can wait, since workers go on reporting them; the
+     * more wait, the more go into one write.
+     */
+    private static final double FINISHES_PART = 0.25;
+
     /** The starts of so large a part of a job are recorded ahead, so that a job takes a few writes. */
     private static final double AHEAD = 0.25;
 
@@ -52,6 +58,8 @@
     private final Set<Job> ending = new HashSet<>();
     private boolean writing;
     private boolean paused;
+    /** When finishes may be written again if no start has to be. */
+    private long finishesAt;
 
     /** What the rest of the leader wants to know of. */
     public interface Listener {
@@ -123,7 +131,7 @@
             return;
         }
         unwritten.computeIfAbsent(job, key -> new LinkedHashSet<>()).add(packing.chunkOf(index));
-        write.after(batchMs);
+        write.after(Math.max(batchMs, finishesAt - kernel.now()));
     }
 
     /** Drops the progress of a job that is over. */
@@ -168,6 +176,7 @@
             return;
         }
         writing = true;
+        finishesAt = kernel.now() + store.pauseMsAfter(records.changedPages(), FINISHES_PART);
         records.write(Urgency.FIRST, written -> written(batch, starts, written));
     }
 
@@ -201,7 +210,7 @@
             }
         });
         if (!unwritten.isEmpty()) {
-            write.after(written ? batchMs : retryMs);
+            write.after(written ? Math.max(batchMs, finishesAt - kernel.now()) : retryMs);
         }
     }
 
--- a/src/main/java/io/quartzgw/recovery/Recovery.java
+++ b/src/main/java/io/quartzgw/recovery/Recovery.java
@@ -16,6 +16,7 @@
 import io.quartzgw.submission.JobKeys;
 import io.quartzgw.submission.OpenJob;
 import io.quartzgw.worker.Workers;
+import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -112,23 +113,34 @@
             kernel.after(times.retryMs(), this::read);
             return;
         }
-        store.list(
-                JobKeys.OPEN,
-                jobs -> store.list(
-                        Packing.PREFIX,
-                        done -> store.list(MachineRecords.PREFIX, machines -> {
-                            if (!term.current()) {
-                                return;
-                            }
-                            if (jobs == null || done == null || machines == null) {
-                                kernel.after(times.retryMs(), this::read);
-                                return;
-                            }
-                            loaded(jobs, done.entries(), machines.entries());
-                        })));
+        listAll(
+                List.of(JobKeys.OPEN, Packing.PREFIX, MachineRecords.PREFIX, MachineRecords.MARK_PREFIX),
+                new ArrayList<>());
     }
 
-    private void loaded(StoreClient.Listing jobs, List<Entry> done, List<Entry> machines) {
+    private void listAll(List<String> prefixes, List<StoreClient.Listing> listings) {
+        if (listings.size() == prefixes.size()) {
+            loaded(
+                    listings.get(0),
+                    listings.get(1).entries(),
+                    listings.get(2).entries(),
+                    listings.get(3).entries());
+            return;
+        }
+        store.list(prefixes.get(listings.size()), listing -> {
+            if (!term.current()) {
+                return;
+            }
+            if (listing == null) {
+                kernel.after(times.retryMs(), this::read);
+                return;
+            }
+            listings.add(listing);
+            listAll(prefixes, listings);
+        });
+    }
+
+    private void loaded(StoreClient.Listing jobs, List<Entry> done, List<Entry> described, List<Entry> marked) {
         for (Entry entry : jobs.entries()) {
             OpenJob open = OpenJob.fromRecord(entry.value(), entry.revision());
             // Guards what was cancelled while it was being read.
@@ -137,7 +149,7 @@
             }
         }
         progress.load(done, cluster);
-        records.load(machines, types, kernel.now(), machine -> {
+        records.load(described, marked, types, kernel.now(), machine -> {
             if (cluster.machine(machine.id()) == null) {
                 machine.presence().formerAnswers(formerAnswersUntil);
                 cluster.add(machine);
--- a/src/main/java/io/quartzgw/store/PackedRecords.java
+++ b/src/main/java/io/quartzgw/store/PackedRecords.java
@@ -116,6 +116,16 @@
         page.dirty = true;
     }
 
+    /** Whether there is a record with this key. */
+    public boolean has(String key) {
+        return pageOf.containsKey(key);
+    }
+
+    /** How many changes the next write takes. */
+    public int changedPages() {
+        return (int) pages.values().stream().filter(page -> page.dirty).count();
+    }
+
     /** Removes a record; it leaves the state service with the next change of its page. */
     public void removeLater(String key) {
         Page page = pageOf.remove(key);
@@ -133,16 +143,22 @@
         }
     }
 
-    /** Writes all that has changed and says whether that is in the state service; one write at a time. */
+    /**
+     * Writes what has changed up to now and says whether that is in the state service; one write at a time. What
+     * changes meanwhile is left for the next write: where the budget is short something always does, and a write that
+     * took it along would never be told as done.
+     */
     public void write(Urgency urgency, Consumer<Boolean> then) {
-        List<Page> batch = pages.values().stream()
-                .filter(page -> page.dirty)
-                .limit(pagesPerTxn)
-                .toList();
-        if (batch.isEmpty()) {
+        writePages(pages.values().stream().filter(page -> page.dirty).toList(), urgency, then);
+    }
+
+    private void writePages(List<Page> changed, Urgency urgency, Consumer<Boolean> then) {
+        if (changed.isEmpty()) {
             then.accept(true);
             return;
         }
+        List<Page> batch = changed.subList(0, Math.min(pagesPerTxn, changed.size()));
+        List<Page> rest = changed.subList(batch.size(), changed.size());
         Txn txn = guarded.get();
         for (Page page : batch) {
             ObjectNode value = Json.object();
@@ -153,7 +169,7 @@
         store.commit(txn, urgency, outcome -> {
             if (outcome instanceof TxnOutcome.Committed committed) {
                 batch.forEach(page -> page.revision = committed.revision());
-                write(urgency, then);
+                writePages(rest, urgency, then);
                 return;
             }
             batch.forEach(page -> page.dirty = true);
--- a/src/main/java/io/quartzgw/store/StoreClient.java
+++ b/src/main/java/io/quartzgw/store/StoreClient.java
@@ -53,6 +53,14 @@
         return share.valueBytes();
     }
 
+    /**
+     * How long to wait after so many changes until the same caller's next ones, so that on average they take no more
+     * than a part of this node's share.
+     */
+    public long pauseMsAfter(int changes, double part) {
+        return (long) (changes * 1000 / (part * share.writesPerS()));
+    }
+
     /** Whether the service answers this node, as far as recent calls tell. */
     public boolean reachable() {
         return kernel.now() - failingSince < AWAY_MS;
--- a/src/test/java/io/quartzgw/store/PackedRecordsTest.java
+++ b/src/test/java/io/quartzgw/store/PackedRecordsTest.java
@@ -63,4 +63,23 @@
         assertTrue(service.count(PREFIX) > 1, "more than one page");
         assertTrue(service.count(PREFIX) < 10, "and far fewer than records");
     }
+
+    // Guards against a write that takes along what changes while it is under way: under a small budget something always
+    // does, and starts that wait for the write would wait for as long as machines are rented.
+    @Test
+    void aWriteEndsWhileRecordsGoOnChanging() {
+        int[] changes = new int[1];
+        kernel.afterEachBatch(() -> {
+            if (changes[0] < 50) {
+                records.put("i-later" + changes[0]++, Json.array().add("x".repeat(200)), 0);
+            }
+        });
+        records.put("i-first", Json.array().add(1), 0);
+        int[] changesAtEnd = {-1};
+        records.write(Urgency.NORMAL, written -> changesAtEnd[0] = written ? changes[0] : -1);
+        link.pass(1, false);
+        assertTrue(changesAtEnd[0] >= 0, "it has ended");
+        assertTrue(changesAtEnd[0] < 10, "and not when all changes were over: " + changesAtEnd[0]);
+        assertTrue(stored().containsKey("i-first"));
+    }
 }
