The confirmed leader lends changes of the state service by demand

Each controller now keeps 0.6 of an even share for good; the rest is lent by the leader while its term is confirmed, in answers only, for 2.5 heartbeats from the moment at which the borrower asked. A new leader lends nothing for one such life, so loans of two leaders never add up. Ruled out: the limit of requests (24 of 100 a second), refusals by the state service (0).

--- a/src/main/java/io/quartzgw/app/Node.java
+++ b/src/main/java/io/quartzgw/app/Node.java
@@ -13,6 +13,7 @@
 import io.quartzgw.leadership.Leadership;
 import io.quartzgw.leadership.LeadershipTimes;
 import io.quartzgw.leadership.Peers;
+import io.quartzgw.leadership.WriteShares;
 import io.quartzgw.loop.Kernel;
 import io.quartzgw.store.StoreClient;
 import io.quartzgw.submission.Admission;
@@ -71,7 +72,9 @@
                 process,
                 settings.peers(),
                 cancellations,
-                watermark);
+                watermark,
+                new WriteShares(
+                        kernel, leadership, store, settings.storeLimits(), times, settings.member(), settings.size()));
         this.types = new MachineTypes(kernel, store, cloud, leadership::leading);
         this.jobs = new JobStore(store);
         this.submissions = new Submissions(kernel, store, jobs, types, new Admission(settings.teams()), new JobNews());
--- a/src/main/java/io/quartzgw/leadership/Peers.java
+++ b/src/main/java/io/quartzgw/leadership/Peers.java
@@ -41,6 +41,7 @@
     private final RedirectedWorkers redirected;
     private final Cancellations cancellations;
     private final CancellationWatermark watermark;
+    private final WriteShares shares;
     private long messages;
     private IntFunction<JsonNode> countsToTell = most -> null;
     private Consumer<JsonNode> countsTold = counts -> {};
@@ -71,7 +72,8 @@
             long process,
             Map<String, Endpoint> others,
             Cancellations cancellations,
-            CancellationWatermark watermark) {
+            CancellationWatermark watermark,
+            WriteShares shares) {
         this.kernel = kernel;
         this.leadership = leadership;
         this.store = store;
@@ -81,6 +83,7 @@
         this.others = new LinkedHashMap<>(others);
         this.cancellations = cancellations;
         this.watermark = watermark;
+        this.shares = shares;
         this.redirected = new RedirectedWorkers(kernel, times.heartbeatMs());
     }
 
@@ -102,6 +105,7 @@
 
     /** Tells every peer at once, for example that this node has been elected. */
     public void beat() {
+        shares.beat();
         ObjectNode message = state();
         JsonNode counts = countsToTell.apply(Math.max(1, MOST_JOBS - Cancellations.named(message)));
         if (counts != null) {
@@ -182,7 +186,9 @@
         if (message.has("notice")) {
             noticeTold.accept(message.get("notice"));
         }
-        kernel.answer(request.exchange(), Response.cbor(state()));
+        ObjectNode answer = state();
+        shares.answer(name, message, answer);
+        kernel.answer(request.exchange(), Response.cbor(answer));
     }
 
     private void tell(String name, Endpoint endpoint, ObjectNode message) {
@@ -202,6 +208,7 @@
     private ObjectNode state() {
         ObjectNode state = Json.object();
         cancellations.tell(state);
+        shares.ask(state);
         return state.put("member", member)
                 .put("sequence", ++messages)
                 .put("workers", redirected.count())
@@ -222,6 +229,7 @@
             peer.countsSequence = 0;
         }
         heard(peer, answer);
+        shares.take(answer, sent);
         boolean whole = takeForGood(answer);
         watermark.answered(name, itsProcess, answer.path("up_ms").asLong(), sent, whole);
         leadership.memberRuns(name, itsProcess, recordAtCall);
--- a/src/main/java/io/quartzgw/store/CallQueue.java
+++ b/src/main/java/io/quartzgw/store/CallQueue.java
@@ -27,6 +27,9 @@
     private final Deque<Waiting> changes = new ArrayDeque<>();
     private Kernel.Timer retry;
     private long retryAt = Long.MAX_VALUE;
+    private int submittedWrites;
+    /** The changes that waited when {@link #takeWantedWrites} was last asked. */
+    private int waitingBefore;
 
     private record Waiting(Call call, int writes, long since, Consumer<Reply> then) {}
 
@@ -45,6 +48,7 @@
     void submit(Call call, int writeCount, Urgency urgency, Consumer<Reply> then) {
         Waiting waiting = new Waiting(call, writeCount, kernel.now(), then);
         boolean urgent = urgency == Urgency.FIRST;
+        submittedWrites += writeCount;
         if (writeCount == 0) {
             (urgent ? urgentReads : reads).addLast(waiting);
         } else {
@@ -53,6 +57,27 @@
         drain();
     }
 
+    /** Lends this node more changes a second until a moment, in place of what was lent before. */
+    void lendWrites(double perS, long until) {
+        writes.lend(perS, until, kernel.now());
+        drain();
+    }
+
+    /** How many changes a second this node may make now. */
+    double writesPerS() {
+        return writes.perS(kernel.now());
+    }
+
+    /** How many changes wait or were asked for since this was last asked. */
+    int takeWantedWrites() {
+        int wanted = submittedWrites + waitingBefore;
+        submittedWrites = 0;
+        waitingBefore = 0;
+        urgentWrites.forEach(waiting -> waitingBefore += waiting.writes);
+        changes.forEach(waiting -> waitingBefore += waiting.writes);
+        return wanted;
+    }
+
     private void drain() {
         refuseOverdue(reads);
         refuseOverdue(changes);
--- a/src/main/java/io/quartzgw/store/StoreClient.java
+++ b/src/main/java/io/quartzgw/store/StoreClient.java
@@ -58,7 +58,17 @@
      * than a part of this node's share.
      */
     public long pauseMsAfter(int changes, double part) {
-        return (long) (changes * 1000 / (part * share.writesPerS()));
+        return (long) (changes * 1000 / (part * calls.writesPerS()));
+    }
+
+    /** Lends this node more changes a second until a moment, in place of what was lent before. */
+    public void lendWrites(double perS, long until) {
+        calls.lendWrites(perS, until);
+    }
+
+    /** How many changes wait or were asked for since this was last asked. */
+    public int takeWantedWrites() {
+        return calls.takeWantedWrites();
     }
 
     /** Whether the service answers this node, as far as recent calls tell. */
--- a/src/test/java/io/quartzgw/leadership/PeersTest.java
+++ b/src/test/java/io/quartzgw/leadership/PeersTest.java
@@ -40,7 +40,8 @@
             1,
             Map.of("rig-1", new Endpoint("10.0.0.2", 8081)),
             new Cancellations(kernel, 36_000),
-            watermark);
+            watermark,
+            new WriteShares(kernel, leadership, store, new StoreLimits(10, 10, 8192, 16), TIMES, "rig-0", 2));
     private final List<JsonNode> told = new ArrayList<>();
 
     private static ObjectNode message(long process, long sequence) {
