--- a/src/main/java/io/quartzgw/fleet/MachineRecords.java
+++ b/src/main/java/io/quartzgw/fleet/MachineRecords.java
@@ -153,10 +153,11 @@
         List<Machine> marked = List.copyOf(marking);
         int pages = descriptions.changedPages() + marks.changedPages();
         backgroundAt = kernel.now() + store.pauseMsAfter(pages, BACKGROUND_PART);
+        Urgency urgency = marked.isEmpty() ? Urgency.LAST : Urgency.FIRST;
         // A mark says nothing without its description, so that is written first.
-        descriptions.write(Urgency.FIRST, described -> {
+        descriptions.write(urgency, described -> {
             if (described) {
-                marks.write(Urgency.FIRST, written -> written(marked, written));
+                marks.write(urgency, written -> written(marked, written));
             } else {
                 written(marked, false);
             }
--- a/src/main/java/io/quartzgw/progress/Progress.java
+++ b/src/main/java/io/quartzgw/progress/Progress.java
@@ -38,7 +38,7 @@
     private static final double FINISHES_PART = 0.25;
 
     /** The starts of so large a part of a job are recorded ahead, so that a job takes a few writes. */
-    private static final double AHEAD = 0.25;
+    private static final double AHEAD = 0.5;
 
     private static final int START_BYTES = 6;
     private static final String STARTED = "started";
@@ -177,7 +177,7 @@
         }
         writing = true;
         finishesAt = kernel.now() + store.pauseMsAfter(records.changedPages(), FINISHES_PART);
-        records.write(Urgency.FIRST, written -> written(batch, starts, written));
+        records.write(starts.isEmpty() ? Urgency.LAST : Urgency.FIRST, written -> written(batch, starts, written));
     }
 
     private static String started(String job) {
--- a/src/main/java/io/quartzgw/store/PackedRecords.java
+++ b/src/main/java/io/quartzgw/store/PackedRecords.java
@@ -157,7 +157,9 @@
             then.accept(true);
             return;
         }
-        List<Page> batch = changed.subList(0, Math.min(pagesPerTxn, changed.size()));
+        // No more than a second's worth, so that others get their turn.
+        int pagesNow = Math.max(1, Math.min(pagesPerTxn, (int) store.writesPerS()));
+        List<Page> batch = changed.subList(0, Math.min(pagesNow, changed.size()));
         List<Page> rest = changed.subList(batch.size(), changed.size());
         Txn txn = guarded.get();
         for (Page page : batch) {
--- a/src/main/java/io/quartzgw/store/StoreClient.java
+++ b/src/main/java/io/quartzgw/store/StoreClient.java
@@ -45,6 +45,11 @@
         this.calls = new CallQueue(kernel, share, this::noteHealth);
     }
 
+    /** How many changes a second this node may make now. */
+    public double writesPerS() {
+        return calls.writesPerS();
+    }
+
     public int txnOps() {
         return share.txnOps();
     }
--- a/src/test/java/io/quartzgw/store/CallQueueTest.java
+++ b/src/test/java/io/quartzgw/store/CallQueueTest.java
@@ -72,4 +72,21 @@
         pass(150);
         assertEquals("/write", sent.get(10));
     }
+
+    // Guards submissions against a leader that always has something urgent to write, and its starts against
+    // submissions.
+    @Test
+    void neitherUrgentWritesNorOthersStarveWhatHasWaited() {
+        CallQueue queue = new CallQueue(kernel, TEN_AND_TWO, reply -> {});
+        submit(queue, "/first", 2, Urgency.FIRST);
+        submit(queue, "/last", 1, Urgency.LAST);
+        submit(queue, "/normal", 1, Urgency.NORMAL);
+        pass(300);
+        for (int i = 0; i < 5; i++) {
+            submit(queue, "/urgent" + i, 1, Urgency.FIRST);
+        }
+        pass(1_800);
+        assertEquals(List.of("/first", "/normal", "/last", "/urgent0", "/urgent1"), sent);
+        assertEquals(List.of(), refused);
+    }
 }
