Tests: five controllers with one and two away, on a small state service

The stand-in of the state service can refuse changes beyond its limit and hold small values; five controllers finish thirty arrays and run five services on 15 changes a second, refused none, also with one or two of them ended or cut off and the leader lost. The settings of the simulated world are a class of their own, so SimWorld is shorter.

--- /dev/null
+++ b/src/test/java/io/quartzgw/app/FiveControllersTest.java
@@ -0,0 +1,93 @@
+package io.quartzgw.app;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.quartzgw.standin.SimWorld;
+import io.quartzgw.store.StoreLimits;
+import io.quartzgw.worker.WorkerTimes;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Five controllers on a state service that takes few changes and holds small values. */
+class FiveControllersTest {
+    private static final int CONTROLLERS = 5;
+    private static final int ARRAYS = 30;
+    private static final WorkerTimes TIMES = new WorkerTimes(2_500, 14_000, 44_000);
+    private static final StoreLimits LIMITS = new StoreLimits(100, 15, 4096, 12);
+
+    private static SimWorld world(long seed) {
+        return new SimWorld(seed, CONTROLLERS, 40, 100, TIMES, LIMITS);
+    }
+
+    /** An array every two seconds, and five services at once. */
+    private static List<String> load(SimWorld world) {
+        List<String> arrays = new ArrayList<>();
+        for (int i = 0; i < ARRAYS; i++) {
+            ObjectNode spec = FailureTest.job(String.format("j-%06d", 100 + i), "blue", "array", 10, 4, 8);
+            arrays.add(spec.path("id").asText());
+            world.at(5_000 + 2_000L * i, () -> world.job(spec, null));
+        }
+        for (int i = 0; i < ScenarioTest.SERVICES; i++) {
+            ObjectNode spec = FailureTest.job("j-00000" + i, "blue", "daemon", 2, 2, 0);
+            world.at(1_000, () -> world.job(spec, null));
+        }
+        return arrays;
+    }
+
+    private static void assertServed(SimWorld world, List<String> arrays) {
+        assertEquals(List.of(), world.rules.broken());
+        arrays.forEach(id -> assertEquals("done", world.rules.finalPhase(id), id));
+        assertEquals(ScenarioTest.SERVICES * 2, world.rules.runningTasks().size(), "replicas run, and nothing else");
+        assertEquals(0, world.failures());
+    }
+
+    // Guards the limit of changes that all controllers share, and what has to be done within it.
+    @Test
+    void aSmallStateServiceRefusesNothingAndAllIsDone() {
+        SimWorld world = world(1);
+        List<String> arrays = load(world);
+        world.play(120_000);
+        assertServed(world, arrays);
+        assertEquals(0, world.store.refusedWrites(), "together they stay within the limit");
+    }
+
+    // Guards what waits for every other controller: with one or two of them away all goes on, also through the loss of
+    // the leader.
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2})
+    void allGoesOnWithControllersAway(int away) {
+        SimWorld world = world(10 + away);
+        List<String> arrays = load(world);
+        world.play(30_000);
+        for (int i = 0; i < away; i++) {
+            world.crash((world.leader() + 1 + i) % CONTROLLERS);
+        }
+        world.play(20_000);
+        world.crash(world.leader(), 6_000);
+        world.play(110_000);
+        assertServed(world, arrays);
+    }
+
+    // The same with controllers that run and reach nobody.
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2})
+    void allGoesOnWithControllersCutOff(int away) {
+        SimWorld world = world(20 + away);
+        List<String> arrays = load(world);
+        world.play(30_000);
+        int leader = world.leader();
+        for (int i = 0; i < away; i++) {
+            // The leader itself is one of them.
+            world.cut("rig-" + (leader + i) % CONTROLLERS, "*");
+        }
+        world.play(40_000);
+        assertTrue(world.leader() >= 0, "another one leads");
+        world.play(90_000);
+        assertServed(world, arrays);
+    }
+}
--- a/src/test/java/io/quartzgw/standin/SimWorld.java
+++ b/src/test/java/io/quartzgw/standin/SimWorld.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.quartzgw.app.Node;
 import io.quartzgw.app.Settings;
-import io.quartzgw.fleet.CloudLimits;
 import io.quartzgw.http.Call;
 import io.quartzgw.http.Endpoint;
 import io.quartzgw.http.Json;
@@ -15,7 +14,6 @@
 import io.quartzgw.loop.Effect;
 import io.quartzgw.loop.Kernel;
 import io.quartzgw.loop.Time;
-import io.quartzgw.placement.Team;
 import io.quartzgw.store.StoreLimits;
 import io.quartzgw.worker.WorkerTimes;
 import java.util.ArrayList;
@@ -31,14 +29,12 @@
 import java.util.function.Consumer;
 
 /**
- * Three cores, the stand-ins and a network in simulated time. Requests may be held up and delivered late, sockets cut,
- * nodes and machines killed; the same seed plays the same world.
+ * The cores of some controllers, the stand-ins and a network in simulated time. Requests may be held up and delivered
+ * late, sockets cut, nodes and machines killed; the same seed plays the same world.
  */
 public final class SimWorld {
     public static final String STORE = "store";
     public static final String CLOUD = "cloud";
-    private static final Endpoint STORE_AT = new Endpoint("10.2.0.1", 2379);
-    private static final Endpoint CLOUD_AT = new Endpoint("10.2.0.2", 8443);
     private static final long REPORT_MS = 2_500;
     private static final WorkerTimes TIMES = new WorkerTimes(REPORT_MS, 16_000, 36_000);
     private static final long WORKER_TIMEOUT_MS = 4_000;
@@ -47,10 +43,11 @@
     private static final int CANCEL_AT_END_MS = 60;
 
     public final SplittableRandom random;
-    public final StoreStandIn store = new StoreStandIn();
+    public final StoreStandIn store;
     public final CloudStandIn cloud;
     public final Rules rules;
     private final WorkerTimes times;
+    private final SimSettings settings;
     private final List<SimNode> nodes = new ArrayList<>();
     private final Map<String, SimWorker> workers = new TreeMap<>();
     private final Map<String, JsonNode> submitted = new HashMap<>();
@@ -127,8 +124,17 @@
 
     /** @param times the workers' figures */
     public SimWorld(long seed, int size, int capacity, long stepMs, WorkerTimes times) {
+        this(seed, size, capacity, stepMs, times, null);
+    }
+
+    /**
+     * @param limits what the state service takes, which it then refuses to exceed; null for limits that bind nowhere
+     */
+    public SimWorld(long seed, int size, int capacity, long stepMs, WorkerTimes times, StoreLimits limits) {
         this.times = times;
-        this.rules = new Rules(times.cancelMs(), Map.of("red", 40.0, "green", 24.0));
+        this.store = limits == null ? new StoreStandIn() : new StoreStandIn(limits);
+        this.settings = new SimSettings(times, store.limits());
+        this.rules = new Rules(times.cancelMs(), SimSettings.CPU_LIMITS);
         this.random = new SplittableRandom(seed);
         this.stepMs = stepMs;
         this.cloud = new CloudStandIn(5_000, 8_000, capacity, SimWorld::address);
@@ -200,36 +206,7 @@
 
     /** The settings of one controller. */
     public Settings settings(int index) {
-        Map<String, Endpoint> peers = new LinkedHashMap<>();
-        for (int i = 0; i < nodes.size(); i++) {
-            if (i != index) {
-                peers.put("rig-" + i, new Endpoint("10.0.0." + (i + 1), 8081));
-            }
-        }
-        return new Settings(
-                "rig-" + index,
-                "a",
-                new Endpoint("10.0.0." + (index + 1), 8080),
-                new Endpoint("10.0.0." + (index + 1), 8081),
-                peers,
-                CLOUD_AT,
-                STORE_AT,
-                nodes.size(),
-                List.of("a", "b"),
-                100,
-                Map.of(
-                        "red",
-                        new Team("red", 0, 40, 0, 0),
-                        "blue",
-                        new Team("blue", 0, 0, 0, 0),
-                        "green",
-                        new Team("green", 8, 24, 0, 0)),
-                List.of(),
-                times,
-                times.cancelMs() / 1000.0,
-                new StoreLimits(300, 120, StoreStandIn.VALUE_BYTES, StoreStandIn.TXN_OPS),
-                new CloudLimits(4, 5_000),
-                1000);
+        return settings.of(index, nodes.size());
     }
 
     /** Starts the process of a controller. */
@@ -566,10 +543,10 @@
     }
 
     private static String host(Endpoint to) {
-        if (to.equals(STORE_AT)) {
+        if (to.equals(SimSettings.STORE_AT)) {
             return STORE;
         }
-        if (to.equals(CLOUD_AT)) {
+        if (to.equals(SimSettings.CLOUD_AT)) {
             return CLOUD;
         }
         if (to.host().startsWith("10.0.0.")) {
--- a/src/test/java/io/quartzgw/standin/StoreStandIn.java
+++ b/src/test/java/io/quartzgw/standin/StoreStandIn.java
@@ -6,6 +6,8 @@
 import io.quartzgw.http.Call;
 import io.quartzgw.http.Json;
 import io.quartzgw.http.Reply;
+import io.quartzgw.store.RateBudget;
+import io.quartzgw.store.StoreLimits;
 import java.net.URI;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -16,13 +18,17 @@
 
 /** The state service as its protocol page describes it; time is handed in. */
 public final class StoreStandIn {
-    static final int VALUE_BYTES = 8192;
-    static final int TXN_OPS = 16;
+    private static final StoreLimits BINDING_NOWHERE = new StoreLimits(300, 120, 8192, 16);
     private static final int TXN_BYTES = 64 * 1024;
     private final TreeMap<String, Item> items = new TreeMap<>();
     private final Map<Long, Hold> holds = new HashMap<>();
     private final List<News> news = new ArrayList<>();
     private final List<Follow> follows = new ArrayList<>();
+    private final StoreLimits limits;
+    /** What it still takes; null when it takes all. */
+    private final RateBudget writes;
+
+    private int refusedWrites;
     private long revision;
     private long forgottenTo;
     private long permits;
@@ -46,6 +52,27 @@
         }
     }
 
+    /** A service that takes as many changes as come. */
+    public StoreStandIn() {
+        this.limits = BINDING_NOWHERE;
+        this.writes = null;
+    }
+
+    /** A service that refuses changes beyond its limits. */
+    StoreStandIn(StoreLimits limits) {
+        this.limits = limits;
+        this.writes = new RateBudget(limits.writesPerS(), 0);
+    }
+
+    StoreLimits limits() {
+        return limits;
+    }
+
+    /** How many transactions were refused since they exceeded the limit of changes. */
+    public int refusedWrites() {
+        return refusedWrites;
+    }
+
     /** An outage refuses everything but open follows; after it every hold has its full time again. */
     public void outage(boolean on) {
         if (outage && !on) {
@@ -187,14 +214,14 @@
         return node;
     }
 
-    private static boolean tooMuch(JsonNode body) {
-        if (body.path("apply").size() > TXN_OPS
-                || body.path("guards").size() > 4 * TXN_OPS
+    private boolean tooMuch(JsonNode body) {
+        if (body.path("apply").size() > limits.txnOps()
+                || body.path("guards").size() > 4 * limits.txnOps()
                 || Json.write(body).length > TXN_BYTES) {
             return true;
         }
         for (JsonNode write : body.path("apply")) {
-            if (write.has("data") && Json.write(write.get("data")).length > VALUE_BYTES) {
+            if (write.has("data") && Json.write(write.get("data")).length > limits.valueBytes()) {
                 return true;
             }
         }
@@ -205,6 +232,14 @@
         if (tooMuch(body)) {
             return reply(400, Json.object().put("error", "too much"));
         }
+        int changes = body.path("apply").size();
+        if (writes != null && changes > 0) {
+            if (writes.waitFor(changes, now) > 0) {
+                refusedWrites++;
+                return reply(429, Json.object().put("error", "too many changes"));
+            }
+            writes.take(changes, now);
+        }
         ArrayNode failed = Json.object().putArray("failed");
         for (JsonNode guard : body.path("guards")) {
             Item item = items.get(guard.path("path").asText());
