One fixture for job descriptions and one election in the tests; cluster state in comments

JobSpec was built by hand in four tests, the election of a lone node in two. Comments still said book where the design says cluster state, and one was garbled by an earlier rename. No behaviour changes.

--- a/src/main/java/io/quartzgw/cancellation/CancellationWatermark.java
+++ b/src/main/java/io/quartzgw/cancellation/CancellationWatermark.java
@@ -61,12 +61,12 @@
         return kernel.now() - startedAt;
     }
 
-    /** A new term: what an earlier one has read is not in its book. */
+    /** A new term: what an earlier one has read is not in its cluster state. */
     public void nothingRead() {
         readAt = NEVER;
     }
 
-    /** The leader's book has everything that was in the state service at a moment. */
+    /** The leader's cluster state has everything that was in the state service at a moment. */
     public void read(long at) {
         readAt = Math.max(readAt, at);
     }
--- a/src/main/java/io/quartzgw/worker/Workers.java
+++ b/src/main/java/io/quartzgw/worker/Workers.java
@@ -113,10 +113,9 @@
 
     // Guards against leaders that follow each other quickly: each renews the lease with its first answer, and where
     // that stopped nothing, a cancelled task would live as long as they do. Every answer that renews a lease stops what
-    // the report lists of jobs that are known to be over, whether or not the report proves anything. CoalescedTask the
-    // open jobs
-    // were read that is every job that the leader doesn't have: only a leader starts tasks, and only of jobs that it
-    // has read.
+    // the report lists of jobs that are known to be over, whether or not the report proves anything. Once
+    // the open jobs were read, that is every job that the leader doesn't have: only a leader starts tasks, and only of
+    // jobs that it has read.
     private void stopOver(Report report, ArrayNode orders) {
         for (Report.TaskReport task : report.tasks()) {
             Attempt attempt = task.attempt();
--- a/src/main/java/io/quartzgw/worker/package-info.java
+++ b/src/main/java/io/quartzgw/worker/package-info.java
@@ -1,5 +1,5 @@
 /**
  * Dealings with workers while this node leads: reports, orders, sessions and attempts. A worker's report outranks what
- * the leader's book says.
+ * the leader's cluster state says.
  */
 package io.quartzgw.worker;
--- a/src/test/java/io/quartzgw/fleet/RetirementTest.java
+++ b/src/test/java/io/quartzgw/fleet/RetirementTest.java
@@ -10,11 +10,10 @@
 import io.quartzgw.placement.Job;
 import io.quartzgw.placement.Machine;
 import io.quartzgw.placement.TaskControl;
+import io.quartzgw.standin.JobSpecs;
 import io.quartzgw.submission.JobSpec;
 import io.quartzgw.submission.OpenJob;
-import io.quartzgw.submission.Priority;
 import io.quartzgw.submission.Resources;
-import io.quartzgw.submission.Shape;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -53,25 +52,12 @@
     }
 
     private Job job(int tasks) {
-        JobSpec spec = new JobSpec(
-                "j-1",
-                "w",
-                "team",
-                Shape.ARRAY,
-                Priority.NORMAL,
-                tasks,
-                new Resources(4, 1, 8),
-                "img",
-                1,
-                null,
-                null,
-                false,
-                false,
-                true,
-                10,
-                0,
-                0,
-                null);
+        JobSpec spec = JobSpecs.named("j-1")
+                .team("team")
+                .tasks(tasks)
+                .demand(4, 1, 8)
+                .spot(true)
+                .spec();
         return cluster.add(new OpenJob(spec, 1, 0));
     }
 
--- a/src/test/java/io/quartzgw/placement/SchedulerTest.java
+++ b/src/test/java/io/quartzgw/placement/SchedulerTest.java
@@ -6,6 +6,7 @@
 import io.quartzgw.fleet.MachineType;
 import io.quartzgw.loop.Kernel;
 import io.quartzgw.loop.Time;
+import io.quartzgw.standin.JobSpecs;
 import io.quartzgw.submission.JobSpec;
 import io.quartzgw.submission.OpenJob;
 import io.quartzgw.submission.Priority;
@@ -70,25 +71,17 @@
             boolean oneZone,
             boolean spread,
             boolean spot) {
-        JobSpec spec = new JobSpec(
-                "j-" + number,
-                "w",
-                team,
-                shape,
-                priority,
-                tasks,
-                new Resources(cpus, 0, 1),
-                "img-" + number % 3,
-                1,
-                null,
-                null,
-                oneZone,
-                spread,
-                spot,
-                10,
-                0,
-                0,
-                null);
+        JobSpec spec = JobSpecs.named("j-" + number)
+                .team(team)
+                .shape(shape)
+                .priority(priority)
+                .tasks(tasks)
+                .demand(cpus, 0, 1)
+                .image("img-" + number % 3)
+                .oneZone(oneZone)
+                .spread(spread)
+                .spot(spot)
+                .spec();
         return cluster.add(new OpenJob(spec, number, 0));
     }
 
@@ -277,28 +270,7 @@
     @Test
     void aLateJobIsWorthItsRoomWhileAMultipleOfItsDeadlineCanBeReached() {
         Objectives goals = new Objectives(Map.of(), Map.of("w", 2.0), Map.of());
-        JobSpec spec = job(1, "free", Shape.ARRAY, Priority.NORMAL, 1, 1, false, false, false)
-                .spec();
-        JobSpec due = new JobSpec(
-                "j-2",
-                "w",
-                "free",
-                spec.shape(),
-                spec.priority(),
-                1,
-                spec.demand(),
-                "img",
-                1,
-                null,
-                null,
-                false,
-                false,
-                false,
-                10,
-                0,
-                0,
-                20.0);
-        Job job = cluster.add(new OpenJob(due, 2, 0));
+        Job job = cluster.add(new OpenJob(JobSpecs.named("j-2").deadlineS(20).spec(), 2, 0));
         assertTrue(goals.reachable(job, 30_000));
         assertTrue(!goals.reachable(job, 31_000));
     }
--- a/src/test/java/io/quartzgw/progress/ProgressTest.java
+++ b/src/test/java/io/quartzgw/progress/ProgressTest.java
@@ -11,16 +11,14 @@
 import io.quartzgw.loop.Kernel;
 import io.quartzgw.placement.Cluster;
 import io.quartzgw.placement.Job;
+import io.quartzgw.standin.Elections;
+import io.quartzgw.standin.JobSpecs;
 import io.quartzgw.standin.LossyLink;
 import io.quartzgw.standin.StoreStandIn;
 import io.quartzgw.store.StoreClient;
 import io.quartzgw.store.StoreLimits;
 import io.quartzgw.submission.FinalPhase;
-import io.quartzgw.submission.JobSpec;
 import io.quartzgw.submission.OpenJob;
-import io.quartzgw.submission.Priority;
-import io.quartzgw.submission.Resources;
-import io.quartzgw.submission.Shape;
 import java.util.List;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
@@ -59,44 +57,14 @@
     }
 
     private static OpenJob job(int number) {
-        return new OpenJob(
-                new JobSpec(
-                        "j-" + number,
-                        "w",
-                        "free",
-                        Shape.ARRAY,
-                        Priority.NORMAL,
-                        TASKS,
-                        new Resources(1, 0, 1),
-                        "img",
-                        1,
-                        null,
-                        null,
-                        false,
-                        false,
-                        true,
-                        10,
-                        0,
-                        0,
-                        null),
-                number,
-                0);
+        return new OpenJob(JobSpecs.named("j-" + number).tasks(TASKS).spot(true).spec(), number, 0);
     }
 
     // Guards against a record that falls behind what was started: after a takeover those tasks would be placed
     // again while they run. It fell behind when more starts became due while the first were being recorded.
     @Test
     void whatMayBeStartedAndWhatIsDoneIsAlwaysInTheStateService() {
-        leadership.start(new Leadership.Listener() {
-            @Override
-            public void elected(long term, long termRevision) {}
-
-            @Override
-            public void deposed() {}
-        });
-        while (!leadership.leading()) {
-            link.pass(50, false);
-        }
+        Elections.elect(leadership, ms -> link.pass(ms, false));
         Cluster cluster = new Cluster(kernel, 1);
         Progress progress = progress();
         for (int i = 0; i < 3; i++) {
--- a/src/test/java/io/quartzgw/worker/WorkersTest.java
+++ b/src/test/java/io/quartzgw/worker/WorkersTest.java
@@ -25,12 +25,12 @@
 import io.quartzgw.placement.Cluster;
 import io.quartzgw.placement.Job;
 import io.quartzgw.placement.Machine;
+import io.quartzgw.standin.Elections;
+import io.quartzgw.standin.JobSpecs;
 import io.quartzgw.standin.StoreStandIn;
 import io.quartzgw.store.StoreClient;
 import io.quartzgw.store.StoreLimits;
-import io.quartzgw.submission.JobSpec;
 import io.quartzgw.submission.OpenJob;
-import io.quartzgw.submission.Priority;
 import io.quartzgw.submission.Resources;
 import io.quartzgw.submission.Shape;
 import java.util.ArrayList;
@@ -63,7 +63,7 @@
 
     @BeforeEach
     void startOneTaskWhoseOrderIsNotAnswered() {
-        elect();
+        Elections.elect(leadership, this::pass);
         cluster = new Cluster(kernel, 1);
         CloudClient cloud = new CloudClient(kernel, STATE, new CloudLimits(4, 5_000));
         workers = new Workers(
@@ -80,7 +80,14 @@
         machine.markUsed();
         cluster.add(machine);
         report("");
-        Job job = cluster.add(new OpenJob(spec(), 1, 0));
+        Job job = cluster.add(new OpenJob(
+                JobSpecs.named("j-000001")
+                        .team("team")
+                        .shape(Shape.SERVICE)
+                        .demand(2, 0, 4)
+                        .spec(),
+                1,
+                0));
         job.startBelow(1);
         booking = cluster.book(job, 0, machine, cluster.nextAttempt());
         workers.start(booking);
@@ -89,28 +96,6 @@
         assertTrue(booking.unacknowledged(), "the order was lost");
     }
 
-    private static JobSpec spec() {
-        return new JobSpec(
-                "j-000001",
-                "w",
-                "team",
-                Shape.SERVICE,
-                Priority.NORMAL,
-                1,
-                new Resources(2, 0, 4),
-                "img",
-                1,
-                null,
-                null,
-                false,
-                false,
-                false,
-                0,
-                0,
-                0,
-                null);
-    }
-
     private static final class NoRecords implements Workers.Listener {
         @Override
         public void finished(Job job, int index) {}
@@ -122,19 +107,6 @@
         public void needsRecord(Job job, int index) {}
     }
 
-    private void elect() {
-        leadership.start(new Leadership.Listener() {
-            @Override
-            public void elected(long term, long termRevision) {}
-
-            @Override
-            public void deposed() {}
-        });
-        while (!leadership.leading()) {
-            pass(50);
-        }
-    }
-
     /** Lets time pass; the state service answers, orders get no answer. */
     private void pass(long ms) {
         now += ms;
