Log: orders in responses, outcomes of direct calls, reasons of stops

Need: an incident (a task on two machines after a takeover) could not be explained from the logs: orders that left in a report's response were not logged, nor how a direct call ended, nor why a task was stopped. Change: these are logged as key=value fields, with the term, its confirmation and the session; stops carry a typed reason; new counts orders.unanswered, orders.in_responses and orders.removals_withheld. No decision changes.

--- a/src/main/java/io/quartzgw/app/Leader.java
+++ b/src/main/java/io/quartzgw/app/Leader.java
@@ -18,6 +18,7 @@
 import io.quartzgw.placement.Machine;
 import io.quartzgw.placement.Objectives;
 import io.quartzgw.placement.Scheduler;
+import io.quartzgw.placement.StopReason;
 import io.quartzgw.placement.TaskControl;
 import io.quartzgw.placement.Team;
 import io.quartzgw.progress.Progress;
@@ -245,7 +246,7 @@
         }
         cluster.end(job);
         for (Booking booking : job.bookingsCopy()) {
-            workers.stop(booking, 0);
+            workers.stop(booking, 0, StopReason.JOB_OVER);
         }
         workers.recorded(job);
         progress.dropped(id);
@@ -265,8 +266,8 @@
         }
 
         @Override
-        public void stop(Booking booking, double graceS) {
-            workers.stop(booking, graceS);
+        public void stop(Booking booking, double graceS, StopReason reason) {
+            workers.stop(booking, graceS, reason);
         }
     }
 
--- a/src/main/java/io/quartzgw/leadership/Leadership.java
+++ b/src/main/java/io/quartzgw/leadership/Leadership.java
@@ -320,7 +320,11 @@
         hold = withHold;
         confirmedAt = since;
         watermark.nothingRead();
-        LOG.info("leading with term {}", term);
+        LOG.atInfo()
+                .addKeyValue("term", term)
+                .addKeyValue("term_revision", termRevision)
+                .addKeyValue("process", process)
+                .log("leading");
         renew();
         listener.elected(term, termRevision);
     }
@@ -348,6 +352,12 @@
     }
 
     private void stepDown() {
+        LOG.atInfo()
+                .addKeyValue("term", term)
+                .addKeyValue("highest_term", highestTerm)
+                .addKeyValue("stored_term", storedTerm)
+                .addKeyValue("confirmed", confirmed())
+                .log("stepping down");
         leading = false;
         highestTerm = Math.max(highestTerm, term);
         store.dropHold(hold);
--- a/src/main/java/io/quartzgw/placement/Cluster.java
+++ b/src/main/java/io/quartzgw/placement/Cluster.java
@@ -167,6 +167,7 @@
         alter(job, booked -> booked.booked(booking));
         machine.booked(booking);
         teamUse.merge(job.spec().team(), booking.demand(), Resources::plus);
+        log(booking, "task is booked");
         return booking;
     }
 
@@ -178,9 +179,20 @@
         alter(booking.job(), job -> job.released(booking));
         booking.machine().released(booking, kernel.now());
         teamUse.merge(booking.job().spec().team(), booking.demand(), Resources::minus);
+        log(booking, "booking is released");
         forgetIfGone(booking.job());
     }
 
+    private static void log(Booking booking, String message) {
+        LOG.atDebug()
+                .addKeyValue("task", booking.task())
+                .addKeyValue("attempt", booking.attempt())
+                .addKeyValue("machine", booking.machine().id())
+                .addKeyValue("phase", booking.phase())
+                .addKeyValue("stopping", booking.stopping())
+                .log(message);
+    }
+
     public void markDone(Job job, int index) {
         alter(job, done -> done.markDone(index));
     }
--- a/src/main/java/io/quartzgw/placement/Consolidation.java
+++ b/src/main/java/io/quartzgw/placement/Consolidation.java
@@ -53,7 +53,7 @@
                 machine.leave();
                 machine.bookingsCopy()
                         .forEach(booking ->
-                                starter.stop(booking, booking.job().spec().saveS()));
+                                starter.stop(booking, booking.job().spec().saveS(), StopReason.CONSOLIDATED));
                 return machine;
             }
         }
--- a/src/main/java/io/quartzgw/placement/Scheduler.java
+++ b/src/main/java/io/quartzgw/placement/Scheduler.java
@@ -194,7 +194,7 @@
         for (Booking booking : machine.bookingsCopy()) {
             JobSpec spec = booking.job().spec();
             if (booking.reclaimedBeforeEnd(kernel.now()) && (!spec.service() || roomElsewhere(booking.job()))) {
-                starter.stop(booking, spec.saveS());
+                starter.stop(booking, spec.saveS(), StopReason.MACHINE_RECLAIMED);
                 if (spec.service()) {
                     // The next replica asks again whether there is room, once this one has taken its place.
                     return;
@@ -212,7 +212,7 @@
     private void stopRest(Job job) {
         job.bookingsCopy().stream()
                 .filter(booking -> !booking.stopping())
-                .forEach(booking -> starter.stop(booking, job.spec().saveS()));
+                .forEach(booking -> starter.stop(booking, job.spec().saveS(), StopReason.GANG_BROKEN));
     }
 
     private boolean withinLimit(Job job) {
@@ -312,7 +312,7 @@
                 return false;
             }
             // Orders are executed in order: the stops make the room that the start needs.
-            plan.victims().forEach(victim -> starter.stop(victim, 0));
+            plan.victims().forEach(victim -> starter.stop(victim, 0, StopReason.PREEMPTED));
             book(job, plan.machine());
             preemption.again(plan.machine());
             return true;
--- a/src/main/java/io/quartzgw/placement/TaskControl.java
+++ b/src/main/java/io/quartzgw/placement/TaskControl.java
@@ -4,5 +4,5 @@
 public interface TaskControl {
     void start(Booking booking);
 
-    void stop(Booking booking, double graceS);
+    void stop(Booking booking, double graceS, StopReason reason);
 }
--- a/src/main/java/io/quartzgw/recovery/Recovery.java
+++ b/src/main/java/io/quartzgw/recovery/Recovery.java
@@ -157,11 +157,13 @@
             }
         });
         stage = Stage.GATHERING;
-        LOG.info(
-                "term {}: read {} jobs and {} machines, gathering reports",
-                term.number(),
-                jobs.entries().size(),
-                cluster.machines().size());
+        LOG.atInfo()
+                .addKeyValue("term", term.number())
+                .addKeyValue("revision", jobs.revision())
+                .addKeyValue("read_after_ms", jobs.at() - electedAt)
+                .addKeyValue("jobs", jobs.entries().size())
+                .addKeyValue("machines", cluster.machines().size())
+                .log("hard state is read, gathering reports");
         silent.removeIf(machine -> !isSilent(machine));
         silent.forEach(machine -> cluster.unexplained(machine, true));
         // Until a task is explained it may be on any machine that has not answered yet.
@@ -209,12 +211,14 @@
             kernel.count("takeover.ms", kernel.now() - electedAt);
             kernel.count("takeover.silent", silent.size());
             cluster.touch();
-            LOG.info(
-                    "term {}: window closed after {} ms, {} machines silent, {} jobs with unaccounted tasks",
-                    term.number(),
-                    kernel.now() - electedAt,
-                    silent.size(),
-                    cluster.jobsWithUnaccounted().size());
+            LOG.atInfo()
+                    .addKeyValue("term", term.number())
+                    .addKeyValue("after_ms", kernel.now() - electedAt)
+                    .addKeyValue("silent_machines", silent.size())
+                    .addKeyValue(
+                            "jobs_with_unaccounted",
+                            cluster.jobsWithUnaccounted().size())
+                    .log("the window is closed");
         }
     }
 
--- a/src/main/java/io/quartzgw/worker/OrderDelivery.java
+++ b/src/main/java/io/quartzgw/worker/OrderDelivery.java
@@ -110,6 +110,8 @@
             // After a removal a late copy of the start would run the task again.
             if (!session.unacknowledged.contains(attempt)) {
                 orders.add(new Order.Reap(attempt));
+            } else {
+                kernel.count("orders.removals_withheld", 1);
             }
         }
         int removals = orders.size();
@@ -170,15 +172,43 @@
                 session.inCall.add(run.booking());
             }
         }
-        LOG.debug("{} is ordered {}", machine.id(), list);
+        LOG.atDebug()
+                .addKeyValue("machine", machine.id())
+                .addKeyValue("channel", "direct")
+                .addKeyValue("term", term.number())
+                .addKeyValue("confirmed", term.confirmed())
+                .addKeyValue("session", tenure)
+                .addKeyValue("orders", list)
+                .log("orders are sent");
         kernel.count("orders.calls", 1);
         kernel.count("orders.sent", orders.size());
         long timeout = (long) (ORDER_TIMEOUT_REPORTS * times.reportMs());
-        kernel.call(Call.post(machine.address(), "/orders", body, timeout), reply -> answered(session, reply));
+        long sentAt = kernel.now();
+        kernel.call(Call.post(machine.address(), "/orders", body, timeout), reply -> answered(session, reply, sentAt));
     }
 
-    private void answered(Session session, Reply reply) {
+    private void logOutcome(Session session, Reply reply, long sentAt, Set<Booking> starts) {
+        LOG.atDebug()
+                .addKeyValue("machine", session.machine.id())
+                .addKeyValue("outcome", outcome(reply.status()))
+                .addKeyValue("status", reply.status())
+                .addKeyValue("took_ms", kernel.now() - sentAt)
+                .addKeyValue("term_current", term.current())
+                .addKeyValue("starts", () -> starts.stream().map(Attempt::of).toList())
+                .log("direct orders have ended");
+    }
+
+    private static String outcome(int status) {
+        return switch (status) {
+            case 200 -> "executed";
+            case 409 -> "refused";
+            default -> "unknown";
+        };
+    }
+
+    private void answered(Session session, Reply reply, long sentAt) {
         Set<Booking> sent = new HashSet<>(session.inCall);
+        logOutcome(session, reply, sentAt, sent);
         session.calling = false;
         calls--;
         session.inCall.clear();
@@ -188,6 +218,7 @@
         Presence presence = session.machine.presence();
         if (reply.status() != 200 && reply.status() != 409) {
             if (reply.status() == Reply.LOST) {
+                kernel.count("orders.unanswered", 1);
                 sent.forEach(Booking::markUnacknowledged);
                 presence.lostTouch(kernel.now());
             }
--- a/src/main/java/io/quartzgw/worker/ReportedTasks.java
+++ b/src/main/java/io/quartzgw/worker/ReportedTasks.java
@@ -5,6 +5,7 @@
 import io.quartzgw.placement.Cluster;
 import io.quartzgw.placement.Job;
 import io.quartzgw.placement.Machine;
+import io.quartzgw.placement.StopReason;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -133,7 +134,7 @@
                 cluster.markDone(job, attempt.index());
                 Booking other = job.booking(attempt.index());
                 if (other != null && other != booking) {
-                    sessions.stop(other, 0);
+                    sessions.stop(other, 0, StopReason.COMPLETED_ELSEWHERE);
                 }
                 finished.accept(job, attempt.index());
             }
--- a/src/main/java/io/quartzgw/worker/Sessions.java
+++ b/src/main/java/io/quartzgw/worker/Sessions.java
@@ -4,15 +4,20 @@
 import io.quartzgw.placement.Cluster;
 import io.quartzgw.placement.Job;
 import io.quartzgw.placement.Machine;
+import io.quartzgw.placement.StopReason;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** What the leader has under way with each worker, and which of them have something to be ordered. */
 final class Sessions {
+    private static final Logger LOG = LoggerFactory.getLogger(Sessions.class);
+
     private final Cluster cluster;
     private final Map<String, Session> sessions = new HashMap<>();
     /** Sessions with something to order, in the order in which it fell due. */
@@ -70,7 +75,15 @@
     }
 
     /** Has a task stopped: directly at the end of this batch, and in report responses until it has ended. */
-    void stop(Booking booking, double graceS) {
+    void stop(Booking booking, double graceS, StopReason reason) {
+        LOG.atDebug()
+                .addKeyValue("task", booking.task())
+                .addKeyValue("attempt", booking.attempt())
+                .addKeyValue("machine", booking.machine().id())
+                .addKeyValue("reason", reason)
+                .addKeyValue("seen", booking.seen())
+                .addKeyValue("offered", booking.offered())
+                .log("task is stopped");
         if (!booking.offered() && !booking.seen()) {
             cluster.release(booking);
             return;
--- a/src/main/java/io/quartzgw/worker/Workers.java
+++ b/src/main/java/io/quartzgw/worker/Workers.java
@@ -12,6 +12,7 @@
 import io.quartzgw.placement.Job;
 import io.quartzgw.placement.Machine;
 import io.quartzgw.placement.Presence;
+import io.quartzgw.placement.StopReason;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -93,6 +94,16 @@
         }
         Presence.Freshness freshness = apply(report, false);
         kernel.count(COUNTED.get(freshness), 1);
+        if (freshness != Presence.Freshness.CURRENT) {
+            LOG.atDebug()
+                    .addKeyValue("machine", report.machine())
+                    .addKeyValue("session", report.tenure())
+                    .addKeyValue("counter", report.counter())
+                    .addKeyValue("token", report.token())
+                    .addKeyValue("freshness", freshness)
+                    .addKeyValue("renews", freshness == Presence.Freshness.UNVERIFIED)
+                    .log("report proves nothing");
+        }
         // Without a token in its answer, a worker drops it: see Presence.answered.
         if (freshness != Presence.Freshness.STALE) {
             response.put("baton", term.number());
@@ -106,11 +117,28 @@
                     && machine.presence().verified()
                     && machine.presence().tenure() == report.tenure()) {
                 delivery.pendingOrders(sessions.of(machine), false).forEach(order -> orders.add(order.toJson()));
+                logResponse(report, orders);
             }
         }
         return response;
     }
 
+    private void logResponse(Report report, ArrayNode orders) {
+        if (orders.isEmpty()) {
+            return;
+        }
+        kernel.count("orders.in_responses", orders.size());
+        LOG.atDebug()
+                .addKeyValue("machine", report.machine())
+                .addKeyValue("channel", "response")
+                .addKeyValue("term", term.number())
+                .addKeyValue("confirmed", term.confirmed())
+                .addKeyValue("session", report.tenure())
+                .addKeyValue("counter", report.counter())
+                .addKeyValue("orders", orders)
+                .log("orders are sent");
+    }
+
     // Guards against leaders that follow each other quickly: each renews the lease with its first answer, and where
     // that stopped nothing, a cancelled task would live as long as they do. Every answer that renews a lease stops what
     // the report lists of jobs that are known to be over, whether or not the report proves anything. Once
@@ -278,8 +306,8 @@
     }
 
     /** Has a task stopped: directly at the end of this batch, and in report responses until it has ended. */
-    public void stop(Booking booking, double graceS) {
-        sessions.stop(booking, graceS);
+    public void stop(Booking booking, double graceS, StopReason reason) {
+        sessions.stop(booking, graceS, reason);
     }
 
     /** Sends what is due to every worker. */
--- a/src/test/java/io/quartzgw/fleet/RetirementTest.java
+++ b/src/test/java/io/quartzgw/fleet/RetirementTest.java
@@ -9,6 +9,7 @@
 import io.quartzgw.placement.Consolidation;
 import io.quartzgw.placement.Job;
 import io.quartzgw.placement.Machine;
+import io.quartzgw.placement.StopReason;
 import io.quartzgw.placement.TaskControl;
 import io.quartzgw.standin.JobSpecs;
 import io.quartzgw.submission.JobSpec;
@@ -36,7 +37,7 @@
         public void start(Booking booking) {}
 
         @Override
-        public void stop(Booking booking, double graceS) {}
+        public void stop(Booking booking, double graceS, StopReason reason) {}
     }
 
     private Machine up(int number) {
--- a/src/test/java/io/quartzgw/placement/SchedulerTest.java
+++ b/src/test/java/io/quartzgw/placement/SchedulerTest.java
@@ -47,7 +47,7 @@
                 }
 
                 @Override
-                public void stop(Booking booking, double graceS) {
+                public void stop(Booking booking, double graceS, StopReason reason) {
                     booking.stop(graceS);
                     stopped.add(booking);
                 }
--- a/src/test/java/io/quartzgw/worker/WorkersTest.java
+++ b/src/test/java/io/quartzgw/worker/WorkersTest.java
@@ -25,6 +25,7 @@
 import io.quartzgw.placement.Cluster;
 import io.quartzgw.placement.Job;
 import io.quartzgw.placement.Machine;
+import io.quartzgw.placement.StopReason;
 import io.quartzgw.standin.Elections;
 import io.quartzgw.standin.JobSpecs;
 import io.quartzgw.standin.StoreStandIn;
@@ -162,7 +163,7 @@
     @Test
     void anEndedAttemptIsNotRemovedWhileACopyOfItsStartMayStillArrive() {
         report("running");
-        workers.stop(booking, 0);
+        workers.stop(booking, 0, StopReason.PREEMPTED);
         assertEquals(List.of("kill"), report("running"));
         assertFalse(report("ended").contains("reap"));
         assertTrue(machine.empty(), "its place is free all the same");
@@ -171,7 +172,7 @@
     // Guards a stop that overtakes the start: the attempt is made known and ended, so that the copy has no effect.
     @Test
     void anAttemptThatWasNeverSeenIsStartedAndStoppedInOneAnswer() {
-        workers.stop(booking, 0);
+        workers.stop(booking, 0, StopReason.PREEMPTED);
         assertEquals(List.of("run", "kill"), report(""));
     }
 }
