A removal waits for every copy of the start, also while a direct call is under way

Cause: an ended attempt was kept known to its worker only if the direct call with its start had been given up before the end was reported. While the call was under way the flag on the booking was not set yet, and later it was set on a booking that nobody looked at; copies in responses were not counted at all, nor did the hold of a silent machine ask for calls under way. Change: OutstandingStarts, owned by the worker's session and keyed by attempt, has every copy from its sending to its answer, its session's end or, in a response, the worker's next report; removals, stops, holds and replaced workers ask it.

--- a/src/main/java/io/quartzgw/placement/Booking.java
+++ b/src/main/java/io/quartzgw/placement/Booking.java
@@ -22,7 +22,6 @@
     private Phase phase = Phase.ORDERED;
     private long runningSince;
     private boolean offered;
-    private boolean unacknowledged;
     private boolean stopping;
     private double saveS;
 
@@ -94,15 +93,6 @@
         offered = true;
     }
 
-    /** Whether a copy of the start order is unaccounted for and may still be executed. */
-    public boolean unacknowledged() {
-        return unacknowledged;
-    }
-
-    public void markUnacknowledged() {
-        unacknowledged = true;
-    }
-
     /**
      * Whether the cloud takes the machine away before the task can have ended there, as far as its owner's guess goes.
      */
--- a/src/main/java/io/quartzgw/recovery/Recovery.java
+++ b/src/main/java/io/quartzgw/recovery/Recovery.java
@@ -260,7 +260,7 @@
             boolean held = !machine.released() && (!machine.empty() || isSilent(machine));
             if (held && kernel.now() - machine.presence().lastAnswered() > times.silentMs()) {
                 List<Booking> over = machine.bookingsCopy().stream()
-                        .filter(booking -> !booking.unacknowledged())
+                        .filter(booking -> !workers.startMayArriveLate(booking))
                         .toList();
                 LOG.info("{} was silent for its hold, giving up {} tasks", machine.id(), over.size());
                 kernel.count("machines.given_up", 1);
--- a/src/main/java/io/quartzgw/worker/Order.java
+++ b/src/main/java/io/quartzgw/worker/Order.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.quartzgw.http.Json;
 import io.quartzgw.placement.Booking;
+import java.util.List;
 
 /** A command to a worker. */
 public sealed interface Order {
@@ -33,6 +34,14 @@
         }
     }
 
+    /** The attempts that some orders start. */
+    static List<Attempt> starts(List<Order> orders) {
+        return orders.stream()
+                .filter(Run.class::isInstance)
+                .map(order -> Attempt.of(((Run) order).booking()))
+                .toList();
+    }
+
     private static ObjectNode named(String verb, Attempt attempt) {
         return Json.object().put("verb", verb).put("shard", attempt.task()).put("try_no", attempt.number());
     }
--- a/src/main/java/io/quartzgw/worker/OrderDelivery.java
+++ b/src/main/java/io/quartzgw/worker/OrderDelivery.java
@@ -12,9 +12,7 @@
 import io.quartzgw.placement.Machine;
 import io.quartzgw.placement.Presence;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import java.util.function.BiPredicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -22,9 +20,9 @@
 /**
  * Sends orders straight to workers, one call at a time each.
  *
- * <p>A start that was sent directly and not answered may still be executed minutes later. Its booking stands: the same
- * attempt is offered again in report responses, and the task goes nowhere else until the machine answers for it, starts
- * a new session, or is surely gone.
+ * <p>A start that was sent directly and not answered may still be executed minutes later ({@link OutstandingStarts}).
+ * Its booking stands: the same attempt is offered again in report responses, and the task goes nowhere else until the
+ * machine answers for it, starts a new session, or is surely gone.
  */
 final class OrderDelivery {
     private static final Logger LOG = LoggerFactory.getLogger(OrderDelivery.class);
@@ -32,6 +30,10 @@
     private static final double ORDER_TIMEOUT_REPORTS = 0.8;
     /** The part of the direct calls that may be spent on asking the silent, so that orders always get through. */
     private static final double CONTACTS = 0.5;
+    /** The status with which a worker says that it has executed the orders. */
+    private static final int EXECUTED = 200;
+    /** The status with which it says that it has executed none: the token is too low, or the session another one. */
+    private static final int REFUSED = 409;
 
     private final Kernel kernel;
     private final LeaderTerm term;
@@ -108,21 +110,17 @@
         List<Order> orders = new ArrayList<>();
         for (Attempt attempt : session.reapable) {
             // After a removal a late copy of the start would run the task again.
-            if (!session.unacknowledged.contains(attempt)) {
-                orders.add(new Order.Reap(attempt));
-            } else {
+            if (session.starts.mayArrive(attempt)) {
                 kernel.count("orders.removals_withheld", 1);
+            } else {
+                orders.add(new Order.Reap(attempt));
             }
         }
         int removals = orders.size();
         session.strays.forEach(attempt -> orders.add(new Order.Kill(attempt, 0)));
         for (Booking booking : session.machine.bookings()) {
-            if (booking.stopping() && booking.unacknowledged() && !booking.seen() && !direct) {
-                // Makes the attempt known and ended there, so that the copy that may still come has no effect.
-                orders.add(new Order.Run(booking));
-            }
-            if (booking.stopping() && (booking.seen() || booking.unacknowledged())) {
-                orders.add(new Order.Kill(Attempt.of(booking), booking.stopGraceS()));
+            if (booking.stopping()) {
+                addStop(session, booking, direct, orders);
             }
         }
         if (term.confirmed()) {
@@ -132,10 +130,24 @@
         return direct && orders.size() == removals ? List.of() : orders;
     }
 
+    private static void addStop(Session session, Booking booking, boolean direct, List<Order> orders) {
+        boolean unanswered = session.starts.unanswered(Attempt.of(booking));
+        if (unanswered && !booking.seen() && !direct) {
+            // Makes the attempt known and ended there, so that the copy that may still come has no effect.
+            orders.add(new Order.Run(booking));
+        }
+        if (unanswered || booking.seen()) {
+            orders.add(new Order.Kill(Attempt.of(booking), booking.stopGraceS()));
+        }
+    }
+
     private void addStarts(Session session, List<Order> orders) {
         boolean record = false;
         for (Booking booking : session.machine.bookings()) {
-            if (booking.seen() || booking.stopping() || booking.job().over() || session.inCall.contains(booking)) {
+            if (booking.seen()
+                    || booking.stopping()
+                    || booking.job().over()
+                    || session.starts.underWay(Attempt.of(booking))) {
                 continue;
             }
             boolean startable = booking.index() < booking.job().startBelow();
@@ -166,12 +178,9 @@
         calls++;
         session.tenureAtCall = presence.tenure();
         session.counterAtCall = presence.counter();
-        for (Order order : orders) {
-            list.add(order.toJson());
-            if (order instanceof Order.Run run) {
-                session.inCall.add(run.booking());
-            }
-        }
+        orders.forEach(order -> list.add(order.toJson()));
+        List<Attempt> starts = Order.starts(orders);
+        session.starts.sentDirectly(starts);
         LOG.atDebug()
                 .addKeyValue("machine", machine.id())
                 .addKeyValue("channel", "direct")
@@ -184,42 +193,47 @@
         kernel.count("orders.sent", orders.size());
         long timeout = (long) (ORDER_TIMEOUT_REPORTS * times.reportMs());
         long sentAt = kernel.now();
-        kernel.call(Call.post(machine.address(), "/orders", body, timeout), reply -> answered(session, reply, sentAt));
+        kernel.call(Call.post(machine.address(), "/orders", body, timeout), reply -> {
+            logOutcome(session, reply, sentAt, starts);
+            answered(session, reply);
+        });
     }
 
-    private void logOutcome(Session session, Reply reply, long sentAt, Set<Booking> starts) {
+    private void logOutcome(Session session, Reply reply, long sentAt, List<Attempt> starts) {
         LOG.atDebug()
                 .addKeyValue("machine", session.machine.id())
                 .addKeyValue("outcome", outcome(reply.status()))
                 .addKeyValue("status", reply.status())
                 .addKeyValue("took_ms", kernel.now() - sentAt)
                 .addKeyValue("term_current", term.current())
-                .addKeyValue("starts", () -> starts.stream().map(Attempt::of).toList())
+                .addKeyValue("starts", starts)
                 .log("direct orders have ended");
     }
 
     private static String outcome(int status) {
         return switch (status) {
-            case 200 -> "executed";
-            case 409 -> "refused";
+            case EXECUTED -> "executed";
+            case REFUSED -> "refused";
             default -> "unknown";
         };
     }
 
-    private void answered(Session session, Reply reply, long sentAt) {
-        Set<Booking> sent = new HashSet<>(session.inCall);
-        logOutcome(session, reply, sentAt, sent);
+    private void answered(Session session, Reply reply) {
         session.calling = false;
         calls--;
-        session.inCall.clear();
+        boolean settled = reply.status() == EXECUTED || reply.status() == REFUSED;
+        if (settled) {
+            session.starts.callAnswered();
+        } else {
+            session.starts.callUnanswered();
+        }
         if (!term.current() || cluster.machine(session.machine.id()) != session.machine) {
             return;
         }
         Presence presence = session.machine.presence();
-        if (reply.status() != 200 && reply.status() != 409) {
+        if (!settled) {
             if (reply.status() == Reply.LOST) {
                 kernel.count("orders.unanswered", 1);
-                sent.forEach(Booking::markUnacknowledged);
                 presence.lostTouch(kernel.now());
             }
             return;
@@ -232,7 +246,7 @@
         if (!term.current() || !answered.test(session, report)) {
             return;
         }
-        if (reply.status() == 409) {
+        if (reply.status() == REFUSED) {
             // Nothing was executed: after the report it is told again, with the right session.
             sessions.addDue(session);
             if (!presence.verified()) {
--- a/src/main/java/io/quartzgw/worker/ReportedTasks.java
+++ b/src/main/java/io/quartzgw/worker/ReportedTasks.java
@@ -123,9 +123,6 @@
         Attempt attempt = task.attempt();
         session.ended.add(attempt);
         endedOn.computeIfAbsent(attempt.job(), id -> new HashSet<>()).add(session);
-        if (booking != null && booking.unacknowledged()) {
-            session.unacknowledged.add(attempt);
-        }
         Job job = openJob(attempt);
         if (job != null && task.cause() == Report.Cause.DONE && !job.spec().service()) {
             session.machine.jobSucceeded();
--- a/src/main/java/io/quartzgw/worker/Session.java
+++ b/src/main/java/io/quartzgw/worker/Session.java
@@ -1,6 +1,5 @@
 package io.quartzgw.worker;
 
-import io.quartzgw.placement.Booking;
 import io.quartzgw.placement.Machine;
 import java.util.Arrays;
 import java.util.HashSet;
@@ -13,14 +12,12 @@
     final Set<Attempt> ended = new HashSet<>();
     /** Of those, the attempts that may be removed: what came of them is in the state service. */
     final Set<Attempt> reapable = new HashSet<>();
-    /** Attempts of which a copy of the start order is unaccounted for in this session. */
-    final Set<Attempt> unacknowledged = new HashSet<>();
+    /** The starts that the worker may still execute. */
+    final OutstandingStarts starts = new OutstandingStarts();
     /** Attempts to be stopped that the leader has no place for. */
     final Set<Attempt> strays = new HashSet<>();
     /** Whether a direct order is under way; there is one at a time, so that orders keep their order. */
     boolean calling;
-    /** The bookings whose start is in the direct order under way. */
-    final Set<Booking> inCall = new HashSet<>();
     /** What the worker had told, of its session and counter, when the direct order under way was sent. */
     long tenureAtCall;
 
@@ -41,12 +38,22 @@
         return news;
     }
 
-    void newTenure() {
+    /** The worker has begun another session: it has forgotten everything, and refuses what names the old one. */
+    void sessionEnded() {
+        forgetTasks();
+        starts.sessionEnded();
+    }
+
+    /** The machine has a new worker, which knows nothing. */
+    void workerReplaced() {
+        forgetTasks();
+        starts.workerReplaced();
+    }
+
+    private void forgetTasks() {
         listing = new byte[0];
-        // The worker has forgotten everything, and refuses late copies that name the old session.
         ended.clear();
         reapable.clear();
-        unacknowledged.clear();
         strays.clear();
     }
 }
--- a/src/main/java/io/quartzgw/worker/Workers.java
+++ b/src/main/java/io/quartzgw/worker/Workers.java
@@ -14,10 +14,8 @@
 import io.quartzgw.placement.Presence;
 import io.quartzgw.placement.StopReason;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -116,13 +114,19 @@
             if (machine != null
                     && machine.presence().verified()
                     && machine.presence().tenure() == report.tenure()) {
-                delivery.pendingOrders(sessions.of(machine), false).forEach(order -> orders.add(order.toJson()));
-                logResponse(report, orders);
+                addPending(sessions.of(machine), report, orders);
             }
         }
         return response;
     }
 
+    private void addPending(Session session, Report report, ArrayNode orders) {
+        List<Order> pending = delivery.pendingOrders(session, false);
+        pending.forEach(order -> orders.add(order.toJson()));
+        Order.starts(pending).forEach(start -> session.starts.sentInResponse(start, report.counter()));
+        logResponse(report, orders);
+    }
+
     private void logResponse(Report report, ArrayNode orders) {
         if (orders.isEmpty()) {
             return;
@@ -183,7 +187,7 @@
         Presence.Freshness freshness =
                 presence.classify(report.tenure(), report.counter(), report.token() >= term.number(), direct);
         if (freshness == Presence.Freshness.CURRENT) {
-            applyCurrent(machine, report);
+            applyCurrent(machine, report, direct);
         } else {
             machine.address(report.address());
             if (!machine.used() || presence.verified()) {
@@ -203,7 +207,7 @@
         return freshness;
     }
 
-    private void applyCurrent(Machine machine, Report report) {
+    private void applyCurrent(Machine machine, Report report, boolean direct) {
         Presence presence = machine.presence();
         Session session = sessions.of(machine);
         boolean first = !presence.verified();
@@ -216,11 +220,14 @@
             // The lease ran out: the worker has killed and forgotten all that it had before. Perhaps no
             // answer reaches it: it gets nothing new before it has answered an order.
             LOG.info("{} starts session {}", machine.id(), report.tenure());
-            session.newTenure();
+            session.sessionEnded();
             tasks.explain(machine);
             machine.bookingsCopy().forEach(cluster::release);
             presence.lostTouch(kernel.now());
         }
+        if (!direct) {
+            session.starts.reported(report.counter());
+        }
         machine.reclaimAt(
                 report.reclaimInS() == null ? Long.MAX_VALUE : kernel.now() + (long) (report.reclaimInS() * 1000));
         if (session.tells(report.listing()) || back) {
@@ -250,16 +257,14 @@
     private void reborn(Session session, Report report) {
         Machine machine = session.machine;
         LOG.info("{} has a new worker", machine.id());
-        Set<Attempt> unacknowledged = new HashSet<>(session.unacknowledged);
-        session.newTenure();
+        session.workerReplaced();
         tasks.explain(machine);
         machine.presence().reborn(report.tenure(), report.counter());
         for (Booking booking : machine.bookingsCopy()) {
-            if (!booking.unacknowledged()) {
+            if (!session.starts.mayArriveLate(Attempt.of(booking))) {
                 cluster.release(booking);
             }
         }
-        session.unacknowledged.addAll(unacknowledged);
     }
 
     /** Applies the report with which a worker has answered an order, unless hard state is still being read. */
@@ -305,6 +310,11 @@
         sessions.startsDue(job);
     }
 
+    /** Whether a direct order may still start a booking's attempt, however silent its machine is. */
+    public boolean startMayArriveLate(Booking booking) {
+        return sessions.of(booking.machine()).starts.mayArriveLate(Attempt.of(booking));
+    }
+
     /** Has a task stopped: directly at the end of this batch, and in report responses until it has ended. */
     public void stop(Booking booking, double graceS, StopReason reason) {
         sessions.stop(booking, graceS, reason);
--- a/src/test/java/io/quartzgw/worker/WorkersTest.java
+++ b/src/test/java/io/quartzgw/worker/WorkersTest.java
@@ -187,6 +187,14 @@
         return report;
     }
 
+    private Reply refused() {
+        return new Reply(409, Json.write(listing("")));
+    }
+
+    private Reply executed(String phase) {
+        return new Reply(200, Json.write(listing(phase)));
+    }
+
     @Test
     void theSameAttemptIsOfferedAgainWithTheNextReport() {
         endCall(Reply.lost());
@@ -217,6 +225,31 @@
         assertFalse(report("ended").contains("reap"), "the call was not answered");
     }
 
+    @Test
+    void anEndedAttemptIsRemovedOnceTheDirectStartIsAnswered() {
+        report("running");
+        workers.stop(booking, 0, StopReason.MACHINE_RECLAIMED);
+        report("running");
+        assertFalse(report("ended").contains("reap"), "the call is under way");
+        endCall(executed("ended"));
+        assertEquals(List.of("reap"), report("ended"));
+    }
+
+    // Guards against a response that is on its way while a direct order overtakes it: the removal would come first.
+    @Test
+    void aDirectOrderRemovesNothingThatAResponseOnItsWayMayStart() {
+        endCall(refused());
+        assertEquals(List.of("run"), report(""));
+        workers.contact(machine);
+        pass(0);
+        endCall(executed("ended"));
+        workers.start(book("j-000002"));
+        workers.flush();
+        pass(0);
+        assertFalse(directOrders().contains("reap"), "the response may still be executed");
+        assertEquals(List.of("reap"), report("ended"), "the response was executed, or dropped");
+    }
+
     // Guards a stop that overtakes the start: the attempt is made known and ended, so that the copy has no effect.
     @Test
     void anAttemptThatWasNeverSeenIsStartedAndStoppedInOneAnswer() {
