A task goes to no machine whose worker has to know a former attempt of it

Cause: a worker takes no second attempt of a task that it still knows, and an attempt whose start may come late is not removed. A task that was stopped or had failed there was placed there again and refused, once a second, for ever where no other machine had room. Change: such jobs are named on the machine by the worker slice, and the scheduler passes it over for them.

--- a/src/main/java/io/quartzgw/placement/Machine.java
+++ b/src/main/java/io/quartzgw/placement/Machine.java
@@ -44,6 +44,7 @@
     private Resources room;
     private final LinkedHashMap<String, Double> images = new LinkedHashMap<>(8, 0.75f, true);
     private final Set<String> failedJobs = new HashSet<>();
+    private Set<String> refusedJobs = Set.of();
 
     /**
      * @param rentedAt when the machine was rented, in milliseconds of the steady clock
@@ -235,6 +236,16 @@
 
     // ---- trust
 
+    /** Jobs of which the worker would refuse a task at present, since it still knows a former attempt of it. */
+    public Set<String> refusedJobs() {
+        return refusedJobs;
+    }
+
+    /** Says which jobs the worker would refuse. */
+    public void refuses(Set<String> jobs) {
+        refusedJobs = jobs;
+    }
+
     public void jobFailed(String job) {
         failedJobs.add(job);
     }
--- a/src/main/java/io/quartzgw/placement/Scheduler.java
+++ b/src/main/java/io/quartzgw/placement/Scheduler.java
@@ -232,7 +232,8 @@
         JobSpec spec = job.spec();
         return spec.allows(machine.type().name(), machine.zone(), machine.spot())
                 && job.zoneAllowed(machine.zone())
-                && !job.avoids(machine.id());
+                && !job.avoids(machine.id())
+                && !machine.refusedJobs().contains(job.id());
     }
 
     // Work above normal does so at once. Normal work stops low work only where no machine can be rented for it: else
--- a/src/main/java/io/quartzgw/worker/ReportedTasks.java
+++ b/src/main/java/io/quartzgw/worker/ReportedTasks.java
@@ -49,6 +49,7 @@
         Machine machine = session.machine;
         Set<Attempt> reported = new HashSet<>();
         session.ended.clear();
+        session.failed.clear();
         session.strays.clear();
         for (Report.TaskReport task : tasks) {
             Booking booking = machine.booking(task.attempt().task());
@@ -72,6 +73,16 @@
         }
     }
 
+    // Guards a task against being started for ever where it is refused: a worker that knows an attempt, ended or not,
+    // takes no other one of the same task, and the former one is not removed while a copy of its start may arrive.
+    void markRefusedJobs(Session session) {
+        Set<String> refused = session.refusedJobs();
+        if (!refused.equals(session.machine.refusedJobs())) {
+            session.machine.refuses(refused);
+            cluster.touch();
+        }
+    }
+
     /** Says whether the open jobs explain all that a machine runs: what is being stopped there still takes room. */
     void explain(Machine machine) {
         cluster.unexplained(
@@ -139,6 +150,9 @@
                 session.reapable.add(attempt);
             }
         } else {
+            if (job != null) {
+                session.failed.add(attempt);
+            }
             if (job != null && booking != null) {
                 failed(session.machine, job, task.cause());
             }
--- a/src/main/java/io/quartzgw/worker/Session.java
+++ b/src/main/java/io/quartzgw/worker/Session.java
@@ -4,6 +4,7 @@
 import java.util.Arrays;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /** What the leader has under way with one worker. */
 final class Session {
@@ -12,6 +13,8 @@
     final Set<Attempt> ended = new HashSet<>();
     /** Of those, the attempts that may be removed: what came of them is in the state service. */
     final Set<Attempt> reapable = new HashSet<>();
+    /** Of the ended ones, the attempts whose task has not completed: it is to be started again. */
+    final Set<Attempt> failed = new HashSet<>();
     /** The starts that the worker may still execute. */
     final OutstandingStarts starts = new OutstandingStarts();
     /** Attempts to be stopped that the leader has no place for. */
@@ -38,6 +41,14 @@
         return news;
     }
 
+    /** The jobs of tasks that the worker refuses, since it has to know a former attempt for a while yet. */
+    Set<String> refusedJobs() {
+        if (starts.none()) {
+            return Set.of();
+        }
+        return failed.stream().filter(starts::mayArrive).map(Attempt::job).collect(Collectors.toUnmodifiableSet());
+    }
+
     /** The worker has begun another session: it has forgotten everything, and refuses what names the old one. */
     void sessionEnded() {
         forgetTasks();
@@ -53,6 +64,7 @@
     private void forgetTasks() {
         listing = new byte[0];
         ended.clear();
+        failed.clear();
         reapable.clear();
         strays.clear();
     }
--- a/src/main/java/io/quartzgw/worker/Workers.java
+++ b/src/main/java/io/quartzgw/worker/Workers.java
@@ -236,6 +236,7 @@
             LOG.debug("{} session {} reports {}", machine.id(), report.tenure(), listed);
             tasks.apply(session, listed);
         }
+        tasks.markRefusedJobs(session);
         if (first || restarted || back) {
             cluster.touch();
         }
