Names of the worker slice: sessions, tracked workers, start, stop and remove orders

No behaviour changes. The number of a worker's session is called session and no longer by the protocol's spelling; what the leader has under way with a worker outlives its sessions and is a TrackedWorker; orders are Start, Stop and Remove; a worker is replaced, not reborn.

--- a/src/main/java/io/quartzgw/placement/Presence.java
+++ b/src/main/java/io/quartzgw/placement/Presence.java
@@ -20,14 +20,14 @@
         STALE
     }
 
-    private long tenure;
+    private long session;
     private long counter = -1;
     private long heardAt;
     private boolean verified;
     /** Sessions are counted from 1, and most workers never lose their first. */
-    private long toldTenure = 1;
+    private long toldSession = 1;
 
-    private boolean reborn;
+    private boolean workerReplaced;
     private boolean unreachable;
     private long unreachableSince;
     private long answered = Long.MIN_VALUE;
@@ -38,13 +38,13 @@
     }
 
     /** The worker's session, as far as it was proved. */
-    public long tenure() {
-        return tenure;
+    public long session() {
+        return session;
     }
 
     /** The newest session that any message has named; an order has to name it. */
-    public long toldTenure() {
-        return Math.max(tenure, toldTenure);
+    public long toldSession() {
+        return Math.max(session, toldSession);
     }
 
     /** The counter of the newest current report; negative when there was none. */
@@ -65,22 +65,22 @@
     }
 
     /** Weighs a message; the direct answer to an order is never a copy. */
-    public Freshness classify(long itsTenure, long itsCounter, boolean showsToken, boolean direct) {
-        if (!newer(itsTenure, itsCounter, tenure, counter)) {
+    public Freshness classify(long itsSession, long itsCounter, boolean showsToken, boolean direct) {
+        if (!newer(itsSession, itsCounter, session, counter)) {
             return Freshness.STALE;
         }
         // Copies from the former worker of a machine that came back count higher than its new one.
-        return showsToken && (direct || !reborn) ? Freshness.CURRENT : Freshness.UNVERIFIED;
+        return showsToken && (direct || !workerReplaced) ? Freshness.CURRENT : Freshness.UNVERIFIED;
     }
 
     /** Whether one message of a worker was made after another one. */
-    public static boolean newer(long itsTenure, long itsCounter, long thanTenure, long thanCounter) {
-        return itsTenure > thanTenure || itsTenure == thanTenure && itsCounter > thanCounter;
+    public static boolean newer(long itsSession, long itsCounter, long thanSession, long thanCounter) {
+        return itsSession > thanSession || itsSession == thanSession && itsCounter > thanCounter;
     }
 
     /** Notes a current report. */
-    public void heard(long itsTenure, long itsCounter, long now) {
-        tenure = itsTenure;
+    public void heard(long itsSession, long itsCounter, long now) {
+        session = itsSession;
         counter = itsCounter;
         heardAt = now;
         if (!verified) {
@@ -112,8 +112,8 @@
     }
 
     /** A direct answer has named another session than it was sent to. */
-    public void told(long itsTenure) {
-        toldTenure = itsTenure;
+    public void told(long itsSession) {
+        toldSession = itsSession;
     }
 
     // ---- orders
@@ -143,10 +143,10 @@
      * The worker has answered an order with an older message than what was known when the order was sent: it is another
      * worker, and what the former one ran is gone.
      */
-    public void reborn(long itsTenure, long itsCounter) {
-        reborn = true;
-        tenure = itsTenure;
-        toldTenure = itsTenure;
+    public void workerReplaced(long itsSession, long itsCounter) {
+        workerReplaced = true;
+        session = itsSession;
+        toldSession = itsSession;
         counter = itsCounter - 1;
     }
 }
--- a/src/main/java/io/quartzgw/worker/Order.java
+++ b/src/main/java/io/quartzgw/worker/Order.java
@@ -11,7 +11,7 @@
     ObjectNode toJson();
 
     /** Starts an attempt; without effect where the worker knows the attempt. */
-    record Run(Booking booking) implements Order {
+    record Start(Booking booking) implements Order {
         @Override
         public ObjectNode toJson() {
             return named("run", Attempt.of(booking));
@@ -19,7 +19,7 @@
     }
 
     /** Stops an attempt, giving it so many seconds to save. */
-    record Kill(Attempt attempt, double graceS) implements Order {
+    record Stop(Attempt attempt, double graceS) implements Order {
         @Override
         public ObjectNode toJson() {
             return named("kill", attempt).put("wind_down_s", graceS);
@@ -27,7 +27,7 @@
     }
 
     /** Removes an ended attempt from the reports. */
-    record Reap(Attempt attempt) implements Order {
+    record Remove(Attempt attempt) implements Order {
         @Override
         public ObjectNode toJson() {
             return named("reap", attempt);
@@ -37,8 +37,8 @@
     /** The attempts that some orders start. */
     static List<Attempt> starts(List<Order> orders) {
         return orders.stream()
-                .filter(Run.class::isInstance)
-                .map(order -> Attempt.of(((Run) order).booking()))
+                .filter(Start.class::isInstance)
+                .map(order -> Attempt.of(((Start) order).booking()))
                 .toList();
     }
 
--- a/src/main/java/io/quartzgw/worker/OrderDelivery.java
+++ b/src/main/java/io/quartzgw/worker/OrderDelivery.java
@@ -38,11 +38,11 @@
     private final Kernel kernel;
     private final LeaderTerm term;
     private final Cluster cluster;
-    private final Sessions sessions;
+    private final TrackedWorkers tracked;
     private final WorkerTimes times;
     private final int mostCalls;
     private final Workers.Listener listener;
-    private final BiPredicate<Session, Report> answered;
+    private final BiPredicate<TrackedWorker, Report> answered;
     private int calls;
 
     /**
@@ -54,15 +54,15 @@
             Kernel kernel,
             LeaderTerm term,
             Cluster cluster,
-            Sessions sessions,
+            TrackedWorkers tracked,
             WorkerTimes times,
             int mostCalls,
             Workers.Listener listener,
-            BiPredicate<Session, Report> answered) {
+            BiPredicate<TrackedWorker, Report> answered) {
         this.kernel = kernel;
         this.term = term;
         this.cluster = cluster;
-        this.sessions = sessions;
+        this.tracked = tracked;
         this.times = times;
         this.mostCalls = mostCalls;
         this.listener = listener;
@@ -71,19 +71,19 @@
 
     /** Sends what is due to every worker, one direct order at a time each. */
     void flush() {
-        for (Session session : sessions.due()) {
+        for (TrackedWorker worker : tracked.due()) {
             if (calls >= mostCalls) {
                 return;
             }
-            if (session.calling
-                    || !session.machine.presence().verified()
-                    || session.machine.presence().unreachable()) {
+            if (worker.calling
+                    || !worker.machine.presence().verified()
+                    || worker.machine.presence().unreachable()) {
                 continue;
             }
-            sessions.removeDue(session);
-            List<Order> orders = pendingOrders(session, true);
+            tracked.removeDue(worker);
+            List<Order> orders = pendingOrders(worker, true);
             if (!orders.isEmpty()) {
-                send(session, orders);
+                send(worker, orders);
             }
         }
     }
@@ -93,100 +93,100 @@
      * itself, and a part of the machines at a time.
      */
     void contact(Machine machine) {
-        Session session = sessions.of(machine);
-        if (kernel.now() - session.contactedAt >= times.reportMs()) {
-            contact(session);
+        TrackedWorker worker = tracked.of(machine);
+        if (kernel.now() - worker.contactedAt >= times.reportMs()) {
+            contact(worker);
         }
     }
 
-    private void contact(Session session) {
-        if (session.machine.address() != null && !session.calling && calls < mostCalls * CONTACTS) {
-            session.contactedAt = kernel.now();
-            send(session, List.of());
+    private void contact(TrackedWorker worker) {
+        if (worker.machine.address() != null && !worker.calling && calls < mostCalls * CONTACTS) {
+            worker.contactedAt = kernel.now();
+            send(worker, List.of());
         }
     }
 
-    List<Order> pendingOrders(Session session, boolean direct) {
+    List<Order> pendingOrders(TrackedWorker worker, boolean direct) {
         List<Order> orders = new ArrayList<>();
-        for (Attempt attempt : session.reapable) {
+        for (Attempt attempt : worker.removable) {
             // After a removal a late copy of the start would run the task again.
-            if (session.starts.mayArrive(attempt)) {
+            if (worker.starts.mayArrive(attempt)) {
                 kernel.count("orders.removals_withheld", 1);
             } else {
-                orders.add(new Order.Reap(attempt));
+                orders.add(new Order.Remove(attempt));
             }
         }
         int removals = orders.size();
-        session.strays.forEach(attempt -> orders.add(new Order.Kill(attempt, 0)));
-        for (Booking booking : session.machine.bookings()) {
+        worker.strays.forEach(attempt -> orders.add(new Order.Stop(attempt, 0)));
+        for (Booking booking : worker.machine.bookings()) {
             if (booking.stopping()) {
-                addStop(session, booking, direct, orders);
+                addStop(worker, booking, direct, orders);
             }
         }
         if (term.confirmed()) {
-            addStarts(session, orders);
+            addStarts(worker, orders);
         }
         // Removals alone are in no hurry: they go with the next report's response.
         return direct && orders.size() == removals ? List.of() : orders;
     }
 
-    private static void addStop(Session session, Booking booking, boolean direct, List<Order> orders) {
-        boolean unanswered = session.starts.unanswered(Attempt.of(booking));
+    private static void addStop(TrackedWorker worker, Booking booking, boolean direct, List<Order> orders) {
+        boolean unanswered = worker.starts.unanswered(Attempt.of(booking));
         if (unanswered && !booking.seen() && !direct) {
             // Makes the attempt known and ended there, so that the copy that may still come has no effect.
-            orders.add(new Order.Run(booking));
+            orders.add(new Order.Start(booking));
         }
         if (unanswered || booking.seen()) {
-            orders.add(new Order.Kill(Attempt.of(booking), booking.stopGraceS()));
+            orders.add(new Order.Stop(Attempt.of(booking), booking.stopGraceS()));
         }
     }
 
-    private void addStarts(Session session, List<Order> orders) {
+    private void addStarts(TrackedWorker worker, List<Order> orders) {
         boolean record = false;
-        for (Booking booking : session.machine.bookings()) {
+        for (Booking booking : worker.machine.bookings()) {
             if (booking.seen()
                     || booking.stopping()
                     || booking.job().over()
-                    || session.starts.underWay(Attempt.of(booking))) {
+                    || worker.starts.underWay(Attempt.of(booking))) {
                 continue;
             }
             boolean startable = booking.index() < booking.job().startBelow();
             if (!startable) {
                 listener.needsRecord(booking.job(), booking.index());
             }
-            if (!session.machine.used()) {
+            if (!worker.machine.used()) {
                 record = true;
             } else if (startable) {
                 booking.markOffered();
-                orders.add(new Order.Run(booking));
+                orders.add(new Order.Start(booking));
             }
         }
         if (record) {
-            listener.needsRecord(session.machine);
+            listener.needsRecord(worker.machine);
         }
     }
 
-    private void send(Session session, List<Order> orders) {
-        Machine machine = session.machine;
+    private void send(TrackedWorker worker, List<Order> orders) {
+        Machine machine = worker.machine;
         Presence presence = machine.presence();
         // A start names the verified session: one that names a later session would outlive the release of its booking,
         // which a rise of the session brings.
-        long tenure = orders.isEmpty() ? presence.toldTenure() : presence.tenure();
-        ObjectNode body = Json.object().put("baton", term.number()).put("tenure", tenure);
+        long session = orders.isEmpty() ? presence.toldSession() : presence.session();
+        ObjectNode body = Json.object().put("baton", term.number()).put("tenure", session);
         ArrayNode list = body.putArray("orders");
-        session.calling = true;
+        worker.calling = true;
         calls++;
-        session.tenureAtCall = presence.tenure();
-        session.counterAtCall = presence.counter();
+        worker.sessionAtCall = presence.session();
+        worker.counterAtCall = presence.counter();
         orders.forEach(order -> list.add(order.toJson()));
         List<Attempt> starts = Order.starts(orders);
-        session.starts.sentDirectly(starts);
+        worker.starts.sentDirectly(starts);
         LOG.atDebug()
                 .addKeyValue("machine", machine.id())
                 .addKeyValue("channel", "direct")
                 .addKeyValue("term", term.number())
                 .addKeyValue("confirmed", term.confirmed())
-                .addKeyValue("session", tenure)
+                .addKeyValue("session", session)
                 .addKeyValue("orders", list)
                 .log("orders are sent");
         kernel.count("orders.calls", 1);
@@ -194,14 +194,14 @@
         long timeout = (long) (ORDER_TIMEOUT_REPORTS * times.reportMs());
         long sentAt = kernel.now();
         kernel.call(Call.post(machine.address(), "/orders", body, timeout), reply -> {
-            logOutcome(session, reply, sentAt, starts);
-            answered(session, reply);
+            logOutcome(worker, reply, sentAt, starts);
+            answered(worker, reply);
         });
     }
 
-    private void logOutcome(Session session, Reply reply, long sentAt, List<Attempt> starts) {
+    private void logOutcome(TrackedWorker worker, Reply reply, long sentAt, List<Attempt> starts) {
         LOG.atDebug()
-                .addKeyValue("machine", session.machine.id())
+                .addKeyValue("machine", worker.machine.id())
                 .addKeyValue("outcome", outcome(reply.status()))
                 .addKeyValue("status", reply.status())
                 .addKeyValue("took_ms", kernel.now() - sentAt)
@@ -218,19 +218,19 @@
         };
     }
 
-    private void answered(Session session, Reply reply) {
-        session.calling = false;
+    private void answered(TrackedWorker worker, Reply reply) {
+        worker.calling = false;
         calls--;
         boolean settled = reply.status() == EXECUTED || reply.status() == REFUSED;
         if (settled) {
-            session.starts.callAnswered();
+            worker.starts.callAnswered();
         } else {
-            session.starts.callUnanswered();
+            worker.starts.callUnanswered();
         }
-        if (!term.current() || cluster.machine(session.machine.id()) != session.machine) {
+        if (!term.current() || cluster.machine(worker.machine.id()) != worker.machine) {
             return;
         }
-        Presence presence = session.machine.presence();
+        Presence presence = worker.machine.presence();
         if (!settled) {
             if (reply.status() == Reply.LOST) {
                 kernel.count("orders.unanswered", 1);
@@ -243,15 +243,15 @@
             return;
         }
         term.sawToken(report.token());
-        if (!term.current() || !answered.test(session, report)) {
+        if (!term.current() || !answered.test(worker, report)) {
             return;
         }
         if (reply.status() == REFUSED) {
             // Nothing was executed: after the report it is told again, with the right session.
-            sessions.addDue(session);
+            tracked.addDue(worker);
             if (!presence.verified()) {
                 // The contact named no session; this one shows the worker the new token.
-                contact(session);
+                contact(worker);
             }
         }
         cluster.touch();
--- a/src/main/java/io/quartzgw/worker/Report.java
+++ b/src/main/java/io/quartzgw/worker/Report.java
@@ -22,7 +22,7 @@
         String machineType,
         String zone,
         boolean spot,
-        long tenure,
+        long session,
         long counter,
         long token,
         Double reclaimInS,
@@ -71,7 +71,7 @@
         String type = "";
         String zone = "";
         boolean spot = false;
-        long tenure = -1;
+        long session = -1;
         long counter = -1;
         long token = 0;
         Double reclaim = null;
@@ -85,7 +85,7 @@
                 case "host_type" -> type = parser.getValueAsString("");
                 case "yard" -> zone = parser.getValueAsString("");
                 case "loaner" -> spot = value == JsonToken.VALUE_TRUE;
-                case "tenure" -> tenure = value == JsonToken.VALUE_NUMBER_INT ? parser.getLongValue() : -1;
+                case "tenure" -> session = value == JsonToken.VALUE_NUMBER_INT ? parser.getLongValue() : -1;
                 case "counter" -> counter = value == JsonToken.VALUE_NUMBER_INT ? parser.getLongValue() : -1;
                 case "baton" -> token = parser.getValueAsLong();
                 case "reclaim_in_s" -> reclaim = value.isNumeric() ? (Double) parser.getDoubleValue() : null;
@@ -101,15 +101,15 @@
             }
             parser.skipChildren();
         }
-        return machine == null || tenure < 0 || counter < 0
+        return machine == null || session < 0 || counter < 0
                 ? null
                 : new Report(
-                        machine, Endpoint.parse(address), type, zone, spot, tenure, counter, token, reclaim, listing);
+                        machine, Endpoint.parse(address), type, zone, spot, session, counter, token, reclaim, listing);
     }
 
     /** Whether it is newer than another one of the same machine. */
     boolean newerThan(Report other) {
-        return Presence.newer(tenure, counter, other.tenure, other.counter);
+        return Presence.newer(session, counter, other.session, other.counter);
     }
 
     /** The tasks of the list; items that are none are left out. */
--- a/src/main/java/io/quartzgw/worker/ReportedTasks.java
+++ b/src/main/java/io/quartzgw/worker/ReportedTasks.java
@@ -23,34 +23,38 @@
 
     private final Kernel kernel;
     private final Cluster cluster;
-    private final Sessions sessions;
+    private final TrackedWorkers tracked;
     private final WorkerTimes times;
     private final BiConsumer<Job, Integer> finished;
     /** By job, the sessions that still report an ended attempt of it. */
-    private final Map<String, Set<Session>> endedOn = new HashMap<>();
+    private final Map<String, Set<TrackedWorker>> endedOn = new HashMap<>();
 
     /** @param finished told of the index of each task that has completed */
     ReportedTasks(
-            Kernel kernel, Cluster cluster, Sessions sessions, WorkerTimes times, BiConsumer<Job, Integer> finished) {
+            Kernel kernel,
+            Cluster cluster,
+            TrackedWorkers tracked,
+            WorkerTimes times,
+            BiConsumer<Job, Integer> finished) {
         this.kernel = kernel;
         this.cluster = cluster;
-        this.sessions = sessions;
+        this.tracked = tracked;
         this.times = times;
         this.finished = finished;
     }
 
     /** Drops what is kept of the worker of a machine that is gone. */
-    void forget(Session session) {
-        endedOn.values().removeIf(on -> on.remove(session) && on.isEmpty());
+    void forget(TrackedWorker worker) {
+        endedOn.values().removeIf(on -> on.remove(worker) && on.isEmpty());
     }
 
     /** Applies the list of tasks of a current report. */
-    void apply(Session session, List<Report.TaskReport> tasks) {
-        Machine machine = session.machine;
+    void apply(TrackedWorker worker, List<Report.TaskReport> tasks) {
+        Machine machine = worker.machine;
         Set<Attempt> reported = new HashSet<>();
-        session.ended.clear();
-        session.failed.clear();
-        session.strays.clear();
+        worker.ended.clear();
+        worker.failed.clear();
+        worker.strays.clear();
         for (Report.TaskReport task : tasks) {
             Booking booking = machine.booking(task.attempt().task());
             if (booking != null && booking.attempt() != task.attempt().number()) {
@@ -58,13 +62,13 @@
             }
             reported.add(task.attempt());
             if (task.state() == Report.State.ENDED) {
-                ended(session, task, booking);
+                ended(worker, task, booking);
             } else {
-                present(session, task, booking);
+                present(worker, task, booking);
             }
         }
         explain(machine);
-        session.reapable.retainAll(session.ended);
+        worker.removable.retainAll(worker.ended);
         for (Booking booking : machine.bookingsCopy()) {
             // An attempt that was seen and is gone ended and was removed on a former leader's word.
             if (booking.seen() && !reported.contains(Attempt.of(booking))) {
@@ -75,10 +79,10 @@
 
     // Guards a task against being started for ever where it is refused: a worker that knows an attempt, ended or not,
     // takes no other one of the same task, and the former one is not removed while a copy of its start may arrive.
-    void markRefusedJobs(Session session) {
-        Set<String> refused = session.refusedJobs();
-        if (!refused.equals(session.machine.refusedJobs())) {
-            session.machine.refuses(refused);
+    void markRefusedJobs(TrackedWorker worker) {
+        Set<String> refused = worker.refusedJobs();
+        if (!refused.equals(worker.machine.refusedJobs())) {
+            worker.machine.refuses(refused);
             cluster.touch();
         }
     }
@@ -88,11 +92,11 @@
         cluster.unexplained(
                 machine,
                 cluster.machine(machine.id()) == machine
-                        && !sessions.of(machine).strays.isEmpty());
+                        && !tracked.of(machine).strays.isEmpty());
     }
 
     /** @param booking the attempt's place on the machine, or null when there is none */
-    private void present(Session session, Report.TaskReport task, Booking booking) {
+    private void present(TrackedWorker worker, Report.TaskReport task, Booking booking) {
         Booking.Phase phase =
                 switch (task.state()) {
                     case FETCHING -> Booking.Phase.FETCHING;
@@ -102,7 +106,7 @@
         if (booking != null) {
             booking.seen(phase, kernel.now());
             if (booking.stopping()) {
-                sessions.addDue(session);
+                tracked.addDue(worker);
             }
             return;
         }
@@ -110,13 +114,12 @@
         Job job = openJob(attempt);
         if (job != null && !job.isDone(attempt.index()) && job.booking(attempt.index()) == null) {
             // The report outranks the bookings: the task is there, and gets its place back.
-            cluster.book(job, attempt.index(), session.machine, attempt.number())
-                    .seen(phase, kernel.now());
+            cluster.book(job, attempt.index(), worker.machine, attempt.number()).seen(phase, kernel.now());
             return;
         }
-        LOG.info("{} on {} has no place there: stopping it", attempt.task(), session.machine.id());
-        session.strays.add(attempt);
-        sessions.addDue(session);
+        LOG.info("{} on {} has no place there: stopping it", attempt.task(), worker.machine.id());
+        worker.strays.add(attempt);
+        tracked.addDue(worker);
     }
 
     /** The open job that an attempt is of, or null. */
@@ -130,33 +133,33 @@
                 : null;
     }
 
-    private void ended(Session session, Report.TaskReport task, Booking booking) {
+    private void ended(TrackedWorker worker, Report.TaskReport task, Booking booking) {
         Attempt attempt = task.attempt();
-        session.ended.add(attempt);
-        endedOn.computeIfAbsent(attempt.job(), id -> new HashSet<>()).add(session);
+        worker.ended.add(attempt);
+        endedOn.computeIfAbsent(attempt.job(), id -> new HashSet<>()).add(worker);
         Job job = openJob(attempt);
         if (job != null && task.cause() == Report.Cause.DONE && !job.spec().service()) {
-            session.machine.jobSucceeded();
-            session.machine.holdsImage(job.spec().image(), job.spec().imageGb());
+            worker.machine.jobSucceeded();
+            worker.machine.holdsImage(job.spec().image(), job.spec().imageGb());
             if (!job.isDone(attempt.index())) {
                 cluster.markDone(job, attempt.index());
                 Booking other = job.booking(attempt.index());
                 if (other != null && other != booking) {
-                    sessions.stop(other, 0, StopReason.COMPLETED_ELSEWHERE);
+                    tracked.stop(other, 0, StopReason.COMPLETED_ELSEWHERE);
                 }
                 finished.accept(job, attempt.index());
             }
             if (job.recorded(attempt.index())) {
-                session.reapable.add(attempt);
+                worker.removable.add(attempt);
             }
         } else {
             if (job != null) {
-                session.failed.add(attempt);
+                worker.failed.add(attempt);
             }
             if (job != null && booking != null) {
-                failed(session.machine, job, task.cause());
+                failed(worker.machine, job, task.cause());
             }
-            session.reapable.add(attempt);
+            worker.removable.add(attempt);
         }
         if (booking != null) {
             cluster.release(booking);
@@ -177,16 +180,16 @@
 
     /** The finishes of a job's tasks are in the state service: workers may forget them. */
     void recorded(Job job) {
-        Set<Session> on = endedOn.get(job.id());
+        Set<TrackedWorker> on = endedOn.get(job.id());
         if (on == null) {
             return;
         }
-        on.removeIf(session ->
-                session.ended.stream().noneMatch(attempt -> attempt.job().equals(job.id())));
-        for (Session session : on) {
-            session.ended.stream()
+        on.removeIf(worker ->
+                worker.ended.stream().noneMatch(attempt -> attempt.job().equals(job.id())));
+        for (TrackedWorker worker : on) {
+            worker.ended.stream()
                     .filter(attempt -> attempt.job().equals(job.id()) && (job.over() || job.recorded(attempt.index())))
-                    .forEach(session.reapable::add);
+                    .forEach(worker.removable::add);
         }
         if (on.isEmpty() || job.over()) {
             endedOn.remove(job.id());
--- a/src/main/java/io/quartzgw/worker/Session.java
+++ b/src/main/java/io/quartzgw/worker/TrackedWorker.java
@@ -7,12 +7,12 @@
 import java.util.stream.Collectors;
 
 /** What the leader has under way with one worker. */
-final class Session {
+final class TrackedWorker {
     final Machine machine;
     /** Ended attempts that the worker still reports. */
     final Set<Attempt> ended = new HashSet<>();
     /** Of those, the attempts that may be removed: what came of them is in the state service. */
-    final Set<Attempt> reapable = new HashSet<>();
+    final Set<Attempt> removable = new HashSet<>();
     /** Of the ended ones, the attempts whose task has not completed: it is to be started again. */
     final Set<Attempt> failed = new HashSet<>();
     /** The starts that the worker may still execute. */
@@ -22,7 +22,7 @@
     /** Whether a direct order is under way; there is one at a time, so that orders keep their order. */
     boolean calling;
     /** What the worker had told, of its session and counter, when the direct order under way was sent. */
-    long tenureAtCall;
+    long sessionAtCall;
 
     long counterAtCall;
     /** When the worker was last asked for its report. */
@@ -30,7 +30,7 @@
 
     private byte[] listing = new byte[0];
 
-    Session(Machine machine) {
+    TrackedWorker(Machine machine) {
         this.machine = machine;
     }
 
@@ -65,7 +65,7 @@
         listing = new byte[0];
         ended.clear();
         failed.clear();
-        reapable.clear();
+        removable.clear();
         strays.clear();
     }
 }
--- a/src/main/java/io/quartzgw/worker/Sessions.java
+++ b/src/main/java/io/quartzgw/worker/TrackedWorkers.java
@@ -15,47 +15,47 @@
 import org.slf4j.LoggerFactory;
 
 /** What the leader has under way with each worker, and which of them have something to be ordered. */
-final class Sessions {
-    private static final Logger LOG = LoggerFactory.getLogger(Sessions.class);
+final class TrackedWorkers {
+    private static final Logger LOG = LoggerFactory.getLogger(TrackedWorkers.class);
 
     private final Cluster cluster;
-    private final Map<String, Session> sessions = new HashMap<>();
-    /** Sessions with something to order, in the order in which it fell due. */
-    private final Set<Session> due = new LinkedHashSet<>();
+    private final Map<String, TrackedWorker> tracked = new HashMap<>();
+    /** Workers with something to be ordered, in the order in which it fell due. */
+    private final Set<TrackedWorker> due = new LinkedHashSet<>();
 
-    Sessions(Cluster cluster) {
+    TrackedWorkers(Cluster cluster) {
         this.cluster = cluster;
     }
 
-    /** The session with a machine's worker; it begins anew when another machine has taken the name. */
-    Session of(Machine machine) {
-        Session session = sessions.get(machine.id());
-        if (session == null || session.machine != machine) {
-            session = new Session(machine);
-            sessions.put(machine.id(), session);
+    /** What is under way with a machine's worker; it begins anew when another machine has taken the name. */
+    TrackedWorker of(Machine machine) {
+        TrackedWorker worker = tracked.get(machine.id());
+        if (worker == null || worker.machine != machine) {
+            worker = new TrackedWorker(machine);
+            tracked.put(machine.id(), worker);
         }
-        return session;
+        return worker;
     }
 
     /** Drops what is kept of a machine that is gone, and returns it; null when there was nothing. */
-    Session remove(Machine machine) {
-        Session session = sessions.remove(machine.id());
-        due.remove(session);
-        return session;
+    TrackedWorker remove(Machine machine) {
+        TrackedWorker worker = tracked.remove(machine.id());
+        due.remove(worker);
+        return worker;
     }
 
     /** Says that a worker has to be ordered something. */
-    void addDue(Session session) {
-        due.add(session);
+    void addDue(TrackedWorker worker) {
+        due.add(worker);
     }
 
     /** Says that what fell due for a worker is being sent. */
-    void removeDue(Session session) {
-        due.remove(session);
+    void removeDue(TrackedWorker worker) {
+        due.remove(worker);
     }
 
     /** The workers that have to be ordered something, as of now. */
-    Collection<Session> due() {
+    Collection<TrackedWorker> due() {
         return List.copyOf(due);
     }
 
--- a/src/main/java/io/quartzgw/worker/Workers.java
+++ b/src/main/java/io/quartzgw/worker/Workers.java
@@ -36,7 +36,7 @@
     private final Cluster cluster;
     private final MachineTypes types;
     private final LeaderTerm term;
-    private final Sessions sessions;
+    private final TrackedWorkers tracked;
     private final ReportedTasks tasks;
     private final OrderDelivery delivery;
     private final Map<String, Report> buffered = new HashMap<>();
@@ -73,9 +73,9 @@
         this.types = types;
         this.cancelled = cancelled;
         this.term = term;
-        this.sessions = new Sessions(cluster);
-        this.tasks = new ReportedTasks(kernel, cluster, sessions, times, listener::finished);
-        this.delivery = new OrderDelivery(kernel, term, cluster, sessions, times, mostCalls, listener, this::answered);
+        this.tracked = new TrackedWorkers(cluster);
+        this.tasks = new ReportedTasks(kernel, cluster, tracked, times, listener::finished);
+        this.delivery = new OrderDelivery(kernel, term, cluster, tracked, times, mostCalls, listener, this::answered);
     }
 
     // ---- reports
@@ -95,7 +95,7 @@
         if (freshness != Presence.Freshness.CURRENT) {
             LOG.atDebug()
                     .addKeyValue("machine", report.machine())
-                    .addKeyValue("session", report.tenure())
+                    .addKeyValue("session", report.session())
                     .addKeyValue("counter", report.counter())
                     .addKeyValue("token", report.token())
                     .addKeyValue("freshness", freshness)
@@ -113,17 +113,17 @@
             // proof of that session, already on its way, gives the task to another machine.
             if (machine != null
                     && machine.presence().verified()
-                    && machine.presence().tenure() == report.tenure()) {
-                addPending(sessions.of(machine), report, orders);
+                    && machine.presence().session() == report.session()) {
+                addPending(tracked.of(machine), report, orders);
             }
         }
         return response;
     }
 
-    private void addPending(Session session, Report report, ArrayNode orders) {
-        List<Order> pending = delivery.pendingOrders(session, false);
+    private void addPending(TrackedWorker worker, Report report, ArrayNode orders) {
+        List<Order> pending = delivery.pendingOrders(worker, false);
         pending.forEach(order -> orders.add(order.toJson()));
-        Order.starts(pending).forEach(start -> session.starts.sentInResponse(start, report.counter()));
+        Order.starts(pending).forEach(start -> worker.starts.sentInResponse(start, report.counter()));
         logResponse(report, orders);
     }
 
@@ -137,7 +137,7 @@
                 .addKeyValue("channel", "response")
                 .addKeyValue("term", term.number())
                 .addKeyValue("confirmed", term.confirmed())
-                .addKeyValue("session", report.tenure())
+                .addKeyValue("session", report.session())
                 .addKeyValue("counter", report.counter())
                 .addKeyValue("orders", orders)
                 .log("orders are sent");
@@ -153,7 +153,7 @@
             Attempt attempt = task.attempt();
             if (task.state() != Report.State.ENDED
                     && (cancelled.test(attempt.job()) || stateLoaded && tasks.openJob(attempt) == null)) {
-                orders.add(new Order.Kill(attempt, 0).toJson());
+                orders.add(new Order.Stop(attempt, 0).toJson());
             }
         }
     }
@@ -167,7 +167,7 @@
 
     /** Drops what is kept of a machine that is gone. */
     public void forget(Machine machine) {
-        tasks.forget(sessions.remove(machine));
+        tasks.forget(tracked.remove(machine));
     }
 
     /**
@@ -185,7 +185,7 @@
         }
         Presence presence = machine.presence();
         Presence.Freshness freshness =
-                presence.classify(report.tenure(), report.counter(), report.token() >= term.number(), direct);
+                presence.classify(report.session(), report.counter(), report.token() >= term.number(), direct);
         if (freshness == Presence.Freshness.CURRENT) {
             applyCurrent(machine, report, direct);
         } else {
@@ -209,34 +209,34 @@
 
     private void applyCurrent(Machine machine, Report report, boolean direct) {
         Presence presence = machine.presence();
-        Session session = sessions.of(machine);
+        TrackedWorker worker = tracked.of(machine);
         boolean first = !presence.verified();
-        boolean restarted = !first && report.tenure() > presence.tenure();
+        boolean restarted = !first && report.session() > presence.session();
         boolean back = machine.released();
         machine.address(report.address());
-        presence.heard(report.tenure(), report.counter(), kernel.now());
+        presence.heard(report.session(), report.counter(), kernel.now());
         machine.present();
         if (restarted) {
             // The lease ran out: the worker has killed and forgotten all that it had before. Perhaps no
             // answer reaches it: it gets nothing new before it has answered an order.
-            LOG.info("{} starts session {}", machine.id(), report.tenure());
-            session.sessionEnded();
+            LOG.info("{} starts session {}", machine.id(), report.session());
+            worker.sessionEnded();
             tasks.explain(machine);
             machine.bookingsCopy().forEach(cluster::release);
             presence.lostTouch(kernel.now());
         }
         if (!direct) {
-            session.starts.reported(report.counter());
+            worker.starts.reported(report.counter());
         }
         machine.reclaimAt(
                 report.reclaimInS() == null ? Long.MAX_VALUE : kernel.now() + (long) (report.reclaimInS() * 1000));
-        if (session.tells(report.listing()) || back) {
+        if (worker.tells(report.listing()) || back) {
             List<Report.TaskReport> listed = report.tasks();
             kernel.count("reports.read", 1);
-            LOG.debug("{} session {} reports {}", machine.id(), report.tenure(), listed);
-            tasks.apply(session, listed);
+            LOG.debug("{} session {} reports {}", machine.id(), report.session(), listed);
+            tasks.apply(worker, listed);
         }
-        tasks.markRefusedJobs(session);
+        tasks.markRefusedJobs(worker);
         if (first || restarted || back) {
             cluster.touch();
         }
@@ -255,14 +255,14 @@
 
     // The answer to an order names an older message than was known when the order was sent: the machine has
     // a new worker. What the former one ran is gone; a start on its way may yet reach the new one.
-    private void reborn(Session session, Report report) {
-        Machine machine = session.machine;
+    private void workerReplaced(TrackedWorker worker, Report report) {
+        Machine machine = worker.machine;
         LOG.info("{} has a new worker", machine.id());
-        session.workerReplaced();
+        worker.workerReplaced();
         tasks.explain(machine);
-        machine.presence().reborn(report.tenure(), report.counter());
+        machine.presence().workerReplaced(report.session(), report.counter());
         for (Booking booking : machine.bookingsCopy()) {
-            if (session.starts.mayArriveLate(Attempt.of(booking))) {
+            if (worker.starts.mayArriveLate(Attempt.of(booking))) {
                 // Also where the former worker had shown it: what the new one does not report is not gone for that.
                 booking.workerReplaced();
             } else {
@@ -272,17 +272,17 @@
     }
 
     /** Applies the report with which a worker has answered an order, unless hard state is still being read. */
-    private boolean answered(Session session, Report report) {
+    private boolean answered(TrackedWorker worker, Report report) {
         if (!stateLoaded) {
             return false;
         }
-        Presence presence = session.machine.presence();
+        Presence presence = worker.machine.presence();
         presence.answersOrders();
         if (presence.verified()
-                && !Presence.newer(report.tenure(), report.counter(), session.tenureAtCall, session.counterAtCall)) {
-            reborn(session, report);
+                && !Presence.newer(report.session(), report.counter(), worker.sessionAtCall, worker.counterAtCall)) {
+            workerReplaced(worker, report);
         }
-        presence.told(report.tenure());
+        presence.told(report.session());
         apply(report, true);
         return true;
     }
@@ -301,27 +301,27 @@
 
     /** Has a booking's start sent at the end of this batch. */
     public void start(Booking booking) {
-        sessions.start(booking);
+        tracked.start(booking);
     }
 
     /** Has the starts sent that wait on a machine. */
     public void startsDue(Machine machine) {
-        sessions.startsDue(machine);
+        tracked.startsDue(machine);
     }
 
     /** Has the starts sent of a job's tasks that wait for that. */
     public void startsDue(Job job) {
-        sessions.startsDue(job);
+        tracked.startsDue(job);
     }
 
     /** Whether a direct order may still start a booking's attempt, however silent its machine is. */
     public boolean startMayArriveLate(Booking booking) {
-        return sessions.of(booking.machine()).starts.mayArriveLate(Attempt.of(booking));
+        return tracked.of(booking.machine()).starts.mayArriveLate(Attempt.of(booking));
     }
 
     /** Has a task stopped: directly at the end of this batch, and in report responses until it has ended. */
     public void stop(Booking booking, double graceS, StopReason reason) {
-        sessions.stop(booking, graceS, reason);
+        tracked.stop(booking, graceS, reason);
     }
 
     /** Sends what is due to every worker. */
--- a/src/test/java/io/quartzgw/placement/PresenceTest.java
+++ b/src/test/java/io/quartzgw/placement/PresenceTest.java
@@ -37,7 +37,7 @@
     @Test
     void afterANewWorkerOnlyAnswersToOrdersAreCurrent() {
         presence.heard(1, 80, 1_000);
-        presence.reborn(1, 2);
+        presence.workerReplaced(1, 2);
         assertEquals(Presence.Freshness.CURRENT, presence.classify(1, 2, true, true));
         presence.heard(1, 2, 1_500);
         assertEquals(Presence.Freshness.UNVERIFIED, presence.classify(1, 81, true, false), "a copy");
--- a/src/test/java/io/quartzgw/standin/LoopbackWorld.java
+++ b/src/test/java/io/quartzgw/standin/LoopbackWorld.java
@@ -180,10 +180,10 @@
         while (workers.get(worker.id) == worker) {
             long sentAt = now();
             JsonNode report;
-            long tenure;
+            long session;
             synchronized (this) {
                 report = worker.report(now());
-                tenure = worker.tenure();
+                session = worker.session();
             }
             Reply reply = request(home, "POST", "/hello", report);
             if (reply.status() == 421 && reply.json().has("home_controller")) {
@@ -193,7 +193,7 @@
                 home = (home + 1) % clientPorts.length;
             }
             synchronized (this) {
-                worker.answered(reply, tenure, sentAt, now());
+                worker.answered(reply, session, sentAt, now());
             }
             pause(REPORT_MS);
         }
--- a/src/test/java/io/quartzgw/standin/SimWorld.java
+++ b/src/test/java/io/quartzgw/standin/SimWorld.java
@@ -638,7 +638,7 @@
     private void report(SimWorker sim) {
         sim.reporting = true;
         sim.lastSent = now;
-        long tenure = sim.worker.tenure();
+        long session = sim.worker.session();
         long sentAt = now;
         int target = sim.home;
         Call call = Call.post(
@@ -648,7 +648,7 @@
         Consumer<Reply> end = reply -> {
             if (!done[0]) {
                 done[0] = true;
-                reported(sim, reply, tenure, sentAt);
+                reported(sim, reply, session, sentAt);
             }
         };
         at(now + WORKER_TIMEOUT_MS, () -> end.accept(Reply.lost()));
@@ -671,12 +671,12 @@
         }
     }
 
-    private void reported(SimWorker sim, Reply reply, long tenure, long sentAt) {
+    private void reported(SimWorker sim, Reply reply, long session, long sentAt) {
         if (workers.get(sim.worker.id) != sim) {
             return;
         }
         if (reply.ok() && !sim.hanging) {
-            sim.worker.answered(reply, tenure, sentAt, now);
+            sim.worker.answered(reply, session, sentAt, now);
             sim.reporting = false;
             return;
         }
--- a/src/test/java/io/quartzgw/standin/WorkerStandIn.java
+++ b/src/test/java/io/quartzgw/standin/WorkerStandIn.java
@@ -57,7 +57,7 @@
     private final Function<String, Description> jobs;
     private final Watcher watcher;
     private final Map<String, Task> tasks = new LinkedHashMap<>();
-    private long tenure = 1;
+    private long session = 1;
     private long counter;
     private long token;
     private long renewedAt;
@@ -89,12 +89,12 @@
     /** The worker of this machine after it was started again: it knows no task and no token. */
     WorkerStandIn successor(long now, boolean counting) {
         WorkerStandIn next = new WorkerStandIn(id, address, type, zone, spot, leaseMs, now, jobs, watcher);
-        next.tenure = counting ? tenure + 1 : 1;
+        next.session = counting ? session + 1 : 1;
         return next;
     }
 
-    public long tenure() {
-        return tenure;
+    public long session() {
+        return session;
     }
 
     public long token() {
@@ -162,7 +162,7 @@
     public void expire(long now) {
         if (now - renewedAt > leaseMs) {
             forgetAll();
-            tenure++;
+            session++;
             renewedAt = now;
             changed = true;
         }
@@ -190,7 +190,7 @@
                 .put("host_type", type)
                 .put("yard", zone)
                 .put("loaner", spot)
-                .put("tenure", tenure)
+                .put("tenure", session)
                 .put("counter", ++counter)
                 .put("baton", token);
         if (reclaimAt == Long.MAX_VALUE) {
@@ -212,7 +212,7 @@
     /** Takes the response to a report that was sent in a session at a moment. */
     public void answered(Reply reply, long sentIn, long sentAt, long now) {
         JsonNode body = reply.json();
-        if (!reply.ok() || sentIn != tenure || body.path("baton").asLong() < token || !body.has("baton")) {
+        if (!reply.ok() || sentIn != session || body.path("baton").asLong() < token || !body.has("baton")) {
             return;
         }
         token = body.path("baton").asLong();
@@ -231,7 +231,7 @@
             token = told;
             changed = true;
         }
-        if (stale || body.path("tenure").asLong() != tenure) {
+        if (stale || body.path("tenure").asLong() != session) {
             return StoreStandIn.reply(409, report(now));
         }
         execute(body.path("orders"), now);
