Test: a start of a former session reaches a worker that counts its sessions anew

A session's end frees the tasks whose starts may arrive late, since those name the old session; a machine that is then started again begins with session 1, which the late start names. Brought about in the simulated cluster; two tasks run twice.

--- a/src/test/java/io/quartzgw/app/LateOrdersTest.java
+++ b/src/test/java/io/quartzgw/app/LateOrdersTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -19,6 +20,7 @@
  * to reports, tasks are stopped soon after they began and leaders change: no rule may break.
  */
 class LateOrdersTest {
+    private static final long LEASE_MS = 16_000;
     private static final long MOST_LATE_MS = 16_000;
     private static final int MOST_BATCH_MS = 400;
     /** A report, its response, an order or its answer takes up to so long. */
@@ -64,10 +66,29 @@
      */
     @ParameterizedTest
     @ValueSource(longs = {245})
-    void aReplacedWorkerIsStartedWithAnAttemptThatHasEnded(long seed) {
+    void aReplacedWorkerRunsNoAttemptThatHasEnded(long seed) {
         play(seed, true);
     }
 
+    /**
+     * A machine hears nothing until its session ends, is then started again, and counts its sessions from the first.
+     */
+    @Test
+    void aStartOfAFormerSessionRunsOnNoWorkerThatCountsItsSessionsAnew() {
+        SimWorld world = ScenarioTest.withServices();
+        ObjectNode filling = FailureTest.job("j-000700", "blue", "array", 4, 4, 90);
+        world.job(filling, null);
+        world.play(30_000);
+        String machine = world.machines().get(world.machines().size() - 1);
+        world.deafen(machine, true);
+        world.job(FailureTest.job("j-000701", "blue", "array", 4, 2, 60), null);
+        world.play(LEASE_MS + 8_000);
+        world.reboot(machine, false);
+        world.deafen(machine, false);
+        world.play(120_000);
+        assertEquals(List.of(), world.rules.broken());
+    }
+
     private static void play(long seed, boolean reboots) {
         SimWorld world = new SimWorld(seed, 3, CAPACITY, STEP_MS, TIMES);
         SplittableRandom random = new SplittableRandom(seed);
