Tests: seeds, elections and fault names in one place each; a stricter check of a successor

No source of the program changes. FiveControllersTest asked only that somebody leads, which holds where a controller that is cut off believes it does: it now asks that the leader is not one of those.

--- a/src/test/java/io/quartzgw/app/ConcurrentFaultsTest.java
+++ b/src/test/java/io/quartzgw/app/ConcurrentFaultsTest.java
@@ -1,11 +1,11 @@
 package io.quartzgw.app;
 
-import static io.quartzgw.app.MeetingsTest.LEASE_MS;
-import static io.quartzgw.app.MeetingsTest.arrays;
-import static io.quartzgw.app.MeetingsTest.assertAllEnded;
-import static io.quartzgw.app.MeetingsTest.assertAllWell;
-import static io.quartzgw.app.MeetingsTest.assertDone;
-import static io.quartzgw.app.MeetingsTest.firstHalf;
+import static io.quartzgw.app.PairedFaultsTest.LEASE_MS;
+import static io.quartzgw.app.PairedFaultsTest.arrays;
+import static io.quartzgw.app.PairedFaultsTest.assertAllEnded;
+import static io.quartzgw.app.PairedFaultsTest.assertAllWell;
+import static io.quartzgw.app.PairedFaultsTest.assertDone;
+import static io.quartzgw.app.PairedFaultsTest.firstHalf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.quartzgw.standin.SimWorld;
--- a/src/test/java/io/quartzgw/app/FailureTest.java
+++ b/src/test/java/io/quartzgw/app/FailureTest.java
@@ -5,6 +5,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.quartzgw.http.Json;
+import io.quartzgw.standin.Seeds;
 import io.quartzgw.standin.SimWorld;
 import java.util.ArrayList;
 import java.util.List;
@@ -181,14 +182,14 @@
      * The troubles that operators saw meet, in any order and over each other; those of {@link #faults} go on beside
      * them.
      */
-    private static void meetings(SimWorld world, SplittableRandom random) {
+    private static void concurrentFaults(SimWorld world, SplittableRandom random) {
         for (long at = 15_000; at < 180_000; at += 3_000 + random.nextInt(14_000)) {
             long start = at;
             long lasts = Math.min(2_000 + random.nextInt(58_000), TROUBLES_END - at);
             int kind = random.nextInt(15);
             int pick = random.nextInt(1_000);
             world.at(start, () -> {
-                LoggerFactory.getLogger("world").info("{} ms: meeting {} for {} ms", start, kind, lasts);
+                LoggerFactory.getLogger("world").info("{} ms: concurrent fault {} for {} ms", start, kind, lasts);
                 int leader = Math.max(0, world.leader());
                 List<String> machines = world.machines();
                 String machine = machines.isEmpty() ? null : machines.get(pick % machines.size());
@@ -301,10 +302,8 @@
         assertTrue(arrays.stream().allMatch(id -> world.rules.finalPhase(id) != null), "every array is over");
     }
 
-    /** Fixed seeds; {@code -Dquartzgw.first=11 -Dquartzgw.seeds=500} tries others by hand. */
     static LongStream seeds() {
-        long first = Long.getLong("quartzgw.first", 11);
-        return LongStream.range(first, first + Integer.getInteger("quartzgw.seeds", 24));
+        return Seeds.range("single", 11, 24);
     }
 
     /**
@@ -333,15 +332,13 @@
         assertTrue(world.rules.started() > 50, "tasks were started");
     }
 
-    /** Fixed seeds; {@code -Dquartzgw.firstMeeting=1000 -Dquartzgw.meetings=500} tries others by hand. */
-    static LongStream meetingSeeds() {
-        long first = Long.getLong("quartzgw.firstMeeting", 1);
-        return LongStream.range(first, first + Integer.getInteger("quartzgw.meetings", 40));
+    static LongStream concurrentSeeds() {
+        return Seeds.range("concurrent", 1, 40);
     }
 
     @ParameterizedTest
-    @MethodSource("meetingSeeds")
-    void rulesHoldWhenTroublesMeet(long seed) {
+    @MethodSource("concurrentSeeds")
+    void rulesHoldUnderConcurrentFaults(long seed) {
         SimWorld world = new SimWorld(seed, 3);
         world.lateTransactions(0.01);
         world.lateCopies(0.02);
@@ -350,7 +347,7 @@
         if (random.nextBoolean()) {
             arrays.addAll(load(world, random));
         }
-        meetings(world, random);
+        concurrentFaults(world, random);
         if (random.nextInt(3) == 0) {
             faults(world, random);
         }
--- a/src/test/java/io/quartzgw/app/FiveControllersTest.java
+++ b/src/test/java/io/quartzgw/app/FiveControllersTest.java
@@ -80,12 +80,14 @@
         List<String> arrays = load(world, 30, 10, 2_000);
         world.play(30_000);
         int leader = world.leader();
+        List<Integer> cutOff = new ArrayList<>();
         for (int i = 0; i < away; i++) {
             // The leader itself is one of them.
-            world.cut("rig-" + (leader + i) % CONTROLLERS, "*");
+            cutOff.add((leader + i) % CONTROLLERS);
         }
+        cutOff.forEach(node -> world.cut("rig-" + node, "*"));
         world.play(40_000);
-        assertTrue(world.leader() >= 0, "another one leads");
+        assertTrue(world.leader() >= 0 && !cutOff.contains(world.leader()), "another one leads");
         world.play(90_000);
         assertServed(world, arrays);
     }
--- a/src/test/java/io/quartzgw/app/LateOrdersTest.java
+++ b/src/test/java/io/quartzgw/app/LateOrdersTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.quartzgw.standin.Seeds;
 import io.quartzgw.standin.SimWorld;
 import io.quartzgw.worker.WorkerTimes;
 import java.util.ArrayList;
@@ -35,10 +36,8 @@
     /** Workers report often beside the time for which a direct order is waited for, as they do when tasks change. */
     private static final WorkerTimes TIMES = new WorkerTimes(5_000, 26_500, 56_500);
 
-    /** Fixed seeds; {@code -Dquartzgw.firstLate=1000 -Dquartzgw.late=1000} tries others by hand. */
     static LongStream seeds() {
-        long first = Long.getLong("quartzgw.firstLate", 1);
-        return LongStream.range(first, first + Integer.getInteger("quartzgw.late", 120));
+        return Seeds.range("late", 1, 120);
     }
 
     /** Seeds in which a task ran twice, or was refused for ever by a machine, before removals waited for every copy. */
--- a/src/test/java/io/quartzgw/app/MeetingsTest.java
+++ b/src/test/java/io/quartzgw/app/PairedFaultsTest.java
@@ -11,7 +11,7 @@
 import org.junit.jupiter.api.Test;
 
 /** Two troubles at once, as operators have met them; docs/design.md lists them all. */
-class MeetingsTest {
+class PairedFaultsTest {
     static final long LEASE_MS = 16_000;
 
     static void assertAllWell(SimWorld world) {
--- a/src/test/java/io/quartzgw/progress/ProgressTest.java
+++ b/src/test/java/io/quartzgw/progress/ProgressTest.java
@@ -3,11 +3,9 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.quartzgw.cancellation.CancellationWatermark;
 import io.quartzgw.http.Endpoint;
 import io.quartzgw.leadership.LeaderTerm;
 import io.quartzgw.leadership.Leadership;
-import io.quartzgw.leadership.LeadershipTimes;
 import io.quartzgw.loop.Kernel;
 import io.quartzgw.placement.Cluster;
 import io.quartzgw.placement.Job;
@@ -19,7 +17,6 @@
 import io.quartzgw.store.StoreLimits;
 import io.quartzgw.submission.FinalPhase;
 import io.quartzgw.submission.OpenJob;
-import java.util.List;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 
@@ -32,13 +29,7 @@
     private final LossyLink link = new LossyLink(kernel, new StoreStandIn(), random);
     private final StoreClient store =
             new StoreClient(kernel, new Endpoint("10.2.0.1", 1), new StoreLimits(100_000, 100_000, 8192, 16));
-    private final Leadership leadership = new Leadership(
-            kernel,
-            store,
-            LeadershipTimes.of(2.5, 16, 36),
-            "rig-0",
-            1,
-            new CancellationWatermark(kernel, 36_000, List.of()));
+    private final Leadership leadership = Elections.candidate(kernel, store);
 
     private Progress progress() {
         return new Progress(kernel, store, new LeaderTerm(leadership), REPORT_MS, new Progress.Listener() {
--- a/src/test/java/io/quartzgw/standin/Elections.java
+++ b/src/test/java/io/quartzgw/standin/Elections.java
@@ -1,14 +1,33 @@
 package io.quartzgw.standin;
 
+import io.quartzgw.cancellation.CancellationWatermark;
 import io.quartzgw.leadership.Leadership;
+import io.quartzgw.leadership.LeadershipTimes;
+import io.quartzgw.loop.Kernel;
+import io.quartzgw.store.StoreClient;
+import java.util.List;
 import java.util.function.LongConsumer;
 
 /** Elects a node that stands alone, for tests of what only a leader does. */
 public final class Elections {
     private static final int STEP_MS = 50;
+    private static final double REPORT_S = 2.5;
+    private static final double LEASE_S = 16;
+    private static final double CANCEL_S = 36;
 
     private Elections() {}
 
+    /** A node that has no peers, as process 1 of its member. */
+    public static Leadership candidate(Kernel kernel, StoreClient store) {
+        return new Leadership(
+                kernel,
+                store,
+                LeadershipTimes.of(REPORT_S, LEASE_S, CANCEL_S),
+                "rig-0",
+                1,
+                new CancellationWatermark(kernel, (long) (CANCEL_S * 1_000), List.of()));
+    }
+
     /** Lets time pass until the node leads. */
     public static void elect(Leadership leadership, LongConsumer pass) {
         leadership.start(new Leadership.Listener() {
--- a/src/test/java/io/quartzgw/worker/WorkersTest.java
+++ b/src/test/java/io/quartzgw/worker/WorkersTest.java
@@ -7,7 +7,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.quartzgw.cancellation.CancellationWatermark;
 import io.quartzgw.fleet.CloudClient;
 import io.quartzgw.fleet.CloudLimits;
 import io.quartzgw.fleet.MachineType;
@@ -17,7 +16,6 @@
 import io.quartzgw.http.Reply;
 import io.quartzgw.leadership.LeaderTerm;
 import io.quartzgw.leadership.Leadership;
-import io.quartzgw.leadership.LeadershipTimes;
 import io.quartzgw.loop.Command;
 import io.quartzgw.loop.Effect;
 import io.quartzgw.loop.Kernel;
@@ -52,13 +50,7 @@
     private final Kernel kernel = new Kernel(1);
     private final StoreStandIn service = new StoreStandIn();
     private final StoreClient store = new StoreClient(kernel, STATE, new StoreLimits(100_000, 100_000, 8192, 16));
-    private final Leadership leadership = new Leadership(
-            kernel,
-            store,
-            LeadershipTimes.of(2.5, 16, 36),
-            "rig-0",
-            1,
-            new CancellationWatermark(kernel, 36_000, List.of()));
+    private final Leadership leadership = Elections.candidate(kernel, store);
     private long now;
     private long counter;
     private Cluster cluster;
