Tests of workers: one loop reads the verbs of orders, and late orders use the lease of the paired faults

Change: the same loop stood twice in WorkersTest, the lease twice in the tests of app, and a comment was broken in mid-sentence. The check that a direct order removes nothing now looks at all its orders, not at one attempt's alone. No source of the program changes.

--- a/src/test/java/io/quartzgw/app/LateOrdersTest.java
+++ b/src/test/java/io/quartzgw/app/LateOrdersTest.java
@@ -1,5 +1,6 @@
 package io.quartzgw.app;
 
+import static io.quartzgw.app.PairedFaultsTest.LEASE_MS;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -21,7 +22,6 @@
  * to reports, tasks are stopped soon after they began and leaders change: no rule may break.
  */
 class LateOrdersTest {
-    private static final long LEASE_MS = 16_000;
     private static final long MOST_LATE_MS = 16_000;
     private static final int MOST_BATCH_MS = 400;
     /** A report, its response, an order or its answer takes up to so long. */
--- a/src/test/java/io/quartzgw/worker/WorkersTest.java
+++ b/src/test/java/io/quartzgw/worker/WorkersTest.java
@@ -137,26 +137,20 @@
         carry(kernel.handle(List.of(ended), new Time(++now, now)));
     }
 
-    /** The verbs of the direct call under way, of the attempt that the test is about. */
+    /** The orders of the direct call under way. */
     private List<String> directOrders() {
-        JsonNode body = Json.readOrNull(callsUnderWay.get(0).request().body());
+        return verbs(Json.readOrNull(callsUnderWay.get(0).request().body()));
+    }
+
+    private static List<String> verbs(JsonNode message) {
         List<String> verbs = new ArrayList<>();
-        for (JsonNode order : body.path("orders")) {
-            if (order.path("try_no").asLong() == booking.attempt()) {
-                verbs.add(order.path("verb").asText());
-            }
-        }
+        message.path("orders").forEach(order -> verbs.add(order.path("verb").asText()));
         return verbs;
     }
 
     /** Has the worker report, with what it says of the attempt, and returns the orders of the answer. */
     private List<String> report(String phase) {
-        ObjectNode answer = workers.report(Report.read(Json.write(listing(phase))));
-        List<String> verbs = new ArrayList<>();
-        for (JsonNode order : answer.path("orders")) {
-            verbs.add(order.path("verb").asText());
-        }
-        return verbs;
+        return verbs(workers.report(Report.read(Json.write(listing(phase)))));
     }
 
     private ObjectNode listing(String phase) {
@@ -257,9 +251,8 @@
         assertTrue(workers.startMayArriveLate(booking), "not answered");
     }
 
-    // Guards a task that was seen running before its machine was started again: the order that was not answered may
-    // reach
-    // the new worker, so the task goes nowhere else.
+    // Guards a task that was seen running before its machine was started again: the order that was not answered
+    // may reach the new worker, so the task goes nowhere else.
     @Test
     void aSeenAttemptKeepsItsPlaceWhenItsWorkerIsReplacedWhileAnOrderMayArrive() {
         endCall(Reply.lost());
