A stopped attempt that nothing can start any more frees its capacity

Symptom: after a stop had met a start that left only in a dropped response, the allocation was never released: neither a start nor a stop was sent again (PendingCommands), the machine stayed occupied for ever, and the task never ran again.

Cause: an allocation was released by a report of its attempt only; one that was never reported and can't be started any more has none.

Change: after every current heartbeat, a stopping allocation that no heartbeat has shown and that has no start outstanding, directly or in a response, is released. The proof is the heartbeat that follows the response: an agent sends one at a time, so it has executed or dropped the responses to earlier ones; its list lacks the attempt; direct calls with the start were answered. A later copy can't contradict it, since none is left.

--- a/src/main/java/io/quartzgw/agent/HeartbeatProcessor.java
+++ b/src/main/java/io/quartzgw/agent/HeartbeatProcessor.java
@@ -141,6 +141,7 @@
                     .log("task list changed");
             reconciler.apply(agent, tasks);
         }
+        reconciler.releaseNeverStarted(agent);
         reconciler.updateRefusedJobs(agent);
     }
 
--- a/src/main/java/io/quartzgw/agent/TaskReconciler.java
+++ b/src/main/java/io/quartzgw/agent/TaskReconciler.java
@@ -83,6 +83,22 @@
         }
     }
 
+    /**
+     * Releases the allocations that are to be stopped and that nothing can start any more: no heartbeat has shown the
+     * attempt, and no start of it is outstanding. Such a start left in a response only, which the agent dropped.
+     *
+     * <p>Called after every current heartbeat of an agent, which tells that earlier responses were executed or lost.
+     */
+    void releaseNeverStarted(AgentState agent) {
+        for (Allocation allocation : agent.machine().allocationsSnapshot()) {
+            if (allocation.stopping()
+                    && !allocation.observed()
+                    && !agent.outstandingStarts().isOutstanding(Attempt.of(allocation))) {
+                cluster.release(allocation);
+            }
+        }
+    }
+
     /** Updates the jobs that are not placed on the agent's machine, since the agent would refuse their tasks. */
     void updateRefusedJobs(AgentState agent) {
         Set<String> refused = agent.refusedJobs();
