--- a/src/test/java/io/quartzgw/simulation/SimulatedNetwork.java
+++ b/src/test/java/io/quartzgw/simulation/SimulatedNetwork.java
@@ -3,7 +3,11 @@
 import io.quartzgw.http.Call;
 import io.quartzgw.http.Json;
 import io.quartzgw.http.Reply;
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
@@ -32,6 +36,9 @@
     private final NetworkPartitions partitions = new NetworkPartitions();
     private final Set<String> inboundBlocked = new HashSet<>();
     private final Set<String> heartbeatsBlocked = new HashSet<>();
+    /** By machine whose direct calls are held back, those calls in the order in which they were sent. */
+    private final Map<String, List<Runnable>> heldCommands = new HashMap<>();
+
     private double delayedTransactionShare;
     private double lostTransactionResponseShare;
     private double duplicateShare;
@@ -125,6 +132,16 @@
         }
     }
 
+    /** Holds direct calls to a machine back; heartbeats and their responses pass. */
+    public void holdCommands(String machine) {
+        heldCommands.putIfAbsent(machine, new ArrayList<>());
+    }
+
+    /** Delivers the direct calls to a machine that were held back, in their order, and holds none from now on. */
+    public void deliverHeldCommands(String machine) {
+        heldCommands.remove(machine).forEach(Runnable::run);
+    }
+
     // ---- messages
 
     /** Sends a request from a controller. */
@@ -143,6 +160,8 @@
         });
         if (transit.transactionDelayed) {
             events.scheduleAfter(MIN_TRANSACTION_DELAY_MS + random.nextInt(TRANSACTION_DELAY_SPREAD_MS), arrival);
+        } else if (heldCommands.containsKey(to)) {
+            heldCommands.get(to).add(arrival);
         } else if (isPartitioned(from, to) || isInboundBlocked(to)) {
             hold(from, to, arrival);
         } else {
