HTTP client: a call that found no connection is known not to have been sent

A direct call that ends without a response may be executed minutes later; one whose connection was never opened is never executed (a connection attempt that is given up does not complete later). Both looked alike. Reply tells them apart now; the status stays LOST.

--- a/src/main/java/io/quartzgw/http/HttpClient.java
+++ b/src/main/java/io/quartzgw/http/HttpClient.java
@@ -246,7 +246,7 @@
                 connecting.cancel();
             }
             IoUtils.safeClose(connection);
-            callback.accept(Reply.lost());
+            callback.accept(connection == null ? Reply.unsent() : Reply.lost());
         }
 
         private <T> ClientCallback<T> onSuccess(Consumer<T> next) {
--- a/src/test/java/io/quartzgw/http/HttpClientTest.java
+++ b/src/test/java/io/quartzgw/http/HttpClientTest.java
@@ -1,6 +1,7 @@
 package io.quartzgw.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.undertow.server.DefaultByteBufferPool;
@@ -63,6 +64,30 @@
         }
     }
 
+    // A start in such a call needs no fencing: it is never executed.
+    @Test
+    void aCallWithoutAConnectionIsKnownNotToHaveBeenSent() throws Exception {
+        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+        HttpClient client = new HttpClient(worker, new DefaultByteBufferPool(true, 8 * 1024), 4);
+        int port;
+        try (ServerSocket silent = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = silent.getLocalPort();
+            Reply unanswered = call(client, port);
+            assertEquals(Reply.LOST, unanswered.status());
+            assertTrue(unanswered.sent(), "the connection was opened, and nothing was answered");
+        }
+        Reply refused = call(client, port);
+        worker.shutdownNow();
+        assertEquals(Reply.LOST, refused.status());
+        assertFalse(refused.sent(), "the connection was refused");
+    }
+
+    private static Reply call(HttpClient client, int port) throws Exception {
+        CompletableFuture<Reply> reply = new CompletableFuture<>();
+        client.send(Call.get(new Endpoint("127.0.0.1", port), "/show", 300), reply::complete);
+        return reply.get(60, TimeUnit.SECONDS);
+    }
+
     private static long sockets() throws IOException {
         try (Stream<Path> open = Files.list(Path.of("/proc/self/fd"))) {
             return open.filter(descriptor -> {
