--- a/src/main/java/io/quartzgw/agent/TaskReconciler.java
+++ b/src/main/java/io/quartzgw/agent/TaskReconciler.java
@@ -102,8 +102,8 @@
     /** Updates the jobs that are not placed on the agent's machine, since the agent would refuse their tasks. */
     void updateRefusedJobs(AgentState agent) {
         Set<String> refused = agent.refusedJobs();
-        if (!refused.equals(agent.machine().refusedJobs())) {
-            agent.machine().refuseJobs(refused);
+        if (!refused.equals(agent.machine().exclusions().refusedJobs())) {
+            agent.machine().exclusions().refuseJobs(refused);
             cluster.markChanged();
         }
     }
@@ -180,7 +180,7 @@
 
     private void reconcileCompleted(AgentState agent, Attempt attempt, Job job, Optional<Allocation> allocation) {
         Machine machine = agent.machine();
-        machine.jobSucceeded();
+        machine.exclusions().jobSucceeded();
         machine.cacheImage(job.spec().image(), job.spec().imageGb());
         if (!job.isDone(attempt.index())) {
             cluster.markDone(job, attempt.index());
@@ -199,7 +199,7 @@
         if (cause == Heartbeat.ExitCause.ERROR) {
             // A job's later failures count against the job: one that fails everywhere must not discredit every machine.
             if (job.failures() == 0) {
-                machine.jobFailed(job.id());
+                machine.exclusions().jobFailed(job.id());
             }
             job.recordFailure(machine.id(), eventLoop.nowMs(), errorDelayMs);
         } else if (cause == Heartbeat.ExitCause.REFUSED || cause == Heartbeat.ExitCause.GANG_FAILED) {
--- a/src/main/java/io/quartzgw/app/LeaderRuntime.java
+++ b/src/main/java/io/quartzgw/app/LeaderRuntime.java
@@ -26,7 +26,6 @@
 import io.quartzgw.scheduling.SchedulingPolicy;
 import io.quartzgw.scheduling.ServiceLevelObjectives;
 import io.quartzgw.scheduling.StopReason;
-import io.quartzgw.scheduling.TaskLauncher;
 import io.quartzgw.store.StoreClient;
 import io.quartzgw.submission.JobCounts;
 import io.quartzgw.submission.JobStore;
@@ -103,7 +102,7 @@
                 settings.completionObjectives(), settings.deadlineObjectives(), settings.startObjectives());
         SchedulingPolicy policy =
                 new SchedulingPolicy(settings.teams(), objectives, reservedCpus(settings) > 0, settings.agentTiming());
-        return new Scheduler(eventLoop, cluster, policy, this::cloudExhausted, new AgentTaskLauncher());
+        return new Scheduler(eventLoop, cluster, policy, this::cloudExhausted, new AgentTaskLauncher(agents));
     }
 
     private MachineRecords newMachineRecords(StoreClient store) {
@@ -115,7 +114,7 @@
         Consolidation consolidation = new Consolidation(
                 cluster,
                 scheduler::isSchedulable,
-                new AgentTaskLauncher(),
+                new AgentTaskLauncher(agents),
                 settings.agentTiming().leaseMs());
         FleetManager.Policy policy = new FleetManager.Policy(
                 reservedCpus(settings),
@@ -232,18 +231,6 @@
 
     // ---- events between the parts
 
-    private final class AgentTaskLauncher implements TaskLauncher {
-        @Override
-        public void start(Allocation allocation) {
-            agents.requestStart(allocation);
-        }
-
-        @Override
-        public void stop(Allocation allocation, double graceS, StopReason reason) {
-            agents.requestStop(allocation, graceS, reason);
-        }
-    }
-
     private final class AgentEvents implements AgentManager.Listener {
         @Override
         public void taskFinished(Job job, int index) {
--- a/src/main/java/io/quartzgw/scheduling/Machine.java
+++ b/src/main/java/io/quartzgw/scheduling/Machine.java
@@ -8,10 +8,8 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 /** A rented machine as the leader sees it. */
 public final class Machine {
@@ -43,8 +41,7 @@
     private Resources allocated = Resources.NONE;
     private Resources freeCapacity;
     private final ImageCache images;
-    private final Set<String> failedJobs = new HashSet<>();
-    private Set<String> refusedJobs = Set.of();
+    private final MachineExclusions exclusions = new MachineExclusions();
 
     /**
      * @param rentedAt when the machine was rented, in milliseconds of the steady clock
@@ -109,6 +106,11 @@
         status = Status.DRAINING;
     }
 
+    /** What it is passed over for. */
+    public MachineExclusions exclusions() {
+        return exclusions;
+    }
+
     /** Whether its record says that tasks may have been started on it. */
     public boolean hasRunTasks() {
         return hasRunTasks;
@@ -248,31 +250,4 @@
         }
         return unsharedFetchS * (1 + otherFetches);
     }
-
-    // ---- exclusions
-
-    /** Jobs of which the agent would refuse a task at present, since it still has a former attempt of the task. */
-    public Set<String> refusedJobs() {
-        return refusedJobs;
-    }
-
-    /** Sets the jobs of which the agent would refuse a task. */
-    public void refuseJobs(Set<String> jobs) {
-        refusedJobs = jobs;
-    }
-
-    /** Records that a task of the job failed here. */
-    public void jobFailed(String job) {
-        failedJobs.add(job);
-    }
-
-    /** Records that a task completed here, which ends a row of failures. */
-    public void jobSucceeded() {
-        failedJobs.clear();
-    }
-
-    /** The number of different jobs that failed here since the last success. */
-    public int failedJobs() {
-        return failedJobs.size();
-    }
 }
--- a/src/main/java/io/quartzgw/scheduling/SchedulingConstraints.java
+++ b/src/main/java/io/quartzgw/scheduling/SchedulingConstraints.java
@@ -8,8 +8,6 @@
 
 /** The hard constraints of scheduling: which machines may get tasks, which of them a job may use, and team quotas. */
 final class SchedulingConstraints {
-    /** A machine on which this many different jobs failed in a row is quarantined. */
-    private static final int QUARANTINE_FAILED_JOBS = 2;
     /** A machine whose last heartbeat was answered longer ago gets no tasks. */
     private static final double MAX_SILENCE_HEARTBEATS = 2.5;
 
@@ -34,7 +32,7 @@
                 && !machine.liveness().unreachable()
                 && eventLoop.nowMs() - machine.liveness().lastResponseAt() < maxSilenceMs
                 && machine.reclaimAt() == Long.MAX_VALUE
-                && machine.failedJobs() < QUARANTINE_FAILED_JOBS;
+                && !machine.exclusions().isQuarantined();
     }
 
     /** Whether the job may use the machine, whatever its free capacity. */
@@ -43,7 +41,7 @@
         return spec.allows(machine.type().name(), machine.zone(), machine.spot())
                 && job.zoneAllowed(machine.zone())
                 && !job.excludes(machine.id())
-                && !machine.refusedJobs().contains(job.id());
+                && !machine.exclusions().refusedJobs().contains(job.id());
     }
 
     /** Whether the team's quota allows one more task of the job. */
