A task whose start may reach a machine's next agent is started nowhere else

The logs show one order of events each time: a direct call with a start gets no answer ('direct call ended outcome=unknown'), the attempt exits or 'agent epoch changed', 'allocation released', 'task allocated' on another machine, and seconds later 'orphaned attempt found' on the first one.

Cause: a task was given up while its start was outstanding. Token and epoch were taken to void the start, but the agent of a machine that was started again knows no token and counts its epochs from the first. Five places gave tasks up, each by a rule of its own: exit, new epoch, new agent, expired reservation, machine listed as failed.

Change: one rule for all five (agent.AllocationRelease). While a direct call may still start an attempt on its machine, in whichever epoch, the task stays bound to that machine: one that was lost with its agent is started there again, with the same attempt; one that has exited is retained without capacity (scheduling.MachineFencing) and counts for quota, zones and gang. The start is void when its call is answered, or was never sent, or the machine is deleted. fleet.FencingPolicy deletes such machines: at once where nothing else runs, otherwise after an evacuation of two reservations at the longest, one machine in fifty at a time, and none while the cloud doesn't respond. Tasks with outstanding starts are not chosen for preemption or consolidation, and replicas not for evacuation, since they could not be started elsewhere.

--- a/src/main/java/io/quartzgw/agent/AgentManager.java
+++ b/src/main/java/io/quartzgw/agent/AgentManager.java
@@ -29,6 +29,7 @@
     private final LeaderContext leader;
     private final AgentRegistry registry;
     private final TaskReconciler reconciler;
+    private final AllocationRelease release;
     private final HeartbeatProcessor processor;
     private final HeartbeatResponder responder;
     private final CommandDispatcher dispatcher;
@@ -64,8 +65,9 @@
         this.leader = leader;
         PendingCommands pendingCommands = new PendingCommands(leader, listener);
         this.registry = new AgentRegistry(leader.cluster());
-        this.reconciler = new TaskReconciler(leader, registry, timing, listener::taskFinished);
-        this.processor = new HeartbeatProcessor(leader, registry, reconciler);
+        this.release = new AllocationRelease(leader, registry);
+        this.reconciler = new TaskReconciler(leader, registry, release, timing, listener::taskFinished);
+        this.processor = new HeartbeatProcessor(leader, registry, reconciler, release);
         this.responder = new HeartbeatResponder(leader, registry, pendingCommands, isCancelled);
         this.dispatcher =
                 new CommandDispatcher(leader, registry, pendingCommands, timing, maxDirectCalls, this::onReply);
@@ -142,7 +144,15 @@
 
     /** Returns whether a direct call may still start an allocation's attempt, even if its machine is unreachable. */
     public boolean isStartOutstanding(Allocation allocation) {
-        return registry.agentOf(allocation.machine()).outstandingStarts().isOutstandingDirectly(Attempt.of(allocation));
+        return release.isStartOutstanding(allocation);
+    }
+
+    /**
+     * Handles that nothing runs on a machine any more, though it may be started again: its tasks are placed elsewhere,
+     * but for those whose start is outstanding.
+     */
+    public void allTasksLost(Machine machine) {
+        release.allLost(machine);
     }
 
     // ---- commands
--- a/src/main/java/io/quartzgw/agent/AgentState.java
+++ b/src/main/java/io/quartzgw/agent/AgentState.java
@@ -117,24 +117,19 @@
             return Set.of();
         }
         return unfinished.stream()
-                .filter(outstandingStarts::isOutstanding)
+                .filter(this::mayStartAgain)
                 .map(Attempt::job)
                 .collect(Collectors.toUnmodifiableSet());
     }
 
-    /** Handles a new epoch: the agent has forgotten its tasks and rejects commands that name an earlier epoch. */
-    void epochChanged() {
-        forgetAttempts();
-        outstandingStarts.epochChanged();
-    }
-
-    /** Handles a new agent on the same machine, which knows no tasks. */
-    void agentReplaced() {
-        forgetAttempts();
-        outstandingStarts.agentReplaced();
+    /** Returns whether the agent would run an exited attempt again if it forgot the attempt. */
+    boolean mayStartAgain(Attempt attempt) {
+        return outstandingStarts.isOutstandingIn(machine.liveness().epoch(), attempt);
     }
 
-    private void forgetAttempts() {
+    /** Handles a new epoch of the agent, or a new agent on the same machine: it knows no tasks. */
+    void epochChanged() {
+        outstandingStarts.epochChanged();
         lastTaskList = NO_TASK_LIST;
         exited.clear();
         unfinished.clear();
@@ -149,21 +144,21 @@
         return callInFlight;
     }
 
-    /** Records that a direct call with some starts is sent. */
-    void callStarted(List<Attempt> starts) {
+    /** Records that a direct call with some starts is sent, which names an epoch. */
+    void callStarted(List<Attempt> starts, long epoch) {
         callInFlight = true;
         latestHeartbeatAtCall = machine.liveness().latestHeartbeat();
-        outstandingStarts.sentDirectly(starts);
+        outstandingStarts.sentDirectly(starts, epoch);
     }
 
     /**
      * Records that the direct call has ended.
      *
-     * @param answered whether the agent has executed or rejected the commands
+     * @param settled whether its commands are certainly not executed from now on
      */
-    void callEnded(boolean answered) {
+    void callEnded(boolean settled) {
         callInFlight = false;
-        if (answered) {
+        if (settled) {
             outstandingStarts.callAnswered();
         } else {
             outstandingStarts.callUnanswered();
--- /dev/null
+++ b/src/main/java/io/quartzgw/agent/AllocationRelease.java
@@ -0,0 +1,105 @@
+package io.quartzgw.agent;
+
+import io.quartzgw.eventloop.EventLoop;
+import io.quartzgw.scheduling.Allocation;
+import io.quartzgw.scheduling.ClusterState;
+import io.quartzgw.scheduling.Machine;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Releases the allocations of attempts that run no more, so that their tasks may be started elsewhere. The one rule for
+ * all of them: while a direct call may still start the attempt on its machine, the task stays bound to that machine.
+ * Neither the fencing token nor the epoch voids such a call, since the agent of a machine that was started again knows
+ * no token and counts its epochs from the first. The call is void once it is answered or the machine is deleted.
+ */
+final class AllocationRelease {
+    private static final Logger LOG = LoggerFactory.getLogger(AllocationRelease.class);
+
+    private final EventLoop eventLoop;
+    private final ClusterState cluster;
+    private final AgentRegistry registry;
+
+    /** How an attempt came to run no more. */
+    private enum End {
+        /** The agent reports that it has ended. */
+        EXITED,
+        /** Its agent is gone, has begun a new epoch, or no longer reports it. */
+        LOST
+    }
+
+    AllocationRelease(LeaderContext leader, AgentRegistry registry) {
+        this.eventLoop = leader.eventLoop();
+        this.cluster = leader.cluster();
+        this.registry = registry;
+    }
+
+    /** Returns whether a direct call may still start an allocation's attempt. */
+    boolean isStartOutstanding(Allocation allocation) {
+        return registry.agentOf(allocation.machine()).outstandingStarts().isOutstandingDirectly(Attempt.of(allocation));
+    }
+
+    /**
+     * Handles that an attempt has exited. A task that is done is not started again, so its allocation is released in
+     * any case.
+     */
+    void attemptExited(Allocation allocation) {
+        if (allocation.job().isDone(allocation.index()) || !isStartOutstanding(allocation)) {
+            cluster.release(allocation);
+        } else {
+            logUnfenced(allocation, End.EXITED);
+            cluster.retainUnfenced(allocation);
+        }
+    }
+
+    /**
+     * Handles that an agent no longer has an attempt. Where its start is outstanding, the allocation remains, and the
+     * same attempt is started again on the machine if its agent can be reached.
+     */
+    void attemptLost(Allocation allocation) {
+        if (!isStartOutstanding(allocation)) {
+            cluster.release(allocation);
+        } else if (!allocation.isLost()) {
+            logUnfenced(allocation, End.LOST);
+            allocation.markLost(eventLoop.nowMs());
+        }
+    }
+
+    /** Handles that nothing runs on a machine any more, since its lease has ended or its agent is a new one. */
+    void allLost(Machine machine) {
+        machine.allocationsSnapshot().forEach(this::attemptLost);
+    }
+
+    /**
+     * Releases the allocations that nothing can start any more: those whose direct calls have been answered, and those
+     * to be stopped whose start left in a response only, which the agent dropped.
+     *
+     * <p>Called after every current heartbeat of an agent. It shows what the calls answered before have started, and
+     * that the responses to earlier heartbeats were executed or lost.
+     */
+    void releaseSettled(AgentState agent) {
+        OutstandingStarts outstanding = agent.outstandingStarts();
+        for (Allocation allocation : agent.machine().fencing().unfenced()) {
+            if (!outstanding.isOutstandingDirectly(Attempt.of(allocation))) {
+                cluster.release(allocation);
+            }
+        }
+        for (Allocation allocation : agent.machine().allocationsSnapshot()) {
+            boolean neverStarted = allocation.stopping() && !allocation.observed();
+            if (neverStarted && !outstanding.isOutstanding(Attempt.of(allocation))) {
+                cluster.release(allocation);
+            }
+        }
+    }
+
+    private void logUnfenced(Allocation allocation, End end) {
+        eventLoop.increment("fencing.attempts", 1);
+        LOG.atInfo()
+                .addKeyValue("task", allocation.task())
+                .addKeyValue("attempt", allocation.attempt())
+                .addKeyValue("machine", allocation.machine().id())
+                .addKeyValue("end", end)
+                .addKeyValue("stopping", allocation.stopping())
+                .log("attempt unfenced");
+    }
+}
--- a/src/main/java/io/quartzgw/agent/CommandDispatcher.java
+++ b/src/main/java/io/quartzgw/agent/CommandDispatcher.java
@@ -15,8 +15,8 @@
  * Sends pending commands in direct calls to agents, one call at a time to each.
  *
  * <p>A start in a call without an answer may still be executed minutes later ({@link OutstandingStarts}). Its
- * allocation remains: the same attempt is sent again in responses to heartbeats, and the task is not placed elsewhere
- * until the agent reports it, begins a new epoch, or its machine is gone.
+ * allocation remains: the same attempt is sent again in responses to heartbeats, and the task is placed nowhere else
+ * while its machine exists.
  */
 final class CommandDispatcher {
     private static final Logger LOG = LoggerFactory.getLogger(CommandDispatcher.class);
@@ -110,7 +110,7 @@
         Machine machine = agent.machine();
         CommandRequest request = new CommandRequest(term.fencingToken(), epochFor(machine, commands), commands);
         List<Attempt> starts = AgentCommand.startedAttempts(commands);
-        agent.callStarted(starts);
+        agent.callStarted(starts, request.epoch());
         callsInFlight++;
         CommandLog.sentDirectly(machine.id(), term, request);
         eventLoop.increment("orders.calls", 1);
@@ -135,7 +135,7 @@
 
     private void onReply(AgentState agent, Reply reply) {
         boolean answered = reply.status() == STATUS_EXECUTED || reply.status() == STATUS_REJECTED;
-        agent.callEnded(answered);
+        agent.callEnded(answered || !reply.sent());
         callsInFlight--;
         Machine machine = agent.machine();
         if (!term.isCurrent() || !leader.cluster().contains(machine)) {
@@ -145,7 +145,7 @@
             boolean rejected = reply.status() == STATUS_REJECTED;
             HeartbeatCodec.decode(reply.body()).ifPresent(heartbeat -> onAnswer(agent, heartbeat, rejected));
         } else if (reply.status() == Reply.LOST) {
-            eventLoop.increment("orders.unanswered", 1);
+            eventLoop.increment(reply.sent() ? "orders.unanswered" : "orders.unsent", 1);
             machine.liveness().markUnreachable(eventLoop.nowMs());
         }
     }
@@ -169,7 +169,7 @@
     private void logReply(Machine machine, Reply reply, long sentAtMs, List<Attempt> starts) {
         LOG.atDebug()
                 .addKeyValue("machine", machine.id())
-                .addKeyValue("outcome", outcome(reply.status()))
+                .addKeyValue("outcome", outcome(reply))
                 .addKeyValue("status", reply.status())
                 .addKeyValue("duration_ms", eventLoop.nowMs() - sentAtMs)
                 .addKeyValue("term_current", term.isCurrent())
@@ -177,8 +177,11 @@
                 .log("direct call ended");
     }
 
-    private static String outcome(int status) {
-        return switch (status) {
+    private static String outcome(Reply reply) {
+        if (!reply.sent()) {
+            return "unsent";
+        }
+        return switch (reply.status()) {
             case STATUS_EXECUTED -> "executed";
             case STATUS_REJECTED -> "rejected";
             default -> "unknown";
--- a/src/main/java/io/quartzgw/agent/HeartbeatProcessor.java
+++ b/src/main/java/io/quartzgw/agent/HeartbeatProcessor.java
@@ -5,7 +5,6 @@
 import io.quartzgw.liveness.AgentLiveness.Freshness;
 import io.quartzgw.liveness.AgentLiveness.Origin;
 import io.quartzgw.model.MachineType;
-import io.quartzgw.scheduling.Allocation;
 import io.quartzgw.scheduling.ClusterState;
 import io.quartzgw.scheduling.Machine;
 import java.util.List;
@@ -23,6 +22,7 @@
     private final ClusterState cluster;
     private final AgentRegistry registry;
     private final TaskReconciler reconciler;
+    private final AllocationRelease release;
 
     /**
      * The result of processing a heartbeat.
@@ -31,12 +31,14 @@
      */
     record Result(Freshness freshness, Optional<Machine> contact) {}
 
-    HeartbeatProcessor(LeaderContext leader, AgentRegistry registry, TaskReconciler reconciler) {
+    HeartbeatProcessor(
+            LeaderContext leader, AgentRegistry registry, TaskReconciler reconciler, AllocationRelease release) {
         this.leader = leader;
         this.eventLoop = leader.eventLoop();
         this.cluster = leader.cluster();
         this.registry = registry;
         this.reconciler = reconciler;
+        this.release = release;
     }
 
     /** Processes a heartbeat that an agent has sent. */
@@ -141,7 +143,7 @@
                     .log("task list changed");
             reconciler.apply(agent, tasks);
         }
-        reconciler.releaseNeverStarted(agent);
+        release.releaseSettled(agent);
         reconciler.updateRefusedJobs(agent);
     }
 
@@ -157,28 +159,20 @@
                 .log("agent epoch changed");
         agent.epochChanged();
         reconciler.updateUnaccountedCapacity(machine);
-        machine.allocationsSnapshot().forEach(cluster::release);
+        release.allLost(machine);
         machine.liveness().markUnreachable(eventLoop.nowMs());
     }
 
-    /** Handles a new agent: the tasks of the former one are gone, but outstanding starts may reach the new one. */
+    /** Handles a new agent: the tasks of the former one are gone. */
     private void onAgentReplaced(AgentState agent, Heartbeat heartbeat) {
         Machine machine = agent.machine();
         LOG.atInfo()
                 .addKeyValue("machine", machine.id())
                 .addKeyValue("epoch", heartbeat.epoch())
                 .log("agent replaced");
-        agent.agentReplaced();
+        agent.epochChanged();
         reconciler.updateUnaccountedCapacity(machine);
         machine.liveness().agentReplaced(heartbeat.id());
-        for (Allocation allocation : machine.allocationsSnapshot()) {
-            if (agent.outstandingStarts().isOutstandingDirectly(Attempt.of(allocation))) {
-                // Even if the former agent had reported the attempt, its absence from the new one's list proves
-                // nothing.
-                allocation.agentReplaced();
-            } else {
-                cluster.release(allocation);
-            }
-        }
+        release.allLost(machine);
     }
 }
--- a/src/main/java/io/quartzgw/agent/PendingCommands.java
+++ b/src/main/java/io/quartzgw/agent/PendingCommands.java
@@ -44,7 +44,7 @@
         List<AgentCommand> removals = new ArrayList<>();
         for (Attempt attempt : agent.removable()) {
             // A start that is executed after the removal would run the task again.
-            if (agent.outstandingStarts().isOutstanding(attempt)) {
+            if (agent.mayStartAgain(attempt)) {
                 leader.eventLoop().increment("orders.removals_withheld", 1);
             } else {
                 removals.add(new AgentCommand.Remove(attempt));
--- a/src/main/java/io/quartzgw/agent/TaskReconciler.java
+++ b/src/main/java/io/quartzgw/agent/TaskReconciler.java
@@ -28,6 +28,7 @@
     private final EventLoop eventLoop;
     private final ClusterState cluster;
     private final AgentRegistry registry;
+    private final AllocationRelease release;
     private final BiConsumer<Job, Integer> onTaskFinished;
     private final long errorDelayMs;
     private final long refusalDelayMs;
@@ -36,10 +37,15 @@
 
     /** @param onTaskFinished notified of the index of each task that has completed */
     TaskReconciler(
-            LeaderContext leader, AgentRegistry registry, AgentTiming timing, BiConsumer<Job, Integer> onTaskFinished) {
+            LeaderContext leader,
+            AgentRegistry registry,
+            AllocationRelease release,
+            AgentTiming timing,
+            BiConsumer<Job, Integer> onTaskFinished) {
         this.eventLoop = leader.eventLoop();
         this.cluster = leader.cluster();
         this.registry = registry;
+        this.release = release;
         this.onTaskFinished = onTaskFinished;
         this.errorDelayMs = (long) (ERROR_DELAY_HEARTBEATS * timing.heartbeatMs());
         this.refusalDelayMs = (long) (REFUSAL_DELAY_HEARTBEATS * timing.heartbeatMs());
@@ -61,7 +67,7 @@
             if (task.state() == Heartbeat.TaskState.EXITED) {
                 reconcileExited(agent, task, allocation);
             } else {
-                reconcileRunning(agent, task, allocation);
+                reconcileRunning(agent, task, allocation.or(() -> restoreUnfenced(machine, task.attempt())));
             }
         }
         updateUnaccountedCapacity(machine);
@@ -74,27 +80,21 @@
                 .filter(allocation -> allocation.attempt() == attempt.number());
     }
 
-    /** Releases the attempts that were observed and are gone: they ended, and a former leader had them removed. */
-    private void releaseUnreported(Machine machine, Set<Attempt> reported) {
-        for (Allocation allocation : machine.allocationsSnapshot()) {
-            if (allocation.observed() && !reported.contains(Attempt.of(allocation))) {
-                cluster.release(allocation);
-            }
-        }
+    /** Restores the allocation of an attempt that had ended, if a late start has reached a new agent. */
+    private Optional<Allocation> restoreUnfenced(Machine machine, Attempt attempt) {
+        Optional<Allocation> unfenced = machine.fencing().find(attempt.task(), attempt.number());
+        unfenced.ifPresent(cluster::restoreUnfenced);
+        return unfenced;
     }
 
     /**
-     * Releases the allocations that are to be stopped and that nothing can start any more: no heartbeat has shown the
-     * attempt, and no start of it is outstanding. Such a start left in a response only, which the agent dropped.
-     *
-     * <p>Called after every current heartbeat of an agent, which tells that earlier responses were executed or lost.
+     * Releases the attempts that were observed and are gone: they ended, and a former leader had them removed, or their
+     * agent was replaced.
      */
-    void releaseNeverStarted(AgentState agent) {
-        for (Allocation allocation : agent.machine().allocationsSnapshot()) {
-            if (allocation.stopping()
-                    && !allocation.observed()
-                    && !agent.outstandingStarts().isOutstanding(Attempt.of(allocation))) {
-                cluster.release(allocation);
+    private void releaseUnreported(Machine machine, Set<Attempt> reported) {
+        for (Allocation allocation : machine.allocationsSnapshot()) {
+            if (allocation.observed() && !reported.contains(Attempt.of(allocation))) {
+                release.attemptLost(allocation);
             }
         }
     }
@@ -175,7 +175,7 @@
             }
             agent.addRemovable(attempt);
         }
-        allocation.ifPresent(cluster::release);
+        allocation.ifPresent(release::attemptExited);
     }
 
     private void reconcileCompleted(AgentState agent, Attempt attempt, Job job, Optional<Allocation> allocation) {
--- a/src/main/java/io/quartzgw/app/AgentTaskLauncher.java
+++ b/src/main/java/io/quartzgw/app/AgentTaskLauncher.java
@@ -22,4 +22,9 @@
     public void stop(Allocation allocation, double graceS, StopReason reason) {
         agents.requestStop(allocation, graceS, reason);
     }
+
+    @Override
+    public boolean isRelocatable(Allocation allocation) {
+        return !agents.isStartOutstanding(allocation);
+    }
 }
--- a/src/main/java/io/quartzgw/app/LeaderRuntime.java
+++ b/src/main/java/io/quartzgw/app/LeaderRuntime.java
@@ -121,7 +121,7 @@
                 recoveryTiming.reservationMs(),
                 settings.cloudLimits().listLagMs());
         FleetContext context = new FleetContext(eventLoop, services.cloud(), term, cluster, policy);
-        return new FleetManager(context, services.catalog(), records, consolidation, agents::forget);
+        return new FleetManager(context, services.catalog(), records, consolidation, new FleetEvents());
     }
 
     private OpenJobWatcher newOpenJobWatcher(ControllerServices services) {
@@ -231,6 +231,18 @@
 
     // ---- events between the parts
 
+    private final class FleetEvents implements FleetManager.Listener {
+        @Override
+        public void failed(Machine machine) {
+            agents.allTasksLost(machine);
+        }
+
+        @Override
+        public void removed(Machine machine) {
+            agents.forget(machine);
+        }
+    }
+
     private final class AgentEvents implements AgentManager.Listener {
         @Override
         public void taskFinished(Job job, int index) {
--- /dev/null
+++ b/src/main/java/io/quartzgw/fleet/FencingPolicy.java
@@ -0,0 +1,105 @@
+package io.quartzgw.fleet;
+
+import io.quartzgw.eventloop.EventLoop;
+import io.quartzgw.scheduling.Allocation;
+import io.quartzgw.scheduling.ClusterState;
+import io.quartzgw.scheduling.Machine;
+import java.util.Comparator;
+import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Decides which machines are fenced, which means deleted, because a task waits until a start of it can be executed
+ * there no more.
+ *
+ * <p>A machine on which nothing else runs is fenced at once. One that is in use is first evacuated, for a limited time,
+ * and only a few of them at a time: neither a partition nor a burst of lost calls may cost the fleet.
+ */
+final class FencingPolicy {
+    private static final Logger LOG = LoggerFactory.getLogger(FencingPolicy.class);
+    /** A direct call in flight ends within this fraction of a reservation: until then its answer may still come. */
+    private static final double ANSWER_RESERVATIONS = 0.2;
+    /** An unreachable agent that has lost attempts gets this fraction of a reservation to answer a call again. */
+    private static final double REACHABLE_AGAIN_RESERVATIONS = 0.4;
+    /** How long a machine in use is evacuated before it is deleted, in reservations. */
+    private static final double EVACUATION_RESERVATIONS = 2;
+    /** The largest share of the machines that is evacuated for fencing at a time; it is one machine at the least. */
+    private static final double MAX_EVACUATED_SHARE = 0.02;
+
+    private final EventLoop eventLoop;
+    private final ClusterState cluster;
+    private final long answerMs;
+    private final long reachableAgainMs;
+    private final long evacuationMs;
+
+    FencingPolicy(EventLoop eventLoop, ClusterState cluster, FleetManager.Policy policy) {
+        this.eventLoop = eventLoop;
+        this.cluster = cluster;
+        this.answerMs = (long) (ANSWER_RESERVATIONS * policy.reservationMs());
+        this.reachableAgainMs = (long) (REACHABLE_AGAIN_RESERVATIONS * policy.reservationMs());
+        this.evacuationMs = (long) (EVACUATION_RESERVATIONS * policy.reservationMs());
+    }
+
+    /**
+     * Begins to fence the machines that have to be; called only while the cloud responds, so that it can delete them.
+     */
+    void fenceMachines() {
+        List<Machine> needed = cluster.machines().stream()
+                .filter(machine -> !machine.fencing().isBegun() && isFencingNeeded(machine))
+                .toList();
+        if (!needed.isEmpty()) {
+            needed.stream().filter(machine -> !machine.isInUse()).forEach(this::fence);
+            evacuate(needed.stream().filter(Machine::isInUse).toList());
+        }
+    }
+
+    private boolean isFencingNeeded(Machine machine) {
+        return hasLongUnfenced(machine) || hasUnreachableLost(machine);
+    }
+
+    private boolean hasLongUnfenced(Machine machine) {
+        return machine.fencing().unfenced().stream()
+                .anyMatch(allocation -> allocation.isLostFor(answerMs, eventLoop.nowMs()));
+    }
+
+    // A reachable agent is sent the starts of lost attempts again.
+    private boolean hasUnreachableLost(Machine machine) {
+        if (!machine.reservationExpired() && !machine.liveness().unreachable()) {
+            return false;
+        }
+        long waitMs = machine.reservationExpired() ? 0 : reachableAgainMs;
+        return machine.allocations().stream().anyMatch(allocation -> allocation.isLostFor(waitMs, eventLoop.nowMs()));
+    }
+
+    // Those for the sake of open jobs come first: nothing waits for a job that was cancelled.
+    private void evacuate(List<Machine> machines) {
+        long allowed =
+                Math.max(1, (long) (MAX_EVACUATED_SHARE * cluster.machines().size())) - evacuating();
+        machines.stream()
+                .sorted(Comparator.comparing(machine -> !holdsBackOpenJob(machine)))
+                .limit(Math.max(0, allowed))
+                .forEach(this::fence);
+    }
+
+    private long evacuating() {
+        return cluster.machines().stream()
+                .filter(machine -> machine.fencing().isBegun() && machine.isInUse())
+                .count();
+    }
+
+    private static boolean holdsBackOpenJob(Machine machine) {
+        return machine.fencing().unfenced().stream().map(Allocation::job).anyMatch(job -> !job.isTerminal());
+    }
+
+    private void fence(Machine machine) {
+        eventLoop.increment("fencing.machines", 1);
+        LOG.atInfo()
+                .addKeyValue("machine", machine.id())
+                .addKeyValue("reason", "fenced")
+                .addKeyValue("unfenced_attempts", machine.fencing().unfenced().size())
+                .addKeyValue("in_use", machine.isInUse())
+                .log("machine drained");
+        machine.fence(eventLoop.nowMs() + evacuationMs);
+    }
+}
--- a/src/main/java/io/quartzgw/fleet/FleetManager.java
+++ b/src/main/java/io/quartzgw/fleet/FleetManager.java
@@ -11,7 +11,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Consumer;
 
 /**
  * Scales the fleet out for tasks that lack free capacity, and in when machines are not needed, never booted, or are
@@ -30,7 +29,8 @@
     private final ScaleOutRequests scaleOutRequests;
     private final ScaleInPolicy scaleInPolicy;
     private final ScaleInRequests scaleInRequests;
-    private final Consumer<Machine> removed;
+    private final FencingPolicy fencingPolicy;
+    private final Listener listener;
     private final double reservedCpus;
 
     /**
@@ -53,24 +53,34 @@
         }
     }
 
-    /** @param removed is notified when a machine certainly no longer exists */
+    /** Takes what the fleet manager learns of machines. */
+    public interface Listener {
+        /** A machine has stopped by itself, and its tasks with it; it exists until it is deleted. */
+        void failed(Machine machine);
+
+        /** A machine certainly no longer exists. */
+        void removed(Machine machine);
+    }
+
+    /** Creates the fleet manager of one term. */
     public FleetManager(
             FleetContext context,
             MachineTypes machineTypes,
             MachineRecords records,
             Consolidation consolidation,
-            Consumer<Machine> removed) {
+            Listener listener) {
         this.eventLoop = context.eventLoop();
         this.term = context.term();
         this.cluster = context.cluster();
         this.reservedCpus = context.policy().reservedCpus();
         this.records = records;
-        this.removed = removed;
+        this.listener = listener;
         this.planner = new ScaleOutPlanner(machineTypes);
-        this.inventory = new InventoryReconciler(context, machineTypes, this::remove);
+        this.inventory = new InventoryReconciler(context, machineTypes, new InventoryEvents());
         this.scaleOutRequests = new ScaleOutRequests(context, records);
         this.scaleInPolicy = new ScaleInPolicy(eventLoop, cluster, consolidation, context.policy());
         this.scaleInRequests = new ScaleInRequests(context, this::remove);
+        this.fencingPolicy = new FencingPolicy(eventLoop, cluster, context.policy());
     }
 
     /** Starts to read the cloud's machine list; nothing is rented or deleted before it is known. */
@@ -82,7 +92,19 @@
         cluster.remove(machine);
         records.drop(machine);
         inventory.forget(machine);
-        removed.accept(machine);
+        listener.removed(machine);
+    }
+
+    private final class InventoryEvents implements Listener {
+        @Override
+        public void failed(Machine machine) {
+            listener.failed(machine);
+        }
+
+        @Override
+        public void removed(Machine machine) {
+            remove(machine);
+        }
     }
 
     /**
@@ -103,6 +125,9 @@
         // Guards the leader's processor time while the cloud is exhausted: planning is useless, and most tasks are
         // pending.
         boolean more = !isExhausted() && scaleOut(unplaced, booting, requested, rentedCpus);
+        if (inventory.isCloudResponding()) {
+            fencingPolicy.fenceMachines();
+        }
         if (allocationsKnown) {
             scaleInPolicy.drainUnneeded(rentedCpus);
             if (booting.isEmpty() && requested.isEmpty()) {
--- a/src/main/java/io/quartzgw/fleet/InventoryReconciler.java
+++ b/src/main/java/io/quartzgw/fleet/InventoryReconciler.java
@@ -13,7 +13,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -32,19 +31,19 @@
     private final ClusterState cluster;
     private final MachineTypes types;
     private final FleetManager.Policy policy;
-    private final Consumer<Machine> removed;
+    private final FleetManager.Listener listener;
     private final Map<String, Long> lastListedAt = new HashMap<>();
     private boolean inventoryKnown;
+    private boolean cloudResponds;
 
-    /** @param removed is notified when a machine certainly no longer exists */
-    InventoryReconciler(FleetContext context, MachineTypes types, Consumer<Machine> removed) {
+    InventoryReconciler(FleetContext context, MachineTypes types, FleetManager.Listener listener) {
         this.eventLoop = context.eventLoop();
         this.cloud = context.cloud();
         this.term = context.term();
         this.cluster = context.cluster();
         this.policy = context.policy();
         this.types = types;
-        this.removed = removed;
+        this.listener = listener;
     }
 
     /** Starts to read the list periodically. */
@@ -57,6 +56,11 @@
         return inventoryKnown;
     }
 
+    /** Whether the last attempt to read the list has succeeded. */
+    boolean isCloudResponding() {
+        return cloudResponds;
+    }
+
     /** Forgets when a machine was listed. */
     void forget(Machine machine) {
         lastListedAt.remove(machine.id());
@@ -74,6 +78,7 @@
         if (!term.isCurrent()) {
             return;
         }
+        cloudResponds = list.isPresent();
         list.ifPresent(machines -> reconcileAll(machines, requestedAt));
         eventLoop.after(Math.max(MIN_LIST_MS, (long) (LIST_EVERY_LAGS * policy.listLagMs())), this::read);
     }
@@ -100,7 +105,7 @@
         if (entry.failed() && !policy.hasRecentHeartbeat(machine, eventLoop.nowMs())) {
             // It has stopped by itself, and its tasks with it.
             LOG.atInfo().addKeyValue("machine", entry.id()).log("machine failed");
-            machine.allocationsSnapshot().forEach(cluster::release);
+            listener.failed(machine);
             machine.expireReservation();
             machine.drain();
         }
@@ -135,7 +140,7 @@
                         .addKeyValue("machine", machine.id())
                         .addKeyValue("reason", "not_listed")
                         .log("machine removed");
-                removed.accept(machine);
+                listener.removed(machine);
             }
         }
     }
--- a/src/main/java/io/quartzgw/fleet/ScaleInPolicy.java
+++ b/src/main/java/io/quartzgw/fleet/ScaleInPolicy.java
@@ -3,6 +3,7 @@
 import io.quartzgw.eventloop.EventLoop;
 import io.quartzgw.liveness.AgentLiveness;
 import io.quartzgw.model.Resources;
+import io.quartzgw.scheduling.Allocation;
 import io.quartzgw.scheduling.ClusterState;
 import io.quartzgw.scheduling.Consolidation;
 import io.quartzgw.scheduling.Job;
@@ -95,6 +96,9 @@
             demand = demand.plus(job.spec().demand().times(job.unaccounted().cardinality()));
         }
         for (Machine machine : cluster.machines()) {
+            for (Allocation unfenced : machine.fencing().unfenced()) {
+                demand = demand.plus(unfenced.demand());
+            }
             if (!machine.empty()
                     && !machine.reservationExpired()
                     && !policy.hasRecentHeartbeat(machine, eventLoop.nowMs())) {
--- a/src/main/java/io/quartzgw/fleet/ScaleInRequests.java
+++ b/src/main/java/io/quartzgw/fleet/ScaleInRequests.java
@@ -38,9 +38,8 @@
         }
         List<String> ids = new ArrayList<>();
         for (Machine machine : cluster.machines()) {
-            // No task may be allocated to it when it is deleted, unless its reservation has expired.
             if (machine.status() == Machine.Status.DRAINING
-                    && (machine.empty() || machine.reservationExpired())
+                    && isDeletable(machine)
                     && ids.size() < CloudClient.MAX_DELETE
                     && deleting.add(machine.id())) {
                 ids.add(machine.id());
@@ -52,6 +51,11 @@
         return false;
     }
 
+    // No task may run on a machine that is deleted, unless the machine is being fenced and its time is over.
+    private boolean isDeletable(Machine machine) {
+        return machine.empty() || machine.reservationExpired() || machine.isFencingDue(eventLoop.nowMs());
+    }
+
     private void onDeleted(List<String> ids, boolean success) {
         deleting.removeAll(ids);
         if (!term.isCurrent()) {
--- a/src/main/java/io/quartzgw/recovery/ReservationExpiry.java
+++ b/src/main/java/io/quartzgw/recovery/ReservationExpiry.java
@@ -2,7 +2,6 @@
 
 import io.quartzgw.agent.AgentManager;
 import io.quartzgw.agent.LeaderContext;
-import io.quartzgw.scheduling.Allocation;
 import io.quartzgw.scheduling.ClusterState;
 import io.quartzgw.scheduling.Machine;
 import java.util.List;
@@ -39,21 +38,14 @@
     }
 
     private void release(Machine machine) {
-        List<Allocation> released = machine.allocationsSnapshot().stream()
-                .filter(allocation -> !agents.isStartOutstanding(allocation))
-                .toList();
+        int allocated = machine.allocations().size();
+        agents.allTasksLost(machine);
         LOG.atInfo()
                 .addKeyValue("machine", machine.id())
-                .addKeyValue("released_tasks", released.size())
+                .addKeyValue("released_tasks", allocated - machine.allocations().size())
                 .log("reservation expired");
         leader.eventLoop().increment("machines.given_up", 1);
-        released.forEach(leader.cluster()::release);
         machine.expireReservation();
-        if (!machine.empty()) {
-            // An outstanding start names the first epoch, and the agent of a machine that comes back begins with that
-            // one again: the remaining tasks are placed elsewhere only when the machine has been deleted.
-            machine.drain();
-        }
         leader.cluster().markChanged();
     }
 }
--- a/src/main/java/io/quartzgw/scheduling/Allocation.java
+++ b/src/main/java/io/quartzgw/scheduling/Allocation.java
@@ -20,6 +20,8 @@
         CHECKPOINTING
     }
 
+    private static final long NOT_LOST = Long.MAX_VALUE;
+
     private final Job job;
     private final int index;
     private final long attempt;
@@ -27,6 +29,7 @@
     private final long allocatedAt;
     private Phase phase = Phase.ASSIGNED;
     private long runningSince;
+    private long lostAt = NOT_LOST;
     private boolean startSent;
     private boolean stopping;
     private double stopGraceS;
@@ -86,11 +89,23 @@
             machine.cacheImage(job.spec().image(), job.spec().imageGb());
         }
         phase = reported;
+        lostAt = NOT_LOST;
     }
 
-    /** Records that the agent restarted: the same attempt may be started on its successor. */
-    public void agentReplaced() {
+    /** Records that the attempt no longer runs, with its agent or by itself, though it may be started again there. */
+    public void markLost(long now) {
         phase = Phase.ASSIGNED;
+        lostAt = now;
+    }
+
+    /** Whether the attempt no longer runs, as far as is known, and has not been seen again since. */
+    public boolean isLost() {
+        return lostAt != NOT_LOST;
+    }
+
+    /** Returns whether the attempt was lost at least so many milliseconds ago. */
+    public boolean isLostFor(long durationMs, long now) {
+        return isLost() && now - lostAt >= durationMs;
     }
 
     /** When the task was allocated, on the steady clock. */
@@ -113,13 +128,13 @@
         startSent = true;
     }
 
-    /** Whether the cloud reclaims the machine before the task can complete there, by its owner's runtime estimate. */
-    boolean reclaimedBeforeEnd(long now) {
+    /** Whether the machine is gone before the task can complete there, by its owner's runtime estimate. */
+    boolean machineGoneBeforeEnd(long now) {
         if (stopping || !observed() || job.spec().gang()) {
             return false;
         }
         long remainingMs = (long) (job.spec().estimateS() * 1000) - runtimeMs(now);
-        return job.spec().service() || remainingMs > machine.reclaimAt() - now;
+        return job.spec().service() || remainingMs > machine.goneAt() - now;
     }
 
     /** Whether the task was asked to stop. */
--- a/src/main/java/io/quartzgw/scheduling/CandidateMachines.java
+++ b/src/main/java/io/quartzgw/scheduling/CandidateMachines.java
@@ -75,22 +75,23 @@
 
     private boolean preemptWithImage() {
         if (preemptionWithImage == null) {
-            preemptionWithImage = new Preemption(
-                    job,
-                    schedulable,
-                    machine -> machine.hasImage(job.spec().image()) && allowed.test(machine),
-                    nowMs());
+            preemptionWithImage =
+                    newPreemption(machine -> machine.hasImage(job.spec().image()) && allowed.test(machine));
         }
         return preempt(preemptionWithImage);
     }
 
     private boolean preemptAnywhere() {
         if (preemptionAnywhere == null) {
-            preemptionAnywhere = new Preemption(job, schedulable, allowed, nowMs());
+            preemptionAnywhere = newPreemption(allowed);
         }
         return preempt(preemptionAnywhere);
     }
 
+    private Preemption newPreemption(Predicate<Machine> usable) {
+        return new Preemption(job, schedulable, usable, context.launcher()::isRelocatable, nowMs());
+    }
+
     private boolean preempt(Preemption preemption) {
         Preemption.Plan plan = preemption.next();
         if (plan == null) {
--- a/src/main/java/io/quartzgw/scheduling/ClusterState.java
+++ b/src/main/java/io/quartzgw/scheduling/ClusterState.java
@@ -158,9 +158,10 @@
         machines.put(machine.id(), machine);
     }
 
-    /** Removes a machine that certainly no longer exists, and releases its allocations. */
+    /** Removes a machine that certainly no longer exists, and releases its allocations: the machine is fenced. */
     public void remove(Machine machine) {
         machine.allocationsSnapshot().forEach(this::release);
+        machine.fencing().unfenced().forEach(this::release);
         machines.remove(machine.id(), machine);
         wasRemoved.add(machine.id());
         setUnexplained(machine, false);
@@ -195,16 +196,40 @@
 
     /** Releases an allocation; the task is pending again unless it is done or its job is terminal. */
     public void release(Allocation allocation) {
-        if (allocation.machine().allocation(allocation.task()) != allocation) {
+        Machine machine = allocation.machine();
+        if (machine.allocation(allocation.task()) == allocation) {
+            machine.removeAllocation(allocation, eventLoop.nowMs());
+        } else if (!machine.fencing().remove(allocation)) {
             return;
         }
         update(allocation.job(), job -> job.removeAllocation(allocation));
-        allocation.machine().removeAllocation(allocation, eventLoop.nowMs());
         usageByTeam.merge(allocation.job().spec().team(), allocation.demand(), Resources::minus);
         logAllocation(allocation, "allocation released");
         removeIfDrained(allocation.job());
     }
 
+    /**
+     * Keeps the allocation of an attempt that has ended but is unfenced. It takes no capacity of the machine any more;
+     * its task is not pending, and counts as possibly running for quota, zones and gang.
+     */
+    public void retainUnfenced(Allocation allocation) {
+        Machine machine = allocation.machine();
+        machine.removeAllocation(allocation, eventLoop.nowMs());
+        machine.fencing().add(allocation);
+        allocation.markLost(eventLoop.nowMs());
+        changed = true;
+        logAllocation(allocation, "allocation retained");
+    }
+
+    /** Restores the allocation of an unfenced attempt that has been started after all. */
+    public void restoreUnfenced(Allocation allocation) {
+        Machine machine = allocation.machine();
+        machine.fencing().remove(allocation);
+        machine.addAllocation(allocation);
+        changed = true;
+        logAllocation(allocation, "allocation restored");
+    }
+
     private static void logAllocation(Allocation allocation, String message) {
         LOG.atDebug()
                 .addKeyValue("task", allocation.task())
@@ -218,6 +243,10 @@
     /** Marks a task as done; it will not be started again. */
     public void markDone(Job job, int index) {
         update(job, updated -> updated.markDone(index));
+        Allocation allocation = job.allocation(index);
+        if (allocation != null && allocation.machine().fencing().isUnfenced(allocation)) {
+            release(allocation);
+        }
     }
 
     /** The resources of a team's allocated and unaccounted tasks. */
--- a/src/main/java/io/quartzgw/scheduling/Consolidation.java
+++ b/src/main/java/io/quartzgw/scheduling/Consolidation.java
@@ -65,6 +65,7 @@
     private boolean isMovable(Allocation allocation, long now) {
         return allocation.job().spec().service()
                 && !allocation.stopping()
+                && launcher.isRelocatable(allocation)
                 && allocation.phase() == Allocation.Phase.RUNNING
                 && allocation.runtimeMs(now) >= minRuntimeMs;
     }
--- a/src/main/java/io/quartzgw/scheduling/Machine.java
+++ b/src/main/java/io/quartzgw/scheduling/Machine.java
@@ -42,6 +42,7 @@
     private Resources freeCapacity;
     private final ImageCache images;
     private final MachineExclusions exclusions = new MachineExclusions();
+    private final MachineFencing fencing = new MachineFencing();
 
     /**
      * @param rentedAt when the machine was rented, in milliseconds of the steady clock
@@ -106,11 +107,32 @@
         status = Status.DRAINING;
     }
 
+    /** Drains it and begins to fence it: it is deleted at the deadline, or as soon as nothing runs there any more. */
+    public void fence(long deadline) {
+        drain();
+        fencing.begin(deadline);
+    }
+
+    /** The attempts that may still be started on it though they have ended, and whether it is deleted for them. */
+    public MachineFencing fencing() {
+        return fencing;
+    }
+
     /** What it is passed over for. */
     public MachineExclusions exclusions() {
         return exclusions;
     }
 
+    /** Whether it runs, or has just been given, a task that is not lost with its agent. */
+    public boolean isInUse() {
+        return allocations.values().stream().anyMatch(allocation -> !allocation.isLost());
+    }
+
+    /** Whether it is being fenced and can be deleted now. */
+    public boolean isFencingDue(long now) {
+        return fencing.isBegun() && (now >= fencing.deadline() || !isInUse());
+    }
+
     /** Whether its record says that tasks may have been started on it. */
     public boolean hasRunTasks() {
         return hasRunTasks;
@@ -157,6 +179,11 @@
         this.reclaimAt = reclaimAt;
     }
 
+    /** When it is gone, reclaimed by the cloud or deleted, or {@code Long.MAX_VALUE} if it stays. */
+    public long goneAt() {
+        return Math.min(reclaimAt, fencing.deadline());
+    }
+
     /** Since when no task is allocated to it, if none is. */
     public long emptySince() {
         return emptySince;
--- /dev/null
+++ b/src/main/java/io/quartzgw/scheduling/MachineFencing.java
@@ -0,0 +1,70 @@
+package io.quartzgw.scheduling;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The unfenced attempts of one machine, and whether it is being fenced, which means that it will be deleted.
+ *
+ * <p>An attempt is unfenced if it has ended while a direct call that may still start it has no answer. The agent that
+ * has seen it end ignores such a start; an agent that replaces it, on the same machine, does not. So the task is
+ * started nowhere else before the call is answered or the machine no longer exists.
+ */
+public final class MachineFencing {
+    private static final long NOT_FENCED = Long.MAX_VALUE;
+
+    /** By task, in the order in which the attempts ended. */
+    private final Map<String, Allocation> unfenced = new LinkedHashMap<>();
+
+    private long deadline = NOT_FENCED;
+
+    void add(Allocation allocation) {
+        unfenced.put(allocation.task(), allocation);
+    }
+
+    boolean remove(Allocation allocation) {
+        return unfenced.remove(allocation.task(), allocation);
+    }
+
+    /** The allocations of unfenced attempts, a copy; they take no capacity of the machine. */
+    public Collection<Allocation> unfenced() {
+        return List.copyOf(unfenced.values());
+    }
+
+    /** The allocation of a task's unfenced attempt, if that attempt is unfenced. */
+    public Optional<Allocation> find(String task, long attempt) {
+        return Optional.ofNullable(unfenced.get(task)).filter(allocation -> allocation.attempt() == attempt);
+    }
+
+    /** Whether an attempt is unfenced. */
+    public boolean isUnfenced(Allocation allocation) {
+        return unfenced.get(allocation.task()) == allocation;
+    }
+
+    /** Whether any attempt is unfenced. */
+    public boolean hasUnfenced() {
+        return !unfenced.isEmpty();
+    }
+
+    /**
+     * Begins to fence the machine.
+     *
+     * @param deadline when the machine is deleted, whatever runs there
+     */
+    void begin(long deadline) {
+        this.deadline = Math.min(this.deadline, deadline);
+    }
+
+    /** Whether the machine is being fenced. */
+    public boolean isBegun() {
+        return deadline != NOT_FENCED;
+    }
+
+    /** When the machine is deleted, whatever runs there, or {@code Long.MAX_VALUE} if it is not being fenced. */
+    public long deadline() {
+        return deadline;
+    }
+}
--- a/src/main/java/io/quartzgw/scheduling/Preemption.java
+++ b/src/main/java/io/quartzgw/scheduling/Preemption.java
@@ -18,13 +18,20 @@
 
     private final Job job;
     private final Predicate<Machine> allowed;
+    private final Predicate<Allocation> relocatable;
     private final long now;
     private final PriorityQueue<Plan> plans = new PriorityQueue<>(Comparator.comparingDouble(Plan::lostCpuMs)
             .thenComparing(plan -> plan.machine().id()));
 
-    Preemption(Job job, List<Machine> machines, Predicate<Machine> allowed, long now) {
+    /**
+     * @param allowed whether the job may use a machine
+     * @param relocatable whether a task could be started elsewhere once it is stopped
+     */
+    Preemption(
+            Job job, List<Machine> machines, Predicate<Machine> allowed, Predicate<Allocation> relocatable, long now) {
         this.job = job;
         this.allowed = allowed;
+        this.relocatable = relocatable;
         this.now = now;
         machines.forEach(this::addPlan);
     }
@@ -64,6 +71,7 @@
         List<Allocation> candidates = machine.allocations().stream()
                 .filter(allocation -> allocation.observed()
                         && !allocation.stopping()
+                        && relocatable.test(allocation)
                         && job.spec().priority().above(allocation.job().spec().priority()))
                 .sorted(Comparator.comparingDouble((Allocation allocation) -> lostWork(allocation))
                         .thenComparing(Allocation::attempt))
--- a/src/main/java/io/quartzgw/scheduling/ReclaimedMachineEvacuation.java
+++ b/src/main/java/io/quartzgw/scheduling/ReclaimedMachineEvacuation.java
@@ -3,8 +3,9 @@
 import io.quartzgw.model.JobSpec;
 
 /**
- * Stops the tasks that cannot complete on a spot machine before the cloud reclaims it, so that they start elsewhere
- * now. That the machine is gone would otherwise only be known once the cloud's delayed machine list lacks it.
+ * Stops the tasks that cannot complete on a machine before it is gone, because the cloud reclaims it or because it is
+ * being fenced, so that they start elsewhere now. That a reclaimed machine is gone would otherwise only be known once
+ * the cloud's delayed machine list lacks it.
  */
 final class ReclaimedMachineEvacuation {
     private final SchedulingContext context;
@@ -17,8 +18,8 @@
     void evacuate(Machine machine) {
         for (Allocation allocation : machine.allocationsSnapshot()) {
             JobSpec spec = allocation.job().spec();
-            if (allocation.reclaimedBeforeEnd(context.eventLoop().nowMs())
-                    && (!spec.service() || fitsElsewhere(allocation.job()))) {
+            if (allocation.machineGoneBeforeEnd(context.eventLoop().nowMs())
+                    && (!spec.service() || isMovable(allocation))) {
                 context.launcher().stop(allocation, spec.checkpointGraceS(), StopReason.MACHINE_RECLAIMED);
                 if (spec.service()) {
                     // The next replica is checked again in a later pass, once this one has taken its new capacity.
@@ -28,6 +29,11 @@
         }
     }
 
+    // A replica whose start is outstanding could not be started elsewhere while the machine exists.
+    private boolean isMovable(Allocation replica) {
+        return context.launcher().isRelocatable(replica) && fitsElsewhere(replica.job());
+    }
+
     private boolean fitsElsewhere(Job job) {
         SchedulingConstraints constraints = context.constraints();
         return context.cluster().machines().stream()
--- a/src/main/java/io/quartzgw/scheduling/Scheduler.java
+++ b/src/main/java/io/quartzgw/scheduling/Scheduler.java
@@ -66,7 +66,7 @@
     /** Runs one pass: allocates and starts all pending tasks that can run now. */
     public void schedule() {
         stopBrokenGangs();
-        evacuateReclaimedMachines();
+        evacuateVanishingMachines();
         List<Job> queued = queue.order(eventLoop.nowMs());
         eventLoop.increment("placement.passes", 1);
         eventLoop.increment("placement.jobs", queued.size());
@@ -81,9 +81,9 @@
                 .forEach(gangScheduler::stopRemainingMembers);
     }
 
-    private void evacuateReclaimedMachines() {
+    private void evacuateVanishingMachines() {
         cluster.machines().stream()
-                .filter(machine -> machine.reclaimAt() != Long.MAX_VALUE)
+                .filter(machine -> machine.goneAt() != Long.MAX_VALUE)
                 .toList()
                 .forEach(evacuation::evacuate);
     }
--- a/src/test/java/io/quartzgw/simulation/SimulatedCloud.java
+++ b/src/test/java/io/quartzgw/simulation/SimulatedCloud.java
@@ -33,6 +33,7 @@
     private final Function<String, String> addresses;
     private final Set<String> booted = new HashSet<>();
     private int nextMachine;
+    private boolean outage;
     private BootListener onBoot = (id, type, zone, spot) -> {};
     private Consumer<String> onRemoval = id -> {};
 
@@ -83,6 +84,11 @@
         }
     }
 
+    /** Begins or ends an outage, in which the cloud rejects every request. */
+    public void setOutage(boolean on) {
+        outage = on;
+    }
+
     /** Sets how long machines boot from now on. */
     public void setBootMs(long ms) {
         setBootMs = ms;
@@ -106,6 +112,10 @@
 
     /** Handles a request to the cloud API. */
     public void handle(Call call, long now, Consumer<Reply> onReply) {
+        if (outage) {
+            onReply.accept(SimulatedStore.reply(503, Json.object().put("error", "trouble")));
+            return;
+        }
         URI uri = URI.create(call.path());
         JsonNode body = call.body() == null ? null : Json.readOrNull(call.body());
         switch (uri.getPath()) {
