Fencing: an evacuation is shorter, more may run at a time; tests of the policy

At two reservations and one machine in fifty, a queue of machines in use could let a job wait for longer than the 90 s that the users allow once all troubles are over. An evacuation takes 1.5 reservations at the longest now, and one machine in twenty, two at the least, is evacuated at a time. An allocation that was adopted after its release keeps its outstanding start (AgentRegistry.requestStop asks for it), and a task that is done is never bound to a machine.

FencingPolicyTest: at once where nothing else runs, a limited evacuation, the share of the fleet, open jobs first.

--- a/src/main/java/io/quartzgw/agent/AgentRegistry.java
+++ b/src/main/java/io/quartzgw/agent/AgentRegistry.java
@@ -88,11 +88,15 @@
                 .addKeyValue("observed", allocation.observed())
                 .addKeyValue("start_sent", allocation.startSent())
                 .log("task stop requested");
-        if (!allocation.startSent() && !allocation.observed()) {
+        AgentState agent = agentOf(allocation.machine());
+        boolean neverSent = !allocation.startSent()
+                && !allocation.observed()
+                && !agent.outstandingStarts().isOutstanding(Attempt.of(allocation));
+        if (neverSent) {
             cluster.release(allocation);
             return;
         }
         allocation.requestStop(graceSeconds);
-        withPendingCommands.add(agentOf(allocation.machine()));
+        withPendingCommands.add(agent);
     }
 }
--- a/src/main/java/io/quartzgw/agent/AllocationRelease.java
+++ b/src/main/java/io/quartzgw/agent/AllocationRelease.java
@@ -39,12 +39,14 @@
         return registry.agentOf(allocation.machine()).outstandingStarts().isOutstandingDirectly(Attempt.of(allocation));
     }
 
-    /**
-     * Handles that an attempt has exited. A task that is done is not started again, so its allocation is released in
-     * any case.
-     */
+    private boolean isFenced(Allocation allocation) {
+        // A task that is done is not started elsewhere.
+        return allocation.job().isDone(allocation.index()) || !isStartOutstanding(allocation);
+    }
+
+    /** Handles that an attempt has exited. */
     void attemptExited(Allocation allocation) {
-        if (allocation.job().isDone(allocation.index()) || !isStartOutstanding(allocation)) {
+        if (isFenced(allocation)) {
             cluster.release(allocation);
         } else {
             logUnfenced(allocation, End.EXITED);
@@ -57,7 +59,7 @@
      * same attempt is started again on the machine if its agent can be reached.
      */
     void attemptLost(Allocation allocation) {
-        if (!isStartOutstanding(allocation)) {
+        if (isFenced(allocation)) {
             cluster.release(allocation);
         } else if (!allocation.isLost()) {
             logUnfenced(allocation, End.LOST);
@@ -78,18 +80,18 @@
      * that the responses to earlier heartbeats were executed or lost.
      */
     void releaseSettled(AgentState agent) {
+        Machine machine = agent.machine();
         OutstandingStarts outstanding = agent.outstandingStarts();
-        for (Allocation allocation : agent.machine().fencing().unfenced()) {
-            if (!outstanding.isOutstandingDirectly(Attempt.of(allocation))) {
-                cluster.release(allocation);
-            }
-        }
-        for (Allocation allocation : agent.machine().allocationsSnapshot()) {
-            boolean neverStarted = allocation.stopping() && !allocation.observed();
-            if (neverStarted && !outstanding.isOutstanding(Attempt.of(allocation))) {
-                cluster.release(allocation);
-            }
+        if (machine.fencing().hasUnfenced()) {
+            machine.fencing().unfenced().stream()
+                    .filter(allocation -> !outstanding.isOutstandingDirectly(Attempt.of(allocation)))
+                    .forEach(cluster::release);
         }
+        machine.allocations().stream()
+                .filter(allocation -> allocation.stopping() && !allocation.observed())
+                .filter(allocation -> !outstanding.isOutstanding(Attempt.of(allocation)))
+                .toList()
+                .forEach(cluster::release);
     }
 
     private void logUnfenced(Allocation allocation, End end) {
--- a/src/main/java/io/quartzgw/fleet/FencingPolicy.java
+++ b/src/main/java/io/quartzgw/fleet/FencingPolicy.java
@@ -23,9 +23,11 @@
     /** An unreachable agent that has lost attempts gets this fraction of a reservation to answer a call again. */
     private static final double REACHABLE_AGAIN_RESERVATIONS = 0.4;
     /** How long a machine in use is evacuated before it is deleted, in reservations. */
-    private static final double EVACUATION_RESERVATIONS = 2;
-    /** The largest share of the machines that is evacuated for fencing at a time; it is one machine at the least. */
-    private static final double MAX_EVACUATED_SHARE = 0.02;
+    private static final double EVACUATION_RESERVATIONS = 1.5;
+    /** The largest share of the machines that is evacuated for fencing at a time. */
+    private static final double MAX_EVACUATED_SHARE = 0.05;
+    /** Where the share is less, so many may be evacuated at a time. */
+    private static final int MIN_EVACUATED = 2;
 
     private final EventLoop eventLoop;
     private final ClusterState cluster;
@@ -59,8 +61,9 @@
     }
 
     private boolean hasLongUnfenced(Machine machine) {
-        return machine.fencing().unfenced().stream()
-                .anyMatch(allocation -> allocation.isLostFor(answerMs, eventLoop.nowMs()));
+        return machine.fencing().hasUnfenced()
+                && machine.fencing().unfenced().stream()
+                        .anyMatch(allocation -> allocation.isLostFor(answerMs, eventLoop.nowMs()));
     }
 
     // A reachable agent is sent the starts of lost attempts again.
@@ -74,8 +77,9 @@
 
     // Those for the sake of open jobs come first: nothing waits for a job that was cancelled.
     private void evacuate(List<Machine> machines) {
-        long allowed =
-                Math.max(1, (long) (MAX_EVACUATED_SHARE * cluster.machines().size())) - evacuating();
+        long allowed = Math.max(MIN_EVACUATED, (long)
+                        (MAX_EVACUATED_SHARE * cluster.machines().size()))
+                - evacuating();
         machines.stream()
                 .sorted(Comparator.comparing(machine -> !holdsBackOpenJob(machine)))
                 .limit(Math.max(0, allowed))
--- /dev/null
+++ b/src/test/java/io/quartzgw/fleet/FencingPolicyTest.java
@@ -0,0 +1,171 @@
+package io.quartzgw.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.quartzgw.eventloop.ClockReading;
+import io.quartzgw.eventloop.EventLoop;
+import io.quartzgw.liveness.HeartbeatId;
+import io.quartzgw.model.MachineType;
+import io.quartzgw.model.Resources;
+import io.quartzgw.scheduling.Allocation;
+import io.quartzgw.scheduling.ClusterState;
+import io.quartzgw.scheduling.Job;
+import io.quartzgw.scheduling.Machine;
+import io.quartzgw.simulation.JobSpecs;
+import io.quartzgw.submission.OpenJob;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Which machines are deleted because a task waits until its start can be executed there no more, and when: no job may
+ * wait for ever, and no single fault may cost most of the machines.
+ */
+class FencingPolicyTest {
+    private static final long RESERVATION_MS = 17_000;
+    private static final int MACHINES = 100;
+    private static final MachineType TYPE =
+            new MachineType("t", new Resources(16, 0, 64), 40, 1, 1, 0.3, 20, List.of("a"));
+
+    private final EventLoop eventLoop = new EventLoop(1);
+    private final ClusterState cluster = new ClusterState(eventLoop, 1);
+    private final FencingPolicy fencingPolicy =
+            new FencingPolicy(eventLoop, cluster, new FleetManager.Policy(0, RESERVATION_MS, 5_000));
+    private Job job;
+
+    @BeforeEach
+    void addMachinesAndAJob() {
+        for (int i = 0; i < MACHINES; i++) {
+            Machine machine = new Machine("i-" + i, TYPE, "a", false, 0, 0);
+            machine.liveness().recordHeartbeat(new HeartbeatId(1, 1), 0);
+            machine.markUp();
+            cluster.add(machine);
+        }
+        job = cluster.add(new OpenJob(
+                JobSpecs.named("j-1")
+                        .team("team")
+                        .tasks(2 * MACHINES)
+                        .demand(4, 0, 8)
+                        .spec(),
+                1,
+                0));
+    }
+
+    private Machine machine(int number) {
+        return cluster.findMachine("i-" + number).orElseThrow();
+    }
+
+    private Allocation run(Machine on) {
+        Allocation allocation = cluster.allocate(job, job.nextPending(), on, cluster.nextAttempt());
+        allocation.recordPhase(Allocation.Phase.RUNNING, eventLoop.nowMs());
+        return allocation;
+    }
+
+    private void exitUnfenced(Machine on) {
+        cluster.retainUnfenced(run(on));
+    }
+
+    private void advanceTo(long ms) {
+        eventLoop.processBatch(List.of(), new ClockReading(ms, ms));
+    }
+
+    private long fenced() {
+        return cluster.machines().stream()
+                .filter(machine -> machine.fencing().isBegun())
+                .count();
+    }
+
+    private boolean isDeletable(Machine machine) {
+        return machine.isFencingDue(eventLoop.nowMs());
+    }
+
+    @Test
+    void machineOnWhichNothingElseRunsIsDeletedAtOnceButNotBeforeItsCallHasEnded() {
+        exitUnfenced(machine(0));
+        fencingPolicy.fenceMachines();
+        assertEquals(0, fenced(), "the answer may still come");
+        advanceTo(RESERVATION_MS / 4);
+        fencingPolicy.fenceMachines();
+        assertEquals(1, fenced());
+        assertTrue(isDeletable(machine(0)));
+    }
+
+    @Test
+    void machineInUseIsDeletedOnceItsOtherTasksHaveEnded() {
+        exitUnfenced(machine(0));
+        Allocation other = run(machine(0));
+        advanceTo(RESERVATION_MS / 4);
+        fencingPolicy.fenceMachines();
+        assertEquals(Machine.Status.DRAINING, machine(0).status());
+        assertFalse(isDeletable(machine(0)));
+        cluster.release(other);
+        assertTrue(isDeletable(machine(0)));
+    }
+
+    // A replica runs for ever, and the task must not wait for it.
+    @Test
+    void machineInUseIsDeletedAfterALimitedTime() {
+        exitUnfenced(machine(0));
+        run(machine(0));
+        advanceTo(RESERVATION_MS / 4);
+        fencingPolicy.fenceMachines();
+        advanceTo(2 * RESERVATION_MS);
+        assertTrue(isDeletable(machine(0)));
+    }
+
+    // A burst of lost calls must not drain the fleet.
+    @Test
+    void fewMachinesInUseAreEvacuatedAtATimeAndThoseOfOpenJobsFirst() {
+        Job cancelled = cluster.add(new OpenJob(
+                JobSpecs.named("j-2")
+                        .team("team")
+                        .tasks(MACHINES)
+                        .demand(4, 0, 8)
+                        .spec(),
+                1,
+                0));
+        for (int i = 0; i < MACHINES; i++) {
+            run(machine(i));
+            if (i < MACHINES - 1) {
+                cluster.retainUnfenced(
+                        cluster.allocate(cancelled, cancelled.nextPending(), machine(i), cluster.nextAttempt()));
+            }
+        }
+        cluster.terminate(cancelled);
+        exitUnfenced(machine(MACHINES - 1));
+        advanceTo(RESERVATION_MS / 4);
+        fencingPolicy.fenceMachines();
+        assertEquals(5, fenced(), "one in twenty");
+        assertTrue(machine(MACHINES - 1).fencing().isBegun(), "a task of an open job waits for this one");
+        fencingPolicy.fenceMachines();
+        assertEquals(5, fenced(), "the others wait");
+    }
+
+    // A reachable agent is sent the start of the lost attempt again.
+    @Test
+    void machineThatLostAnAttemptIsDeletedOnlyIfItIsUnreachable() {
+        run(machine(0)).markLost(0);
+        run(machine(1)).markLost(0);
+        machine(1).liveness().markUnreachable(0);
+        advanceTo(RESERVATION_MS / 4);
+        fencingPolicy.fenceMachines();
+        assertEquals(0, fenced(), "it may be reached again soon");
+        advanceTo(RESERVATION_MS / 2);
+        fencingPolicy.fenceMachines();
+        assertEquals(1, fenced());
+        assertTrue(isDeletable(machine(1)), "nothing runs there");
+    }
+
+    @Test
+    void taskOfADeletedMachineIsPendingAgain() {
+        int pending = job.pending().cardinality();
+        exitUnfenced(machine(0));
+        assertEquals(pending - 1, job.pending().cardinality());
+        assertEquals(4, cluster.usageByTeam("team").cpus(), "it may run");
+        cluster.remove(machine(0));
+        assertEquals(pending, job.pending().cardinality());
+        assertEquals(0, cluster.usageByTeam("team").cpus());
+    }
+}
