--- /dev/null
+++ b/src/test/java/io/quartzgw/app/UnfencedStartsTest.java
@@ -0,0 +1,167 @@
+package io.quartzgw.app;
+
+import static io.quartzgw.app.ClusterAssertions.assertAllEnded;
+import static io.quartzgw.app.ClusterAssertions.assertHealthy;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.quartzgw.simulation.ClusterSimulation;
+import io.quartzgw.simulation.Hosts;
+import io.quartzgw.simulation.SeedRanges;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.SplittableRandom;
+import java.util.stream.LongStream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Starts reach machines late or not at all while gangs, spread services and arrays run, are preempted, cancelled and
+ * moved, machines are deaf, mute, cut off, hang or reboot, and the cloud is away for a while: every invariant holds,
+ * and no job waits for ever for a machine to be fenced.
+ */
+class UnfencedStartsTest {
+    private static final long MAX_COMMAND_DELAY_MS = 16_000;
+    private static final long FAULTS_END = 150_000;
+    private static final long END = 330_000;
+    private static final int MACHINES = 12;
+    private static final int JOBS = 24;
+    private static final int CONTROLLERS = 3;
+
+    static LongStream seeds() {
+        return SeedRanges.range("unfenced", 1, 40);
+    }
+
+    /** A single controller leads throughout, whatever it reaches. */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void invariantsHoldWhileMachinesReboot(long seed) {
+        run(seed, 1, Fault.REBOOT);
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void invariantsHoldWhileLeadersChange(long seed) {
+        run(seed, CONTROLLERS, Fault.LEADER_CRASH);
+    }
+
+    /**
+     * The leader resigns, since it does not reach a deaf machine; its start, "direct call ended outcome=unknown
+     * term_current=false" in the log, reaches that machine after a reboot. The new leader, which knows nothing of the
+     * call, has verified the machine before and started the task on another one.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = 35)
+    void invariantsHoldWhileMachinesRebootAndLeadersResign(long seed) {
+        run(seed, CONTROLLERS, Fault.REBOOT);
+    }
+
+    /** What may happen to a machine or to the controllers. */
+    private enum Fault {
+        REBOOT,
+        LEADER_CRASH,
+        DEAF,
+        MUTE,
+        CUT_OFF,
+        HANG,
+        RECLAIM,
+        FAIL,
+        CLOUD_OUTAGE,
+        CANCELLATION
+    }
+
+    /** @param special the one of reboots and crashes of leaders that takes place */
+    private static void run(long seed, int controllers, Fault special) {
+        ClusterSimulation simulation = ClusterSimulation.builder(seed)
+                .controllers(controllers)
+                .machines(MACHINES)
+                .build();
+        SplittableRandom random = new SplittableRandom(seed);
+        simulation.network().delayCommandsUpTo(MAX_COMMAND_DELAY_MS);
+        List<String> arrays = load(simulation, random);
+        List<Fault> faults = new ArrayList<>(List.of(Fault.values()));
+        faults.remove(special == Fault.REBOOT ? Fault.LEADER_CRASH : Fault.REBOOT);
+        faults.add(special);
+        for (long at = 20_000; at < FAULTS_END - 45_000; at += 1_000 + random.nextInt(6_000)) {
+            Fault fault = faults.get(random.nextInt(faults.size()));
+            int pick = random.nextInt(1_000);
+            simulation.schedule(at, () -> cause(simulation, fault, pick));
+        }
+        simulation.runChecked(FAULTS_END);
+        simulation.network().delayCommandsUpTo(0);
+        simulation.invariants().faultsOver(simulation.now());
+        while (simulation.now() < END) {
+            simulation.runChecked(1_000);
+            simulation.checkWaitingJobs();
+        }
+        assertHealthy(simulation);
+        assertAllEnded(simulation, arrays);
+        assertTrue(simulation.invariants().startCount() > 20, "tasks were started");
+    }
+
+    private static List<String> load(ClusterSimulation simulation, SplittableRandom random) {
+        List<String> arrays = new ArrayList<>();
+        for (int i = 0; i < JOBS; i++) {
+            String id = JobRequests.id(4000 + i);
+            boolean service = i % 6 == 0;
+            ObjectNode spec = service
+                    ? JobRequests.service(id, "blue", 2, 2).put("scatter", i % 12 == 0)
+                    : JobRequests.array(id, "blue", 1 + random.nextInt(6), 4, 2 + random.nextInt(14));
+            spec.put("pull_gb", random.nextInt(3) * 0.5);
+            if (!service) {
+                spec.put("loaner", random.nextBoolean()).put("together", random.nextInt(4) == 0);
+                spec.put("urgency", List.of("standard", "urgent", "low").get(i % 3));
+                spec.put("shape", i % 5 == 1 ? "gang" : "array");
+                arrays.add(id);
+            }
+            long at = random.nextInt(100_000);
+            OptionalLong cancelAt = random.nextInt(5) == 0
+                    ? OptionalLong.of(at + 2_000 + random.nextInt(25_000))
+                    : OptionalLong.empty();
+            simulation.schedule(at, () -> simulation.users().submitUntilAccepted(spec, cancelAt));
+        }
+        return arrays;
+    }
+
+    private static void cause(ClusterSimulation simulation, Fault fault, int pick) {
+        List<String> machines = simulation.agents().machineIds();
+        if (machines.isEmpty()) {
+            return;
+        }
+        String machine = machines.get(pick % machines.size());
+        long durationMs = 4_000 + 36L * pick;
+        switch (fault) {
+            case REBOOT -> simulation.agents().reboot(machine, pick % 3 == 0);
+            case LEADER_CRASH -> simulation.crash(simulation.leaderOrFirst(), 200 + 5L * pick);
+            case DEAF -> {
+                simulation.network().setInboundBlocked(machine, true);
+                after(simulation, durationMs, () -> simulation.network().setInboundBlocked(machine, false));
+            }
+            case MUTE -> {
+                simulation.network().setHeartbeatsBlocked(machine, true);
+                after(simulation, durationMs, () -> simulation.network().setHeartbeatsBlocked(machine, false));
+            }
+            case CUT_OFF -> {
+                simulation.network().partition(machine, Hosts.ALL);
+                after(simulation, durationMs, () -> simulation.network().heal(machine, Hosts.ALL));
+            }
+            case HANG -> {
+                simulation.agents().setHanging(machine, true);
+                after(simulation, durationMs / 3, () -> simulation.agents().setHanging(machine, false));
+            }
+            case RECLAIM -> simulation.agents().reclaim(machine, durationMs / 2);
+            case FAIL -> simulation.cloud().fail(machine, simulation.now());
+            case CLOUD_OUTAGE -> {
+                simulation.cloud().setOutage(true);
+                after(simulation, durationMs, () -> simulation.cloud().setOutage(false));
+            }
+            default -> simulation.users().cancelRunningJobs(1);
+        }
+    }
+
+    private static void after(ClusterSimulation simulation, long durationMs, Runnable action) {
+        simulation.schedule(simulation.now() + durationMs, action);
+    }
+}
