--- a/src/main/java/io/quartzgw/scheduling/ReclaimedMachineEvacuation.java
+++ b/src/main/java/io/quartzgw/scheduling/MachineEvacuation.java
@@ -7,10 +7,10 @@
  * being fenced, so that they start elsewhere now. That a reclaimed machine is gone would otherwise only be known once
  * the cloud's delayed machine list lacks it.
  */
-final class ReclaimedMachineEvacuation {
+final class MachineEvacuation {
     private final SchedulingContext context;
 
-    ReclaimedMachineEvacuation(SchedulingContext context) {
+    MachineEvacuation(SchedulingContext context) {
         this.context = context;
     }
 
--- a/src/main/java/io/quartzgw/scheduling/Scheduler.java
+++ b/src/main/java/io/quartzgw/scheduling/Scheduler.java
@@ -23,7 +23,7 @@
     private final SchedulingConstraints constraints;
     private final BestFit bestFit;
     private final GangScheduler gangScheduler;
-    private final ReclaimedMachineEvacuation evacuation;
+    private final MachineEvacuation evacuation;
     private final BooleanSupplier cloudExhausted;
     private List<UnplacedTasks> unplaced = List.of();
     /** Whether jobs of normal priority may preempt those of low priority in this pass. */
@@ -50,7 +50,7 @@
         this.bestFit = new BestFit(eventLoop.random(), policy.capacityReserved());
         this.context = new SchedulingContext(eventLoop, cluster, constraints, policy.objectives(), bestFit, launcher);
         this.gangScheduler = new GangScheduler(context);
-        this.evacuation = new ReclaimedMachineEvacuation(context);
+        this.evacuation = new MachineEvacuation(context);
     }
 
     /** The tasks that lacked free capacity in the last pass. */
@@ -66,7 +66,7 @@
     /** Runs one pass: allocates and starts all pending tasks that can run now. */
     public void schedule() {
         stopBrokenGangs();
-        evacuateVanishingMachines();
+        evacuateMachines();
         List<Job> queued = queue.order(eventLoop.nowMs());
         eventLoop.increment("placement.passes", 1);
         eventLoop.increment("placement.jobs", queued.size());
@@ -81,7 +81,7 @@
                 .forEach(gangScheduler::stopRemainingMembers);
     }
 
-    private void evacuateVanishingMachines() {
+    private void evacuateMachines() {
         cluster.machines().stream()
                 .filter(machine -> machine.goneAt() != Long.MAX_VALUE)
                 .toList()
