--- a/src/test/java/io/quartzgw/app/DelayedCommandsTest.java
+++ b/src/test/java/io/quartzgw/app/DelayedCommandsTest.java
@@ -74,6 +74,16 @@
         run(seed, true);
     }
 
+    /**
+     * A leader crashes or resigns ("leadership acquired" in the log) while its start is on its way to a machine that
+     * reboots. The new leader knows nothing of the start, and has allocated the task to another machine.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {10151, 10152})
+    void startOfAFormerLeaderRunsOnNoRebootedMachine(long seed) {
+        run(seed, true);
+    }
+
     /** A machine receives nothing until its epoch ends, then reboots, and counts its epochs from the first. */
     @Test
     void aStartOfAFormerSessionRunsOnNoWorkerThatCountsItsSessionsAnew() {
