--- a/src/test/java/io/quartzgw/app/DelayedCommandsTest.java
+++ b/src/test/java/io/quartzgw/app/DelayedCommandsTest.java
@@ -79,11 +79,22 @@
      * reboots. The new leader knows nothing of the start, and has allocated the task to another machine.
      */
     @ParameterizedTest
-    @ValueSource(longs = {10151, 10152})
+    @ValueSource(longs = {10151, 10152, 11367, 11428, 11636})
     void startOfAFormerLeaderRunsOnNoRebootedMachine(long seed) {
         run(seed, true);
     }
 
+    /**
+     * A start leaves in the response to a heartbeat of a new agent, and "agent replaced" follows in the same batch:
+     * starts in responses then count as void, as if that heartbeat had been the former agent's. The allocation is
+     * released, and the task is started elsewhere while the new agent executes the response.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = 11078)
+    void taskWhoseStartIsInAResponseToANewAgentRunsNowhereElse(long seed) {
+        run(seed, true);
+    }
+
     /** A machine receives nothing until its epoch ends, then reboots, and counts its epochs from the first. */
     @Test
     void aStartOfAFormerSessionRunsOnNoWorkerThatCountsItsSessionsAnew() {
