--- a/src/test/java/io/quartzgw/app/DecisionDigestTest.java
+++ b/src/test/java/io/quartzgw/app/DecisionDigestTest.java
@@ -28,8 +28,8 @@
 
     @ParameterizedTest
     @CsvSource({
-        "1, 15684 5546b394b3193943",
-        "7, 22659 03b4ce2767972dbd",
+        "1, 15732 ded79782a69a9267",
+        "7, 22449 1f7f4bdac776a9a1",
         "13, 14372 a4f6997364d80fa5",
         "40, 25331 29f797a9fd3e393a"
     })
--- /dev/null
+++ b/src/test/java/io/quartzgw/app/PausedLeaderTest.java
@@ -0,0 +1,69 @@
+package io.quartzgw.app;
+
+import static io.quartzgw.app.ClusterAssertions.assertHealthy;
+import static io.quartzgw.app.ClusterFixtures.clusterWithServices;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.quartzgw.simulation.ClusterSimulation;
+import java.util.List;
+import java.util.stream.LongStream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * A task of a cancelled job was started again, 54.7 seconds after its user was told of the cancellation; the limit was
+ * 36 seconds.
+ *
+ * <p>The order of events: the leader sends the start of a task in a direct call, and its process stands still before it
+ * takes the answer. The user cancels the job at another controller. The state service comes and goes, so that the
+ * leader's lease never expires and nobody else is elected; the agents' leases expire. Then the leader goes on, learns
+ * of the cancellation, and answers the next heartbeat.
+ */
+class PausedLeaderTest {
+    private static final String JOB = "j-000701";
+    private static final String TASK = JOB + "/0";
+    private static final long SHORTEST_PAUSE_MS = 56_000;
+    private static final long CANCELLED_AFTER_MS = 1_600;
+    private static final long RECOVERY_MS = 120_000;
+
+    private final ClusterSimulation simulation = clusterWithServices();
+
+    /** Submits a job whose tasks run as soon as their start arrives, and runs until the start has left. */
+    private void runUntilStartIsOnItsWay() {
+        simulation
+                .users()
+                .submitUntilAccepted(JobRequests.array(JOB, "blue", 1, 2, 90).put("pull_gb", 0.0));
+        long callsBefore = simulation.counter("orders.sent");
+        while (simulation.counter("orders.sent") == callsBefore) {
+            simulation.runUntil(simulation.now() + 1);
+        }
+    }
+
+    private void cancelAtAnotherController(int leader) {
+        simulation.users().cancelJob((leader + 1) % 3, JOB, reply -> assertTrue(reply.ok(), "cancelled"));
+    }
+
+    /** Of several agents, one has to send its heartbeat just when the leader goes on. */
+    static LongStream pauses() {
+        return LongStream.range(0, 24).map(step -> SHORTEST_PAUSE_MS + 250 * step);
+    }
+
+    @ParameterizedTest
+    @MethodSource("pauses")
+    void leaderThatWasPausedStartsNoCancelledTaskAgain(long pauseMs) {
+        runUntilStartIsOnItsWay();
+        int leader = simulation.leader();
+        simulation.pauseController(leader, pauseMs);
+        simulation.runChecked(CANCELLED_AFTER_MS);
+        assertTrue(simulation.invariants().runningTasks().contains(TASK), "the start was executed");
+        cancelAtAnotherController(leader);
+        simulation.runChecked(100);
+        assertTrue(simulation.invariants().hasEndedIn("withdrawn", JOB));
+        simulation.letStoreComeAndGo(simulation.now() + pauseMs);
+        simulation.runChecked(pauseMs);
+        simulation.runChecked(RECOVERY_MS);
+        assertEquals(List.of(), simulation.invariants().violations());
+        assertHealthy(simulation);
+    }
+}
--- a/src/test/java/io/quartzgw/simulation/ClusterSimulation.java
+++ b/src/test/java/io/quartzgw/simulation/ClusterSimulation.java
@@ -26,6 +26,8 @@
     private static final long MACHINE_LIST_LAG_MS = 5_000;
     private static final long MACHINE_BOOT_MS = 8_000;
     private static final int HANGING_MACHINES = 4;
+    private static final long STORE_OUTAGE_MS = 2_000;
+    private static final long STORE_GAP_MS = 1_000;
 
     private final EventQueue events = new EventQueue();
     private final SimulatedStore store;
@@ -223,6 +225,11 @@
         controllers.pause(index, durationMs);
     }
 
+    /** As {@link #pauseController}, but in the middle of its next batch: what that sends leaves after the pause. */
+    public void pauseControllerWithinBatch(int index, long durationMs) {
+        controllers.pauseWithinBatch(index, durationMs);
+    }
+
     /** Makes controllers process what they receive in batches, collected for up to a time. */
     public void batchCommandsUpTo(long maxMs) {
         controllers.setMaxBatchDelay(maxMs);
@@ -275,6 +282,22 @@
 
     // ---- faults of several parts
 
+    /**
+     * Makes the state service come and go until a time: each outage is shorter than the agents' lease, and the gaps are
+     * shorter than the leader's.
+     */
+    public void letStoreComeAndGo(long end) {
+        if (now() >= end) {
+            store.setOutage(false);
+            return;
+        }
+        store.setOutage(true);
+        events.scheduleAfter(STORE_OUTAGE_MS, () -> {
+            store.setOutage(false);
+            events.scheduleAfter(STORE_GAP_MS, () -> letStoreComeAndGo(end));
+        });
+    }
+
     /** Cancels a number of the running jobs while some machines hang for a duration. */
     public void cancelRunningJobsWhileMachinesHang(int count, long hangMs) {
         users.cancelRunningJobs(count);
--- a/src/test/java/io/quartzgw/simulation/ProtocolInvariants.java
+++ b/src/test/java/io/quartzgw/simulation/ProtocolInvariants.java
@@ -124,6 +124,13 @@
 
     // ---- tasks
 
+    @Override
+    public void startExecuted(SimulatedAgent agent, String task) {
+        if (isCancellationOverdue(PlacementRules.jobOf(task), clock.getAsLong())) {
+            violated("ran_cancelled", task + " is started on " + agent.id);
+        }
+    }
+
     @Override
     public void started(SimulatedAgent agent, String task) {
         starts.merge(task, 1, Integer::sum);
--- a/src/test/java/io/quartzgw/simulation/SimulatedAgent.java
+++ b/src/test/java/io/quartzgw/simulation/SimulatedAgent.java
@@ -35,6 +35,9 @@
 
     /** Hears of the starts and ends of tasks on a machine. */
     public interface Watcher {
+        /** A command to start a task is executed, whether or not the task then runs, and for however short a time. */
+        default void startExecuted(SimulatedAgent on, String task) {}
+
         /** A task has begun to run. */
         default void started(SimulatedAgent on, String task) {}
 
@@ -152,9 +155,7 @@
         expireLease(now);
         for (AgentTask task : List.copyOf(tasks.values())) {
             if (task.exitCause.isEmpty() && !task.running && now >= task.startsAt) {
-                task.running = true;
-                changed = true;
-                watcher.started(this, task.name);
+                begin(task);
             }
             if (task.exitCause.isEmpty() && task.running && !task.job.service() && now >= task.endsAt) {
                 if (!task.job.faulty()) {
@@ -175,6 +176,12 @@
         }
     }
 
+    private void begin(AgentTask task) {
+        task.running = true;
+        changed = true;
+        watcher.started(this, task.name);
+    }
+
     private void dropTasks() {
         tasks.values().stream().filter(task -> task.running).forEach(task -> watcher.ended(this, task.name));
         tasks.clear();
@@ -271,6 +278,7 @@
     }
 
     private void run(String name, long attempt, long now) {
+        watcher.startExecuted(this, name);
         Description job = jobs.apply(name.substring(0, name.indexOf('/')));
         AgentTask task = new AgentTask(name, attempt, job);
         boolean busy = tasks.values().stream().anyMatch(other -> other.name.equals(name));
@@ -287,5 +295,9 @@
         }
         tasks.put(name + "#" + attempt, task);
         changed = true;
+        // With its image there, a task runs before the next command is executed.
+        if (task.exitCause.isEmpty() && task.startsAt <= now) {
+            begin(task);
+        }
     }
 }
--- a/src/test/java/io/quartzgw/simulation/SimulatedController.java
+++ b/src/test/java/io/quartzgw/simulation/SimulatedController.java
@@ -29,6 +29,11 @@
     private final MessageDigests digests;
     private final Map<Long, Consumer<Response>> openRequests = new HashMap<>();
     private final List<Command> receivedWhilePaused = new ArrayList<>();
+    /** What the batch in which the process was paused has left to be sent. */
+    private final List<Effect> unsentWhilePaused = new ArrayList<>();
+    /** When calls time out, by their number, while they have not ended. */
+    private final Map<Long, Long> callTimeouts = new HashMap<>();
+
     private final List<Command> nextBatch = new ArrayList<>();
     private Optional<Controller> controller = Optional.empty();
     private EventLoop eventLoop;
@@ -38,6 +43,9 @@
     private long wakeUpAt = Long.MAX_VALUE;
     private long requestCount;
     private boolean paused;
+    /** The process is to be paused in its next batch, before anything of it is sent. */
+    private boolean pausingWithinBatch;
+
     private long maxBatchDelayMs;
 
     SimulatedController(String name, SimulationContext context, SimulatedNetwork network, MessageDigests digests) {
@@ -53,7 +61,10 @@
         wakeUpAt = Long.MAX_VALUE;
         openRequests.clear();
         paused = false;
+        pausingWithinBatch = false;
         receivedWhilePaused.clear();
+        unsentWhilePaused.clear();
+        callTimeouts.clear();
         nextBatch.clear();
         eventLoop = new EventLoop(context.random().nextLong());
         eventLoop.processBatch(List.of(), context.events().clockReading());
@@ -75,17 +86,46 @@
             return;
         }
         paused = true;
-        long pausedIncarnation = incarnation;
-        context.events().scheduleAfter(durationMs, () -> {
-            if (incarnation == pausedIncarnation) {
-                paused = false;
-                List<Command> received = List.copyOf(receivedWhilePaused);
-                receivedWhilePaused.clear();
-                process(received);
-            }
+        scheduleForThisProcess(durationMs, this::resume);
+    }
+
+    /** As {@link #pause}, but in the middle of the next batch: what that batch sends leaves after the pause. */
+    void pauseWithinBatch(long durationMs) {
+        if (!isUp() || paused) {
+            return;
+        }
+        pausingWithinBatch = true;
+        scheduleForThisProcess(durationMs, () -> {
+            pausingWithinBatch = false;
+            resume();
         });
     }
 
+    /** A process that resumes looks at its timers and at calls that have ended before it reads new requests. */
+    private void resume() {
+        paused = false;
+        List<Effect> unsent = List.copyOf(unsentWhilePaused);
+        unsentWhilePaused.clear();
+        unsent.forEach(this::carryOut);
+        List<Command> endedCalls = receivedWhilePaused.stream()
+                .filter(Command.CallEnded.class::isInstance)
+                .map(ended -> unlessTimedOut((Command.CallEnded) ended))
+                .toList();
+        List<Command> requests = receivedWhilePaused.stream()
+                .filter(Command.Arrived.class::isInstance)
+                .toList();
+        receivedWhilePaused.clear();
+        process(endedCalls);
+        process(requests);
+    }
+
+    /** A call that has timed out while the process was paused has got no response. */
+    private Command unlessTimedOut(Command.CallEnded ended) {
+        boolean timedOut = callTimeouts.getOrDefault(ended.call(), Long.MAX_VALUE)
+                <= context.events().now();
+        return timedOut ? new Command.CallEnded(ended.call(), Reply.lost()) : ended;
+    }
+
     /** Sets the longest time for which commands are collected into one batch; 0 processes each at once. */
     void setMaxBatchDelay(long delayMs) {
         maxBatchDelayMs = delayMs;
@@ -145,32 +185,50 @@
             receivedWhilePaused.addAll(batch);
             return;
         }
+        batch.forEach(this::forgetTimeout);
         EventQueue events = context.events();
         // Log lines show the thread's name: here the simulated time and the controller.
         Thread.currentThread().setName(events.now() + " " + name);
-        for (Effect effect : eventLoop.processBatch(batch, events.clockReading())) {
-            digests.add(events.now(), name, effect);
-            carryOut(effect);
+        List<Effect> effects = eventLoop.processBatch(batch, events.clockReading());
+        if (pausingWithinBatch) {
+            paused = true;
+            unsentWhilePaused.addAll(effects);
+        } else {
+            effects.forEach(this::carryOut);
         }
         scheduleWakeUp();
     }
 
+    private void forgetTimeout(Command command) {
+        if (command instanceof Command.CallEnded ended) {
+            callTimeouts.remove(ended.call());
+        }
+    }
+
     private void carryOut(Effect effect) {
+        EventQueue events = context.events();
+        digests.add(events.now(), name, effect);
         if (effect instanceof Effect.Answer answer) {
             Consumer<Response> receiver = openRequests.remove(answer.exchange());
             if (receiver != null) {
                 receiver.accept(answer.response());
             }
         } else if (effect instanceof Effect.Send send) {
-            long sender = incarnation;
-            network.send(name, send.request(), reply -> {
-                if (incarnation == sender && isUp()) {
-                    receive(new Command.CallEnded(send.call(), reply));
-                }
-            });
+            send(send);
         }
     }
 
+    private void send(Effect.Send send) {
+        long sender = incarnation;
+        long sentAt = context.events().now();
+        callTimeouts.put(send.call(), sentAt + send.request().timeoutMs());
+        network.send(name, send.request(), reply -> {
+            if (incarnation == sender && isUp()) {
+                receive(new Command.CallEnded(send.call(), reply));
+            }
+        });
+    }
+
     private void scheduleWakeUp() {
         long now = context.events().now();
         long due = Math.max(now + 1, eventLoop.nextTimerAt());
--- a/src/test/java/io/quartzgw/simulation/SimulatedControllers.java
+++ b/src/test/java/io/quartzgw/simulation/SimulatedControllers.java
@@ -57,6 +57,10 @@
         controllers.get(index).pause(durationMs);
     }
 
+    void pauseWithinBatch(int index, long durationMs) {
+        controllers.get(index).pauseWithinBatch(durationMs);
+    }
+
     void setMaxBatchDelay(long delayMs) {
         controllers.forEach(controller -> controller.setMaxBatchDelay(delayMs));
     }
