A stop is preceded by no start: a cancelled task was started again by the leader

Cause: the right to start was checked in one path and not in another. Where an attempt was to be stopped that no heartbeat had shown, and whose direct call had no answer, the response held a start before the stop, so that a late copy of the start would find the attempt known. That start asked neither whether the term is confirmed nor whether the job is cancelled, nor whether the call could still be executed by this agent.

Mend: no start before a stop, for any reason. What it was for is done by AllocationRelease: a heartbeat that does not show the attempt, with no response under way, proves that it does not run; if a direct call may still start it, its task is retained as after an exit, so that it takes no capacity there, counts for the quota, is started nowhere else, and the machine is fenced. A late start gets its allocation back, and a stop with the next response.

The test that asked for the start and the stop in one response is replaced by three: nothing is started, the capacity is free and the task waits; the capacity stays while a response with the start may be on its way; a late start is stopped.

--- a/src/main/java/io/quartzgw/agent/AllocationRelease.java
+++ b/src/main/java/io/quartzgw/agent/AllocationRelease.java
@@ -25,7 +25,9 @@
         /** The agent reports that it has ended. */
         EXITED,
         /** Its agent is gone, has begun a new epoch, or no longer reports it. */
-        LOST
+        LOST,
+        /** It was to be stopped before any heartbeat has shown it. */
+        NEVER_SEEN
     }
 
     AllocationRelease(LeaderContext leader, AgentRegistry registry) {
@@ -46,10 +48,14 @@
 
     /** Handles that an attempt has exited. */
     void attemptExited(Allocation allocation) {
+        releaseOrRetain(allocation, End.EXITED);
+    }
+
+    private void releaseOrRetain(Allocation allocation, End end) {
         if (isFenced(allocation)) {
             cluster.release(allocation);
         } else {
-            logUnfenced(allocation, End.EXITED);
+            logUnfenced(allocation, end);
             cluster.retainUnfenced(allocation);
         }
     }
@@ -73,8 +79,8 @@
     }
 
     /**
-     * Releases the allocations that nothing can start any more: those whose direct calls have been answered, and those
-     * to be stopped whose start left in a response only, which the agent dropped.
+     * Settles the allocations of an agent's attempts that do not run, as far as no response can start them any more:
+     * releases those that nothing can start, and retains those to be stopped that a direct call may still start.
      *
      * <p>Called after every current heartbeat of an agent. It shows what the calls answered before have started, and
      * that the responses to earlier heartbeats were executed or lost.
@@ -89,9 +95,17 @@
         }
         machine.allocations().stream()
                 .filter(allocation -> allocation.stopping() && !allocation.observed())
-                .filter(allocation -> !outstanding.isOutstanding(Attempt.of(allocation)))
                 .toList()
-                .forEach(cluster::release);
+                .forEach(allocation -> settleStopped(allocation, outstanding));
+    }
+
+    private void settleStopped(Allocation allocation, OutstandingStarts outstanding) {
+        Attempt attempt = Attempt.of(allocation);
+        if (!outstanding.isOutstanding(attempt)) {
+            cluster.release(allocation);
+        } else if (outstanding.isOutstandingOnlyUnanswered(attempt)) {
+            releaseOrRetain(allocation, End.NEVER_SEEN);
+        }
     }
 
     private void logUnfenced(Allocation allocation, End end) {
--- a/src/main/java/io/quartzgw/agent/OutstandingStarts.java
+++ b/src/main/java/io/quartzgw/agent/OutstandingStarts.java
@@ -78,6 +78,11 @@
         return inFlight.contains(start) || unanswered.containsKey(start);
     }
 
+    /** Returns whether the start may still be executed from direct calls without an answer, and from nothing else. */
+    boolean isOutstandingOnlyUnanswered(Attempt start) {
+        return unanswered.containsKey(start) && !inFlight.contains(start) && !sentInResponses.containsKey(start);
+    }
+
     /** Returns whether the start may still be executed on this machine, from a direct call or a response. */
     boolean isOutstanding(Attempt start) {
         return isOutstandingDirectly(start) || sentInResponses.containsKey(start);
--- a/src/main/java/io/quartzgw/agent/PendingCommands.java
+++ b/src/main/java/io/quartzgw/agent/PendingCommands.java
@@ -9,12 +9,6 @@
     private final LeaderContext leader;
     private final AgentManager.Listener listener;
 
-    /** How commands reach an agent. */
-    private enum Channel {
-        DIRECT_CALL,
-        HEARTBEAT_RESPONSE
-    }
-
     /** @param listener notified of what has to be recorded before a start */
     PendingCommands(LeaderContext leader, AgentManager.Listener listener) {
         this.leader = leader;
@@ -24,14 +18,14 @@
     /** Returns the commands for a direct call; none if only removals are pending, which can wait for a response. */
     List<AgentCommand> forDirectCall(AgentState agent) {
         List<AgentCommand> removals = removals(agent);
-        List<AgentCommand> urgent = stopsAndStarts(agent, Channel.DIRECT_CALL);
+        List<AgentCommand> urgent = stopsAndStarts(agent);
         return urgent.isEmpty() ? List.of() : concatenate(removals, urgent);
     }
 
     /** Returns the commands for the response to a heartbeat. */
     List<AgentCommand> forHeartbeatResponse(AgentState agent) {
         List<AgentCommand> removals = removals(agent);
-        return concatenate(removals, stopsAndStarts(agent, Channel.HEARTBEAT_RESPONSE));
+        return concatenate(removals, stopsAndStarts(agent));
     }
 
     private static List<AgentCommand> concatenate(List<AgentCommand> first, List<AgentCommand> second) {
@@ -53,12 +47,12 @@
         return removals;
     }
 
-    private List<AgentCommand> stopsAndStarts(AgentState agent, Channel channel) {
+    private List<AgentCommand> stopsAndStarts(AgentState agent) {
         List<AgentCommand> commands = new ArrayList<>();
         agent.orphans().forEach(attempt -> commands.add(AgentCommand.Stop.immediately(attempt)));
         for (Allocation allocation : agent.machine().allocations()) {
             if (allocation.stopping()) {
-                addStop(agent, allocation, channel, commands);
+                addStop(agent, allocation, commands);
             }
         }
         if (leader.term().isConfirmed()) {
@@ -67,14 +61,12 @@
         return commands;
     }
 
-    private static void addStop(AgentState agent, Allocation allocation, Channel channel, List<AgentCommand> commands) {
+    // A stop is never preceded by a start, though the agent would then ignore a late one: the task would run for a
+    // moment, and a leader that is not confirmed, or knows the job as cancelled, must start nothing. An attempt whose
+    // start comes late is stopped once a heartbeat shows it, and its task waits until then (AllocationRelease).
+    private static void addStop(AgentState agent, Allocation allocation, List<AgentCommand> commands) {
         Attempt attempt = Attempt.of(allocation);
-        boolean unanswered = agent.outstandingStarts().isUnanswered(attempt);
-        if (unanswered && !allocation.observed() && channel == Channel.HEARTBEAT_RESPONSE) {
-            // The agent then knows the attempt as ended, so that the outstanding start has no effect.
-            commands.add(new AgentCommand.Start(attempt));
-        }
-        if (unanswered || allocation.observed()) {
+        if (allocation.observed() || agent.outstandingStarts().isUnanswered(attempt)) {
             commands.add(new AgentCommand.Stop(attempt, allocation.stopGraceS()));
         }
     }
--- a/src/test/java/io/quartzgw/agent/AgentManagerTest.java
+++ b/src/test/java/io/quartzgw/agent/AgentManagerTest.java
@@ -332,11 +332,40 @@
         assertFalse(machine.fencing().hasUnfenced());
     }
 
-    // The stop may overtake the start: the agent then knows the attempt as ended, so that the start has no effect.
+    // Only a direct call may still start the attempt, and that counts as its exit: its capacity is free, its task
+    // waits.
     @Test
-    void unobservedAttemptIsStartedAndStoppedInOneResponse() {
+    void unobservedAttemptToBeStoppedIsNotStartedAndFreesItsCapacity() {
         endCall(Reply.lost());
         agents.requestStop(allocation, 0, StopReason.PREEMPTED);
-        assertEquals(List.of("run", "kill"), heartbeat(""));
+        assertFalse(heartbeat("").contains("run"));
+        assertTrue(machine.empty(), "its capacity is free");
+        assertFalse(allocation.job().pending().get(0), "its start is outstanding");
+        assertTrue(machine.fencing().hasUnfenced());
+        cluster.remove(machine);
+        assertTrue(allocation.job().pending().get(0), "nothing can start it any more");
+    }
+
+    // Until the heartbeat after it, a response with the start may be on its way.
+    @Test
+    void attemptToBeStoppedKeepsItsCapacityWhileItsStartIsOutstandingInAResponse() {
+        endCall(Reply.lost());
+        assertEquals(List.of("run"), heartbeat(""));
+        agents.requestStop(allocation, 0, StopReason.PREEMPTED);
+        agents.contact(machine);
+        advance(0);
+        endCall(executed(""));
+        assertFalse(machine.empty(), "the response may still be executed");
+        assertEquals(List.of(), heartbeat(""));
+        assertTrue(machine.empty(), "the response was executed or lost");
+    }
+
+    @Test
+    void lateStartOfAnAttemptToBeStoppedIsAnsweredByAStop() {
+        endCall(Reply.lost());
+        agents.requestStop(allocation, 0, StopReason.PREEMPTED);
+        heartbeat("");
+        assertEquals(List.of("kill"), heartbeat("running"));
+        assertSame(allocation, machine.allocation(allocation.task()));
     }
 }
