Tests: no start leaves unconfirmed or for a cancelled job; pauses in every random cluster

Two invariants are sharper, in all simulated clusters: a controller sends no start, in a direct call or a response, while its term is not confirmed, by a plain model of its lease beside it, nor of a job that it knows as cancelled. Pauses of the leader for 3 to 70 s, half of them in the middle of a batch, with late commands before, cancellations elsewhere, and a state service that comes and goes, are laid over the random clusters of FailureTest (both kinds), DelayedCommandsTest and UnfencedStartsTest.

--- a/src/main/java/io/quartzgw/app/Controller.java
+++ b/src/main/java/io/quartzgw/app/Controller.java
@@ -100,6 +100,11 @@
         return leadership.term();
     }
 
+    /** Whether this controller knows a job as cancelled, so that it must start none of its tasks. */
+    public boolean isKnownCancelled(String job) {
+        return cancellations.contains(job);
+    }
+
     // ---- requests
 
     private RequestRouter.Handlers requestHandlers() {
--- a/src/test/java/io/quartzgw/app/DelayedCommandsTest.java
+++ b/src/test/java/io/quartzgw/app/DelayedCommandsTest.java
@@ -58,6 +58,18 @@
         run(seed, false);
     }
 
+    static LongStream seedsWithPauses() {
+        return SeedRanges.range("latePaused", 1, 40);
+    }
+
+    @ParameterizedTest
+    @MethodSource("seedsWithPauses")
+    void invariantsHoldWhileLeadersAlsoPause(long seed) {
+        ClusterSimulation simulation = newSimulation(seed);
+        LeaderPauses.scheduleAll(simulation, seed, FAULTS_END);
+        run(simulation, seed, false);
+    }
+
     /** Commands may reach an agent that has replaced the one they were sent to. */
     @ParameterizedTest
     @MethodSource("seeds")
@@ -115,11 +127,15 @@
         assertEquals(List.of(), simulation.invariants().violations());
     }
 
+    private static ClusterSimulation newSimulation(long seed) {
+        return ClusterSimulation.builder(seed).machines(MACHINES).timing(TIMING).build();
+    }
+
     private static void run(long seed, boolean reboots) {
-        ClusterSimulation simulation = ClusterSimulation.builder(seed)
-                .machines(MACHINES)
-                .timing(TIMING)
-                .build();
+        run(newSimulation(seed), seed, reboots);
+    }
+
+    private static void run(ClusterSimulation simulation, long seed, boolean reboots) {
         SplittableRandom random = new SplittableRandom(seed);
         simulation.batchCommandsUpTo(1 + random.nextInt(MAX_BATCH_DELAY_MS));
         simulation.network().delayCommandsUpTo(MAX_COMMAND_DELAY_MS);
--- a/src/test/java/io/quartzgw/app/FailureTest.java
+++ b/src/test/java/io/quartzgw/app/FailureTest.java
@@ -59,6 +59,20 @@
         assertTrue(simulation.invariants().startCount() > 50, "tasks were started");
     }
 
+    static LongStream singleSeedsWithPauses() {
+        return SeedRanges.range("singlePaused", 1, 20);
+    }
+
+    @ParameterizedTest
+    @MethodSource("singleSeedsWithPauses")
+    void invariantsHoldThroughSingleFaultsWhileLeadersPause(long seed) {
+        ClusterSimulation simulation = new ClusterSimulation(seed, 3);
+        LeaderPauses.scheduleAll(simulation, seed, FAULTS_END);
+        List<String> arrays = runSingleFailures(simulation, seed);
+        assertHealthy(simulation);
+        assertAllEnded(simulation, arrays);
+    }
+
     private static void setMessageFaults(ClusterSimulation simulation) {
         simulation.network().delayTransactionShare(0.01);
         simulation.network().duplicateMessageShare(0.02);
@@ -88,6 +102,20 @@
         assertAllEnded(simulation, arrays);
     }
 
+    static LongStream concurrentSeedsWithPauses() {
+        return SeedRanges.range("concurrentPaused", 1, 20);
+    }
+
+    @ParameterizedTest
+    @MethodSource("concurrentSeedsWithPauses")
+    void invariantsHoldUnderConcurrentFaultsWhileLeadersPause(long seed) {
+        ClusterSimulation simulation = new ClusterSimulation(seed, 3);
+        LeaderPauses.scheduleAll(simulation, seed, FAULTS_END);
+        List<String> arrays = runConcurrentFaults(simulation, seed);
+        assertHealthy(simulation);
+        assertAllEnded(simulation, arrays);
+    }
+
     /** Runs random faults over each other, and returns the arrays that were submitted. */
     static List<String> runConcurrentFaults(ClusterSimulation simulation, long seed) {
         setMessageFaults(simulation);
--- a/src/test/java/io/quartzgw/app/PausedLeaderTest.java
+++ b/src/test/java/io/quartzgw/app/PausedLeaderTest.java
@@ -10,6 +10,7 @@
 import java.util.stream.LongStream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * A task of a cancelled job was started again, 54.7 seconds after its user was told of the cancellation; the limit was
@@ -26,6 +27,7 @@
     private static final long SHORTEST_PAUSE_MS = 56_000;
     private static final long CANCELLED_AFTER_MS = 1_600;
     private static final long RECOVERY_MS = 120_000;
+    private static final double RUN_S = 40;
 
     private final ClusterSimulation simulation = clusterWithServices();
 
@@ -40,6 +42,11 @@
         }
     }
 
+    private static void submit(ClusterSimulation cluster) {
+        cluster.users()
+                .submitUntilAccepted(JobRequests.array(JOB, "blue", 1, 2, RUN_S).put("pull_gb", 0.0));
+    }
+
     private void cancelAtAnotherController(int leader) {
         simulation.users().cancelJob((leader + 1) % 3, JOB, reply -> assertTrue(reply.ok(), "cancelled"));
     }
@@ -66,4 +73,22 @@
         assertEquals(List.of(), simulation.invariants().violations());
         assertHealthy(simulation);
     }
+
+    /** The process stands still between the decision to start a task and the call that starts it. */
+    @ParameterizedTest
+    @ValueSource(longs = {4_000, 10_000, 40_000})
+    void startDecidedBeforeAPauseDoesNotLeaveAfterIt(long pauseMs) {
+        runUntilStartIsOnItsWay();
+        long decidedAt = simulation.now();
+        ClusterSimulation same = clusterWithServices();
+        submit(same);
+        same.runUntil(decidedAt - 1);
+        long sentBefore = same.counter("orders.sent");
+        same.pauseControllerWithinBatch(same.leader(), pauseMs);
+        same.runUntil(decidedAt + 1);
+        assertTrue(same.counter("orders.sent") > sentBefore, "the start is decided");
+        same.runChecked(RECOVERY_MS);
+        assertHealthy(same);
+        assertTrue(same.invariants().hasEndedIn("done", JOB));
+    }
 }
--- a/src/test/java/io/quartzgw/app/UnfencedStartsTest.java
+++ b/src/test/java/io/quartzgw/app/UnfencedStartsTest.java
@@ -47,6 +47,18 @@
         run(seed, CONTROLLERS, Fault.LEADER_CRASH);
     }
 
+    static LongStream seedsWithPauses() {
+        return SeedRanges.range("unfencedPaused", 1, 30);
+    }
+
+    @ParameterizedTest
+    @MethodSource("seedsWithPauses")
+    void invariantsHoldWhileLeadersPause(long seed) {
+        ClusterSimulation simulation = newSimulation(seed, CONTROLLERS);
+        LeaderPauses.scheduleAll(simulation, seed, FAULTS_END);
+        run(simulation, seed, Fault.LEADER_CRASH);
+    }
+
     /**
      * The leader resigns, since it does not reach a deaf machine; its start, "direct call ended outcome=unknown
      * term_current=false" in the log, reaches that machine after a reboot. The new leader, which knows nothing of the
@@ -74,10 +86,17 @@
 
     /** @param special the one of reboots and crashes of leaders that takes place */
     private static void run(long seed, int controllers, Fault special) {
-        ClusterSimulation simulation = ClusterSimulation.builder(seed)
+        run(newSimulation(seed, controllers), seed, special);
+    }
+
+    private static ClusterSimulation newSimulation(long seed, int controllers) {
+        return ClusterSimulation.builder(seed)
                 .controllers(controllers)
                 .machines(MACHINES)
                 .build();
+    }
+
+    private static void run(ClusterSimulation simulation, long seed, Fault special) {
         SplittableRandom random = new SplittableRandom(seed);
         simulation.network().delayCommandsUpTo(MAX_COMMAND_DELAY_MS);
         List<String> arrays = load(simulation, random);
--- a/src/test/java/io/quartzgw/simulation/ProtocolInvariants.java
+++ b/src/test/java/io/quartzgw/simulation/ProtocolInvariants.java
@@ -131,6 +131,16 @@
         }
     }
 
+    /** A controller sends a command to start a task though its term is not confirmed. */
+    void recordUnconfirmedStart(String controller, String task) {
+        violated("unconfirmed_start", task + " is started by " + controller);
+    }
+
+    /** A controller sends a command to start a task of a job that it knows as cancelled. */
+    void recordCancelledStart(String controller, String task) {
+        violated("cancelled_start", task + " is started by " + controller);
+    }
+
     @Override
     public void started(SimulatedAgent agent, String task) {
         starts.merge(task, 1, Integer::sum);
--- a/src/test/java/io/quartzgw/simulation/SimulatedController.java
+++ b/src/test/java/io/quartzgw/simulation/SimulatedController.java
@@ -27,6 +27,7 @@
     private final SimulationContext context;
     private final SimulatedNetwork network;
     private final MessageDigests digests;
+    private final SentStarts sentStarts;
     private final Map<Long, Consumer<Response>> openRequests = new HashMap<>();
     private final List<Command> receivedWhilePaused = new ArrayList<>();
     /** What the batch in which the process was paused has left to be sent. */
@@ -36,6 +37,7 @@
 
     private final List<Command> nextBatch = new ArrayList<>();
     private Optional<Controller> controller = Optional.empty();
+    private ConfirmedLease lease = new ConfirmedLease();
     private EventLoop eventLoop;
     /** Counts starts and crashes, to tell the processes of this controller apart. */
     private long incarnation;
@@ -48,11 +50,17 @@
 
     private long maxBatchDelayMs;
 
-    SimulatedController(String name, SimulationContext context, SimulatedNetwork network, MessageDigests digests) {
+    SimulatedController(
+            String name,
+            SimulationContext context,
+            SimulatedNetwork network,
+            MessageDigests digests,
+            SentStarts sentStarts) {
         this.name = name;
         this.context = context;
         this.network = network;
         this.digests = digests;
+        this.sentStarts = sentStarts;
     }
 
     /** Starts a new process. */
@@ -66,6 +74,7 @@
         unsentWhilePaused.clear();
         callTimeouts.clear();
         nextBatch.clear();
+        lease = new ConfirmedLease();
         eventLoop = new EventLoop(context.random().nextLong());
         eventLoop.processBatch(List.of(), context.events().clockReading());
         Controller started = new Controller(eventLoop, settings, processId, Json::object);
@@ -208,6 +217,7 @@
     private void carryOut(Effect effect) {
         EventQueue events = context.events();
         digests.add(events.now(), name, effect);
+        sentStarts.check(name, effect, lease.isHeldAt(events.now()), controller.orElseThrow()::isKnownCancelled);
         if (effect instanceof Effect.Answer answer) {
             Consumer<Response> receiver = openRequests.remove(answer.exchange());
             if (receiver != null) {
@@ -221,9 +231,11 @@
     private void send(Effect.Send send) {
         long sender = incarnation;
         long sentAt = context.events().now();
+        lease.sent(send.request());
         callTimeouts.put(send.call(), sentAt + send.request().timeoutMs());
         network.send(name, send.request(), reply -> {
             if (incarnation == sender && isUp()) {
+                lease.received(send.request(), sentAt, reply);
                 receive(new Command.CallEnded(send.call(), reply));
             }
         });
--- a/src/test/java/io/quartzgw/simulation/SimulatedControllers.java
+++ b/src/test/java/io/quartzgw/simulation/SimulatedControllers.java
@@ -18,11 +18,16 @@
     private final List<SimulatedController> controllers = new ArrayList<>();
     private long processCount;
 
-    SimulatedControllers(SimulationContext context, SimulationSettings settings, SimulatedNetwork network, int count) {
+    SimulatedControllers(
+            SimulationContext context,
+            SimulationSettings settings,
+            SimulatedNetwork network,
+            SentStarts sentStarts,
+            int count) {
         this.context = context;
         this.settings = settings;
         for (int i = 0; i < count; i++) {
-            controllers.add(new SimulatedController(Hosts.controller(i), context, network, digests));
+            controllers.add(new SimulatedController(Hosts.controller(i), context, network, digests, sentStarts));
         }
     }
 
