A start leaves before the leader's confirmation ends, or not at all

A process that is paused in the middle of a batch went on with what the batch had decided: it sent starts, and deletions of machines, up to a minute after its right to do so had ended. Callers may meet a task of a job that was cancelled meanwhile, and machines deleted under a successor's tasks.

Cause: a right that is checked once a batch, when a command is decided, and not when it leaves.

Mend: an effect of the event loop may have a moment until which it is valid. For direct calls and responses with starts, and for deletions, it is the end of the lease's confirmation as of the decision. The HTTP client compares it with the clock when the connection is open and the request is about to be written, the server before it writes the response. A call that is not valid any more ends as one that was not sent, which is never executed; an agent is told to retry.

Writes to the state service need none: they require the revision of the term. Rentals that leave late are found in the list and used or returned. Stops, and responses without starts, may leave late: agents drop what comes with a lower token, and responses after their timeout.

--- a/src/main/java/io/quartzgw/agent/CommandDispatcher.java
+++ b/src/main/java/io/quartzgw/agent/CommandDispatcher.java
@@ -1,5 +1,6 @@
 package io.quartzgw.agent;
 
+import io.quartzgw.eventloop.Effect;
 import io.quartzgw.eventloop.EventLoop;
 import io.quartzgw.http.Call;
 import io.quartzgw.http.Reply;
@@ -118,7 +119,9 @@
         long timeoutMs = (long) (TIMEOUT_HEARTBEATS * timing.heartbeatMs());
         long sentAtMs = eventLoop.nowMs();
         Call call = Call.post(machine.address(), AgentCommandCodec.PATH, AgentCommandCodec.encode(request), timeoutMs);
-        eventLoop.call(call, reply -> {
+        // The process may be paused before the call leaves.
+        long validUntilMs = starts.isEmpty() ? Effect.ALWAYS_VALID : term.confirmedUntilMs();
+        eventLoop.call(call, validUntilMs, reply -> {
             logReply(machine, reply, sentAtMs, starts);
             onReply(agent, reply);
         });
--- a/src/main/java/io/quartzgw/agent/HeartbeatResponse.java
+++ b/src/main/java/io/quartzgw/agent/HeartbeatResponse.java
@@ -16,6 +16,11 @@
         return new HeartbeatResponse(commands, OptionalLong.of(fencingToken));
     }
 
+    /** Whether the response starts a task, which only a confirmed leader may do. */
+    public boolean startsTasks() {
+        return !AgentCommand.startedAttempts(commands).isEmpty();
+    }
+
     /** Creates a response that the agent ignores. */
     static HeartbeatResponse ignored() {
         return new HeartbeatResponse(List.of(), OptionalLong.empty());
--- a/src/main/java/io/quartzgw/app/ControllerProcess.java
+++ b/src/main/java/io/quartzgw/app/ControllerProcess.java
@@ -104,9 +104,12 @@
             if (startedAt != null) {
                 metrics.served(answer.response().status(), System.nanoTime() - startedAt);
             }
-            server.answer(answer.exchange(), answer.response());
+            server.answer(answer.exchange(), answer.response(), answer.validUntilMs());
         } else if (effect instanceof Effect.Send send) {
-            client.send(send.request(), reply -> eventLoopThread.callEnded(new Command.CallEnded(send.call(), reply)));
+            client.send(
+                    send.request(),
+                    send.validUntilMs(),
+                    reply -> eventLoopThread.callEnded(new Command.CallEnded(send.call(), reply)));
         }
     }
 }
--- a/src/main/java/io/quartzgw/app/HeartbeatEndpoint.java
+++ b/src/main/java/io/quartzgw/app/HeartbeatEndpoint.java
@@ -2,7 +2,9 @@
 
 import io.quartzgw.agent.Heartbeat;
 import io.quartzgw.agent.HeartbeatCodec;
+import io.quartzgw.agent.HeartbeatResponse;
 import io.quartzgw.agent.HeartbeatResponseCodec;
+import io.quartzgw.eventloop.Effect;
 import io.quartzgw.eventloop.EventLoop;
 import io.quartzgw.http.Json;
 import io.quartzgw.http.Request;
@@ -54,16 +56,19 @@
         Heartbeat heartbeat = decoded.get();
         // Before anything else: a higher token than this leader's ends its leadership.
         leadership.observeTerm(heartbeat.fencingToken());
-        eventLoop.answer(request.exchange(), respond(heartbeat));
-    }
-
-    private Response respond(Heartbeat heartbeat) {
         Optional<LeaderRuntime> leading = leader.get();
         if (leading.isPresent() && leadership.mayRenewAgentLeases()) {
-            return Response.json(OK, HeartbeatResponseCodec.encode(leading.get().handleHeartbeat(heartbeat)));
+            respond(request.exchange(), leading.get().handleHeartbeat(heartbeat));
+        } else {
+            peers.recordRedirectedAgent(heartbeat.machine(), heartbeat.address());
+            eventLoop.answer(request.exchange(), redirect());
         }
-        peers.recordRedirectedAgent(heartbeat.machine(), heartbeat.address());
-        return redirect();
+    }
+
+    private void respond(long exchange, HeartbeatResponse response) {
+        // The process may be paused before the response leaves.
+        long validUntilMs = response.startsTasks() ? leadership.confirmedUntilMs() : Effect.ALWAYS_VALID;
+        eventLoop.answer(exchange, Response.json(OK, HeartbeatResponseCodec.encode(response)), validUntilMs);
     }
 
     private Response redirect() {
--- a/src/main/java/io/quartzgw/eventloop/EventLoop.java
+++ b/src/main/java/io/quartzgw/eventloop/EventLoop.java
@@ -78,13 +78,24 @@
 
     /** Starts an outbound call whose reply, or failure, is passed to {@code callback} in a later batch. */
     public void call(Call call, Consumer<Reply> callback) {
+        call(call, Effect.ALWAYS_VALID, callback);
+    }
+
+    /** As {@link #call(Call, Consumer)}, but the call leaves before a moment or not at all. */
+    public void call(Call call, long validUntilMs, Consumer<Reply> callback) {
         long id = ++lastSequence;
         pendingCalls.put(id, callback);
-        pendingEffects.add(new Effect.Send(id, call));
+        pendingEffects.add(new Effect.Send(id, call, validUntilMs));
     }
 
+    /** Answers an inbound request. */
     public void answer(long exchange, Response response) {
-        pendingEffects.add(new Effect.Answer(exchange, response));
+        answer(exchange, response, Effect.ALWAYS_VALID);
+    }
+
+    /** As {@link #answer(long, Response)}, but the response leaves before a moment or not at all. */
+    public void answer(long exchange, Response response, long validUntilMs) {
+        pendingEffects.add(new Effect.Answer(exchange, response, validUntilMs));
     }
 
     /** Applies a batch of commands and the timers that are due, and returns the effects to carry out. */
--- a/src/main/java/io/quartzgw/fleet/CloudClient.java
+++ b/src/main/java/io/quartzgw/fleet/CloudClient.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.quartzgw.eventloop.CoalescedTask;
+import io.quartzgw.eventloop.Effect;
 import io.quartzgw.eventloop.EventLoop;
 import io.quartzgw.http.Call;
 import io.quartzgw.http.Endpoint;
@@ -34,7 +35,7 @@
     private final Deque<QueuedCall> queue = new ArrayDeque<>();
     private final CoalescedTask drain;
 
-    private record QueuedCall(Call call, Consumer<Reply> callback) {}
+    private record QueuedCall(Call call, long validUntilMs, Consumer<Reply> callback) {}
 
     /**
      * A machine as the cloud lists it.
@@ -92,10 +93,15 @@
         return noCapacity ? new RentalResult.NoCapacity() : new RentalResult.Unknown();
     }
 
-    /** Deletes at most {@link #MAX_DELETE} machines; the callback learns whether they certainly no longer exist. */
-    public void delete(Collection<String> ids, Consumer<Boolean> callback) {
+    /**
+     * Deletes at most {@link #MAX_DELETE} machines; the callback learns whether they certainly no longer exist.
+     *
+     * @param validUntilMs the moment from which on the request does not leave any more
+     */
+    public void delete(Collection<String> ids, long validUntilMs, Consumer<Boolean> callback) {
         ObjectNode body = CloudCodec.encodeDeletion(ids);
-        submit(Call.post(endpoint, "/rentals/delete", body, TIMEOUT_MS), reply -> callback.accept(reply.ok()));
+        Call call = Call.post(endpoint, "/rentals/delete", body, TIMEOUT_MS);
+        submit(new QueuedCall(call, validUntilMs, reply -> callback.accept(reply.ok())));
     }
 
     /** Reads the whole machine list; the callback gets nothing when one of its pages could not be read. */
@@ -129,7 +135,11 @@
     }
 
     private void submit(Call call, Consumer<Reply> callback) {
-        queue.addLast(new QueuedCall(call, callback));
+        submit(new QueuedCall(call, Effect.ALWAYS_VALID, callback));
+    }
+
+    private void submit(QueuedCall call) {
+        queue.addLast(call);
         drain();
     }
 
@@ -143,7 +153,7 @@
             budget.take(1, eventLoop.nowMs());
             eventLoop.increment("cloud.calls", 1);
             QueuedCall next = queue.pollFirst();
-            eventLoop.call(next.call, next.callback);
+            eventLoop.call(next.call, next.validUntilMs, next.callback);
         }
     }
 }
--- a/src/main/java/io/quartzgw/fleet/ScaleInRequests.java
+++ b/src/main/java/io/quartzgw/fleet/ScaleInRequests.java
@@ -46,7 +46,8 @@
             }
         }
         if (!ids.isEmpty()) {
-            cloud.delete(ids, success -> onDeleted(ids, success));
+            // A successor may have started tasks there by the time a paused process goes on.
+            cloud.delete(ids, term.confirmedUntilMs(), success -> onDeleted(ids, success));
         }
         return false;
     }
--- a/src/main/java/io/quartzgw/http/HttpClient.java
+++ b/src/main/java/io/quartzgw/http/HttpClient.java
@@ -56,9 +56,13 @@
         this.maxIdle = maxIdle;
     }
 
-    /** Starts a call; may be called from any thread. */
-    public void send(Call call, Consumer<Reply> callback) {
-        thread.execute(() -> new PendingCall(call, callback).start());
+    /**
+     * Starts a call; may be called from any thread.
+     *
+     * @param validUntilMs the moment of the steady clock from which on the call does not leave any more
+     */
+    public void send(Call call, long validUntilMs, Consumer<Reply> callback) {
+        thread.execute(() -> new PendingCall(call, validUntilMs, callback).start());
     }
 
     /** A pooled connection, compared by identity. */
@@ -121,6 +125,7 @@
 
     private final class PendingCall {
         private final Call call;
+        private final long validUntilMs;
         private final Consumer<Reply> callback;
         private final XnioExecutor.Key timeout;
         private final ByteArrayOutputStream received = new ByteArrayOutputStream();
@@ -128,8 +133,9 @@
         private ClientConnection connection;
         private boolean done;
 
-        PendingCall(Call call, Consumer<Reply> then) {
+        PendingCall(Call call, long validUntilMs, Consumer<Reply> then) {
             this.call = call;
+            this.validUntilMs = validUntilMs;
             this.callback = then;
             this.timeout = thread.executeAfter(this::fail, call.timeoutMs(), TimeUnit.MILLISECONDS);
         }
@@ -151,6 +157,11 @@
                 IoUtils.safeClose(open);
                 return;
             }
+            if (nowMs() >= validUntilMs) {
+                IoUtils.safeClose(open);
+                fail();
+                return;
+            }
             connection = open;
             ClientRequest request =
                     new ClientRequest().setPath(call.path()).setMethod(HttpString.tryFromString(call.method()));
--- a/src/main/java/io/quartzgw/http/HttpServer.java
+++ b/src/main/java/io/quartzgw/http/HttpServer.java
@@ -29,6 +29,7 @@
     public static final long MAX_BODY_BYTES = 64 * 1024;
 
     private static final int SLOW_REQUEST_MS = 5_000;
+    private static final int NANOS_PER_MS = 1_000_000;
     private static final int BUSY_RETRY_S = 1;
 
     private final Undertow undertow;
@@ -91,11 +92,18 @@
         return undertow.getListenerInfo().get(position);
     }
 
-    /** Answers an exchange; may be called from any thread. */
-    public void answer(long id, Response response) {
+    /**
+     * Answers an exchange; may be called from any thread.
+     *
+     * @param validUntilMs the moment of the steady clock from which on the client is told to retry instead
+     */
+    public void answer(long id, Response response, long validUntilMs) {
         HttpServerExchange exchange = openExchanges.remove(id);
         if (exchange != null) {
-            exchange.getIoThread().execute(() -> send(exchange, response));
+            exchange.getIoThread().execute(() -> {
+                boolean valid = System.nanoTime() / NANOS_PER_MS < validUntilMs;
+                send(exchange, valid ? response : Response.unavailable("late", BUSY_RETRY_S));
+            });
         }
     }
 
@@ -143,7 +151,7 @@
                 exchange.getQueryString(),
                 body);
         if (!receiver.test(request)) {
-            answer(id, Response.unavailable("busy", BUSY_RETRY_S));
+            answer(id, Response.unavailable("busy", BUSY_RETRY_S), Long.MAX_VALUE);
         }
     }
 
--- a/src/main/java/io/quartzgw/leadership/LeaderLease.java
+++ b/src/main/java/io/quartzgw/leadership/LeaderLease.java
@@ -38,7 +38,12 @@
 
     /** Whether the lease surely has not expired, so that no other controller can have been elected. */
     boolean isConfirmed() {
-        return eventLoop.nowMs() < confirmedAtMs + trustedMs;
+        return eventLoop.nowMs() < confirmedUntilMs();
+    }
+
+    /** Until when the lease surely has not expired, unless it is renewed. */
+    long confirmedUntilMs() {
+        return confirmedAtMs + trustedMs;
     }
 
     /** When the last successful renewal was requested. */
--- a/src/main/java/io/quartzgw/leadership/LeaderTerm.java
+++ b/src/main/java/io/quartzgw/leadership/LeaderTerm.java
@@ -36,6 +36,11 @@
         return leadership.leading() && leadership.term() == fencingToken;
     }
 
+    /** Until when this controller surely leads with this term, as of now. */
+    public long confirmedUntilMs() {
+        return isCurrent() ? leadership.confirmedUntilMs() : Long.MIN_VALUE;
+    }
+
     /** Whether this controller surely still leads with this term: no other controller can have been elected. */
     public boolean isConfirmed() {
         return isCurrent() && leadership.isConfirmed();
--- a/src/main/java/io/quartzgw/leadership/Leadership.java
+++ b/src/main/java/io/quartzgw/leadership/Leadership.java
@@ -87,6 +87,11 @@
         return lease.map(LeaderLease::isConfirmed).orElse(false);
     }
 
+    /** Until when this controller surely leads, as of now; what only a confirmed leader may send leaves before. */
+    public long confirmedUntilMs() {
+        return lease.map(LeaderLease::confirmedUntilMs).orElse(Long.MIN_VALUE);
+    }
+
     /**
      * Whether this controller may answer agents, and so renew their leases. An answer has the commands that stop the
      * tasks of every job that this controller knows as cancelled; the grace period bounds how long ago a job that it
--- a/src/test/java/io/quartzgw/http/HttpClientTest.java
+++ b/src/test/java/io/quartzgw/http/HttpClientTest.java
@@ -45,7 +45,10 @@
             for (int i = 0; i < CALLS; i++) {
                 CompletableFuture<Reply> reply = new CompletableFuture<>();
                 replies.add(reply);
-                client.send(Call.get(new Endpoint("127.0.0.1", deaf.getLocalPort()), "/show", 300), reply::complete);
+                client.send(
+                        Call.get(new Endpoint("127.0.0.1", deaf.getLocalPort()), "/show", 300),
+                        Long.MAX_VALUE,
+                        reply::complete);
             }
             for (CompletableFuture<Reply> reply : replies) {
                 assertEquals(Reply.LOST, reply.get(60, TimeUnit.SECONDS).status());
@@ -82,9 +85,27 @@
         assertFalse(refused.sent(), "the connection was refused");
     }
 
+    // A start whose sender was paused: by the time it could leave, another leader may have been elected.
+    @Test
+    void aCallThatIsNotValidAnyMoreIsNotSent() throws Exception {
+        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+        HttpClient client = new HttpClient(worker, new DefaultByteBufferPool(true, 8 * 1024), 4);
+        try (ServerSocket silent = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            Reply expired = call(client, silent.getLocalPort(), System.nanoTime() / 1_000_000);
+            assertEquals(Reply.LOST, expired.status());
+            assertFalse(expired.sent());
+        } finally {
+            worker.shutdownNow();
+        }
+    }
+
     private static Reply call(HttpClient client, int port) throws Exception {
+        return call(client, port, Long.MAX_VALUE);
+    }
+
+    private static Reply call(HttpClient client, int port, long validUntilMs) throws Exception {
         CompletableFuture<Reply> reply = new CompletableFuture<>();
-        client.send(Call.get(new Endpoint("127.0.0.1", port), "/show", 300), reply::complete);
+        client.send(Call.get(new Endpoint("127.0.0.1", port), "/show", 300), validUntilMs, reply::complete);
         return reply.get(60, TimeUnit.SECONDS);
     }
 
--- a/src/test/java/io/quartzgw/http/HttpServerTest.java
+++ b/src/test/java/io/quartzgw/http/HttpServerTest.java
@@ -35,7 +35,7 @@
                 new SocketBudget(8, 8, 6, 1, 1),
                 PATIENCE_MS,
                 request -> {
-                    server[0].answer(request.exchange(), Response.error(200, "none"));
+                    server[0].answer(request.exchange(), Response.error(200, "none"), Long.MAX_VALUE);
                     return true;
                 });
         server[0].start();
@@ -62,6 +62,34 @@
         }
     }
 
+    // A response that starts tasks, of a process that was paused before it left.
+    @Test
+    void aResponseThatIsNotValidAnyMoreIsAnsweredAsUnavailable() throws Exception {
+        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+        HttpServer[] server = new HttpServer[1];
+        server[0] = new HttpServer(
+                worker,
+                new DefaultByteBufferPool(true, 8 * 1024),
+                new Endpoint("127.0.0.1", 0),
+                new Endpoint("127.0.0.1", 0),
+                new SocketBudget(8, 8, 6, 1, 1),
+                PATIENCE_MS,
+                request -> {
+                    long validUntilMs = System.nanoTime() / 1_000_000;
+                    server[0].answer(request.exchange(), Response.error(200, "none"), validUntilMs);
+                    return true;
+                });
+        server[0].start();
+        Client client = new Client(server[0].port(ListenerKind.CLIENT));
+        try {
+            assertEquals("HTTP/1.1 503 Service Unavailable", client.ask());
+        } finally {
+            client.close();
+            server[0].stop();
+            worker.shutdownNow();
+        }
+    }
+
     /** Keeps its connection until the server says that it closes it, as the protocol has it. */
     private static final class Client {
         private final int port;
--- a/src/test/java/io/quartzgw/simulation/SimulatedController.java
+++ b/src/test/java/io/quartzgw/simulation/SimulatedController.java
@@ -23,6 +23,8 @@
  * listeners and connections. Events that were scheduled for a process are void once it has crashed.
  */
 final class SimulatedController {
+    private static final int RETRY_AFTER_S = 1;
+
     private final String name;
     private final SimulationContext context;
     private final SimulatedNetwork network;
@@ -216,6 +218,10 @@
 
     private void carryOut(Effect effect) {
         EventQueue events = context.events();
+        if (events.now() >= effect.validUntilMs()) {
+            drop(effect);
+            return;
+        }
         digests.add(events.now(), name, effect);
         sentStarts.check(name, effect, lease.isHeldAt(events.now()), controller.orElseThrow()::isKnownCancelled);
         if (effect instanceof Effect.Answer answer) {
@@ -228,6 +234,15 @@
         }
     }
 
+    private void drop(Effect effect) {
+        if (effect instanceof Effect.Answer answer) {
+            carryOut(new Effect.Answer(
+                    answer.exchange(), Response.unavailable("late", RETRY_AFTER_S), Effect.ALWAYS_VALID));
+        } else if (effect instanceof Effect.Send send) {
+            receive(new Command.CallEnded(send.call(), Reply.unsent()));
+        }
+    }
+
     private void send(Effect.Send send) {
         long sender = incarnation;
         long sentAt = context.events().now();
