Responses to heartbeats are built when the batch's commands have been applied

A controller confirmed a cancellation and, in the same batch, answered a heartbeat with starts of that job: the response had been built before, and both left together.

Cause: a response decided at one time and sent at another; what the rest of the batch told was not in it.

Mend: heartbeats are processed when they come, as before, and answered after all commands and timers of the batch (EventLoop.afterCommands). If the term has ended in between, the agent is turned away. Direct calls were decided at the end of the batch already.

--- a/src/main/java/io/quartzgw/agent/AgentManager.java
+++ b/src/main/java/io/quartzgw/agent/AgentManager.java
@@ -75,19 +75,26 @@
 
     // ---- heartbeats
 
-    /** Processes a heartbeat and returns the response; unless the heartbeat is stale, it renews the agent's lease. */
-    public HeartbeatResponse receive(Heartbeat heartbeat) {
+    /** Processes a heartbeat; {@link #respond} is due before the batch ends. */
+    public ReceivedHeartbeat receive(Heartbeat heartbeat) {
         if (!stateLoaded) {
             buffered.merge(
                     heartbeat.machine(), heartbeat, (old, latest) -> latest.id().isNewerThan(old.id()) ? latest : old);
-            return responder.respondBeforeStateLoaded(heartbeat);
+            return ReceivedHeartbeat.beforeStateLoaded(heartbeat);
         }
         Freshness freshness = process(heartbeat);
         leader.eventLoop().increment(FRESHNESS_COUNTERS.get(freshness), 1);
         if (freshness != Freshness.CURRENT) {
             logNotCurrent(heartbeat, freshness);
         }
-        return responder.respond(heartbeat, freshness);
+        return ReceivedHeartbeat.processed(heartbeat, freshness);
+    }
+
+    /** Returns the response to a heartbeat; unless the heartbeat is stale, it renews the agent's lease. */
+    public HeartbeatResponse respond(ReceivedHeartbeat received) {
+        return received.freshness()
+                .map(freshness -> responder.respond(received.heartbeat(), freshness))
+                .orElseGet(() -> responder.respondBeforeStateLoaded(received.heartbeat()));
     }
 
     /** Starts to apply heartbeats to the cluster state, which has been read from the state service. */
--- a/src/main/java/io/quartzgw/app/HeartbeatEndpoint.java
+++ b/src/main/java/io/quartzgw/app/HeartbeatEndpoint.java
@@ -4,6 +4,7 @@
 import io.quartzgw.agent.HeartbeatCodec;
 import io.quartzgw.agent.HeartbeatResponse;
 import io.quartzgw.agent.HeartbeatResponseCodec;
+import io.quartzgw.agent.ReceivedHeartbeat;
 import io.quartzgw.eventloop.Effect;
 import io.quartzgw.eventloop.EventLoop;
 import io.quartzgw.http.Json;
@@ -56,16 +57,31 @@
         Heartbeat heartbeat = decoded.get();
         // Before anything else: a higher token than this leader's ends its leadership.
         leadership.observeTerm(heartbeat.fencingToken());
-        Optional<LeaderRuntime> leading = leader.get();
-        if (leading.isPresent() && leadership.mayRenewAgentLeases()) {
-            respond(request.exchange(), leading.get().handleHeartbeat(heartbeat));
+        Optional<LeaderRuntime> leading = leader.get().filter(runtime -> leadership.mayRenewAgentLeases());
+        if (leading.isPresent()) {
+            ReceivedHeartbeat received = leading.get().receive(heartbeat);
+            // Later in this batch a job may be cancelled, a task may be stopped, or the term may end.
+            eventLoop.afterCommands(() -> respond(request.exchange(), leading.get(), received));
         } else {
-            peers.recordRedirectedAgent(heartbeat.machine(), heartbeat.address());
-            eventLoop.answer(request.exchange(), redirect());
+            turnAway(request.exchange(), heartbeat);
         }
     }
 
-    private void respond(long exchange, HeartbeatResponse response) {
+    private void respond(long exchange, LeaderRuntime receiver, ReceivedHeartbeat received) {
+        boolean stillLeading = leader.get().filter(receiver::equals).isPresent();
+        if (stillLeading && leadership.mayRenewAgentLeases()) {
+            answer(exchange, receiver.respond(received));
+        } else {
+            turnAway(exchange, received.heartbeat());
+        }
+    }
+
+    private void turnAway(long exchange, Heartbeat heartbeat) {
+        peers.recordRedirectedAgent(heartbeat.machine(), heartbeat.address());
+        eventLoop.answer(exchange, redirect());
+    }
+
+    private void answer(long exchange, HeartbeatResponse response) {
         // The process may be paused before the response leaves.
         long validUntilMs = response.startsTasks() ? leadership.confirmedUntilMs() : Effect.ALWAYS_VALID;
         eventLoop.answer(exchange, Response.json(OK, HeartbeatResponseCodec.encode(response)), validUntilMs);
--- a/src/main/java/io/quartzgw/app/LeaderRuntime.java
+++ b/src/main/java/io/quartzgw/app/LeaderRuntime.java
@@ -4,6 +4,7 @@
 import io.quartzgw.agent.Heartbeat;
 import io.quartzgw.agent.HeartbeatResponse;
 import io.quartzgw.agent.LeaderContext;
+import io.quartzgw.agent.ReceivedHeartbeat;
 import io.quartzgw.cancellation.CancellationRegistry;
 import io.quartzgw.eventloop.EventLoop;
 import io.quartzgw.fleet.FleetContext;
@@ -169,11 +170,16 @@
         }
     }
 
-    /** Answers an agent's heartbeat, which renews its lease. */
-    HeartbeatResponse handleHeartbeat(Heartbeat heartbeat) {
+    /** Processes an agent's heartbeat. */
+    ReceivedHeartbeat receive(Heartbeat heartbeat) {
         return agents.receive(heartbeat);
     }
 
+    /** Returns the response to a heartbeat, which renews the agent's lease. */
+    HeartbeatResponse respond(ReceivedHeartbeat received) {
+        return agents.respond(received);
+    }
+
     /** Schedules, scales and sends what the batch has made due. */
     void afterBatch() {
         if (!term.isCurrent()) {
--- a/src/main/java/io/quartzgw/eventloop/EventLoop.java
+++ b/src/main/java/io/quartzgw/eventloop/EventLoop.java
@@ -4,7 +4,9 @@
 import io.quartzgw.http.Reply;
 import io.quartzgw.http.Request;
 import io.quartzgw.http.Response;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -28,6 +30,9 @@
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
     private final Map<Long, Consumer<Reply>> pendingCalls = new HashMap<>();
     private final List<Runnable> batchEndListeners = new ArrayList<>();
+    /** What waits until this batch's commands and timers have been applied, in the order of its requests. */
+    private final Deque<Runnable> afterCommands = new ArrayDeque<>();
+
     private Consumer<Request> requestHandler = request -> {};
     private List<Effect> pendingEffects = new ArrayList<>();
     private ClockReading clock = new ClockReading(0, 0);
@@ -49,6 +54,14 @@
         batchEndListeners.add(listener);
     }
 
+    /**
+     * Runs a task once, after all commands and timers of this batch and before the listeners of its end: for what must
+     * not be older than any of them when it leaves.
+     */
+    public void afterCommands(Runnable task) {
+        afterCommands.addLast(task);
+    }
+
     public long nowMs() {
         return clock.steadyMs();
     }
@@ -110,6 +123,9 @@
                 runGuarded(timer.task);
             }
         }
+        while (!afterCommands.isEmpty()) {
+            runGuarded(afterCommands.pollFirst());
+        }
         batchEndListeners.forEach(this::runGuarded);
         List<Effect> effects = pendingEffects;
         pendingEffects = new ArrayList<>();
--- /dev/null
+++ b/src/test/java/io/quartzgw/eventloop/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the event loop. */
+package io.quartzgw.eventloop;
