Log: a pause of the process, why a controller is no candidate, unconfirmed responses

A leader that stood still for a minute could be told from one that was cut off only by what other parties kept, and why nobody else was elected not at all.

- "candidacy changed" with the reason and the leader that the record names;
- every response that renews a lease in an unconfirmed term: counted as responses.unconfirmed, at debug with its commands;
- "leadership lost" has the age of the last confirmation.

--- a/src/main/java/io/quartzgw/agent/CommandLog.java
+++ b/src/main/java/io/quartzgw/agent/CommandLog.java
@@ -24,6 +24,17 @@
                 .log("commands sent");
     }
 
+    /** Logs a response that renews a lease while the term is not confirmed, with all its commands, also none. */
+    static void respondedUnconfirmed(Heartbeat heartbeat, LeaderTerm term, List<AgentCommand> commands) {
+        LOG.atDebug()
+                .addKeyValue("machine", heartbeat.machine())
+                .addKeyValue("epoch", heartbeat.epoch())
+                .addKeyValue("term", term.fencingToken())
+                .addKeyValue("confirmed_until_ms", term.confirmedUntilMs())
+                .addKeyValue("commands", commands)
+                .log("unconfirmed leader responded");
+    }
+
     private static LoggingEventBuilder sent(
             String machine, String channel, LeaderTerm term, long epoch, List<AgentCommand> commands) {
         return LOG.atDebug()
--- a/src/main/java/io/quartzgw/agent/HeartbeatResponder.java
+++ b/src/main/java/io/quartzgw/agent/HeartbeatResponder.java
@@ -33,8 +33,15 @@
 
     /** Returns the response while the open jobs are not known yet. */
     HeartbeatResponse respondBeforeStateLoaded(Heartbeat heartbeat) {
-        List<AgentCommand> stops = terminalStops(heartbeat, attempt -> isCancelled.test(attempt.job()));
-        return HeartbeatResponse.renewingLease(stops, leader.term().fencingToken());
+        return renewLease(heartbeat, terminalStops(heartbeat, attempt -> isCancelled.test(attempt.job())));
+    }
+
+    private HeartbeatResponse renewLease(Heartbeat heartbeat, List<AgentCommand> commands) {
+        if (!leader.term().isConfirmed()) {
+            leader.eventLoop().increment("responses.unconfirmed", 1);
+            CommandLog.respondedUnconfirmed(heartbeat, leader.term(), commands);
+        }
+        return HeartbeatResponse.renewingLease(commands, leader.term().fencingToken());
     }
 
     /** Returns the response to a heartbeat that has been processed. */
@@ -50,7 +57,7 @@
                 .findMachine(heartbeat.machine())
                 .filter(machine -> isFromVerifiedEpoch(heartbeat, machine))
                 .ifPresent(machine -> addPendingCommands(heartbeat, machine, commands));
-        return HeartbeatResponse.renewingLease(commands, leader.term().fencingToken());
+        return renewLease(heartbeat, commands);
     }
 
     /**
--- a/src/main/java/io/quartzgw/app/Controller.java
+++ b/src/main/java/io/quartzgw/app/Controller.java
@@ -85,6 +85,7 @@
     public void start() {
         RequestRouter router = new RequestRouter(eventLoop, requestHandlers());
         eventLoop.onRequest(router::route);
+        eventLoop.onBatchBegin(new PauseDetector(eventLoop, leadership, timing.leaseMs())::batchBegins);
         eventLoop.onBatchEnd(() -> leader.ifPresent(LeaderRuntime::afterBatch));
         cancellations.setListener(job -> leader.ifPresent(runtime -> runtime.jobCancelled(job)));
         catalog.start();
--- a/src/main/java/io/quartzgw/eventloop/EventLoop.java
+++ b/src/main/java/io/quartzgw/eventloop/EventLoop.java
@@ -29,6 +29,7 @@
     private final SplittableRandom random;
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
     private final Map<Long, Consumer<Reply>> pendingCalls = new HashMap<>();
+    private final List<Runnable> batchBeginListeners = new ArrayList<>();
     private final List<Runnable> batchEndListeners = new ArrayList<>();
     /** What waits until this batch's commands and timers have been applied, in the order of its requests. */
     private final Deque<Runnable> afterCommands = new ArrayDeque<>();
@@ -49,6 +50,11 @@
         this.requestHandler = handler;
     }
 
+    /** Adds a listener that runs once at the beginning of every batch, before any command is applied. */
+    public void onBatchBegin(Runnable listener) {
+        batchBeginListeners.add(listener);
+    }
+
     /** Adds a listener that runs once at the end of every batch, when all its commands were applied. */
     public void onBatchEnd(Runnable listener) {
         batchEndListeners.add(listener);
@@ -114,6 +120,7 @@
     /** Applies a batch of commands and the timers that are due, and returns the effects to carry out. */
     public List<Effect> processBatch(List<Command> batch, ClockReading now) {
         clock = now;
+        batchBeginListeners.forEach(this::runGuarded);
         for (Command command : batch) {
             runGuarded(() -> apply(command));
         }
--- a/src/main/java/io/quartzgw/leadership/Candidacy.java
+++ b/src/main/java/io/quartzgw/leadership/Candidacy.java
@@ -7,6 +7,7 @@
 import io.quartzgw.store.Transaction;
 import io.quartzgw.store.TransactionOutcome;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -37,6 +38,9 @@
      */
     record Victory(long term, long termRevision, long leaseId, long requestedAtMs) {}
 
+    /** Whether this controller is a candidate, and the member that the leader record names, if any. */
+    private record Standing(CandidacyReason reason, String leader) {}
+
     /** One attempt: the term it is for, and the state of the keys that it requires. */
     private record Attempt(long term, long requiredLeaderRevision, long requiredTermRevision, long requestedAtMs) {}
 
@@ -47,6 +51,7 @@
     private final ElectionState state;
     private final Owner owner;
     private final Set<Long> deadProcesses = new HashSet<>();
+    private Optional<Standing> loggedStanding = Optional.empty();
     private boolean attemptInProgress;
     private long backOffUntilMs = Long.MIN_VALUE;
 
@@ -86,6 +91,33 @@
         return formerProcess || deadProcesses.contains(leader.process());
     }
 
+    /** Logs whether this controller is a candidate, and why not, if that has changed. */
+    void logStanding() {
+        Standing standing = standing();
+        if (loggedStanding.filter(standing::equals).isEmpty()) {
+            loggedStanding = Optional.of(standing);
+            LOG.atInfo()
+                    .addKeyValue("reason", standing.reason().logValue())
+                    .addKeyValue("leader", standing.leader())
+                    .addKeyValue("term", state.term())
+                    .log("candidacy changed");
+        }
+    }
+
+    private Standing standing() {
+        CandidacyReason reason;
+        if (owner.leading()) {
+            reason = CandidacyReason.LEADING;
+        } else if (!leadershipVacant()) {
+            reason = CandidacyReason.LED;
+        } else if (backingOff()) {
+            reason = CandidacyReason.BACKING_OFF;
+        } else {
+            reason = CandidacyReason.VACANT;
+        }
+        return new Standing(reason, state.leader().map(LeaderRecord::member).orElse(""));
+    }
+
     /** Schedules an election attempt, unless one is in progress or this controller backs off. */
     void schedule() {
         if (attemptInProgress || backingOff()) {
--- a/src/main/java/io/quartzgw/leadership/Leadership.java
+++ b/src/main/java/io/quartzgw/leadership/Leadership.java
@@ -92,6 +92,11 @@
         return lease.map(LeaderLease::confirmedUntilMs).orElse(Long.MIN_VALUE);
     }
 
+    /** How long ago the last successful renewal of this leader's lease was requested; 0 while it does not lead. */
+    public long confirmedAgeMs() {
+        return lease.map(current -> eventLoop.nowMs() - current.confirmedAtMs()).orElse(0L);
+    }
+
     /**
      * Whether this controller may answer agents, and so renew their leases. An answer has the commands that stop the
      * tasks of every job that this controller knows as cancelled; the grace period bounds how long ago a job that it
@@ -169,6 +174,7 @@
     }
 
     private void evaluateRole() {
+        candidacy.logStanding();
         if (leading()) {
             if (state.term() > term) {
                 stepDown(StepDownReason.HIGHER_TERM_STORED);
@@ -238,6 +244,7 @@
                 .addKeyValue("highest_term", highestTerm())
                 .addKeyValue("stored_term", state.term())
                 .addKeyValue("confirmed", isConfirmed())
+                .addKeyValue("confirmed_age_ms", confirmedAgeMs())
                 .log("leadership lost");
         LeaderLease lostLease = lease.orElseThrow();
         lease = Optional.empty();
