A leader that stands still is deposed though the state service comes and goes

Callers saw every machine lose all that it ran, services included: nobody led for as long as the leader stood still.

Cause: liveness was concluded from a lease alone. After each outage of the state service every lease has its full time again, so with gaps shorter than the leader's lease the record of a dead or paused leader never ends, and no other controller stood for election.

Mend: a controller that has not heard the recorded leader for 1.5 leases, by its messages or answers, says so to the others. If a majority of all controllers says the same and agents come to this one, it records the deposition in the state service, on the condition that term and leader record are unchanged, and ends the leader's lease there; then a leader is elected as usual.

Why it holds: the deposed leader may count itself confirmed for the rest of its lease. Every election requires the revision of the deposition's record, so the next leader knows of it, and is not confirmed for one lease: two confirmed leaders can't be. SentStarts asks for it in every simulated cluster: no start leaves after one with a higher token.

Messages between controllers have "leader_silent" where it is true, and elections one more condition, so all digests of DecisionDigestTest are replaced.

--- a/src/main/java/io/quartzgw/leadership/Candidacy.java
+++ b/src/main/java/io/quartzgw/leadership/Candidacy.java
@@ -16,6 +16,8 @@
 final class Candidacy {
     private static final Logger LOG = LoggerFactory.getLogger(Candidacy.class);
 
+    private static final long NO_HOLD_BACK = Long.MIN_VALUE;
+
     private static final int RETRY_MS = 250;
     /** Spreads the candidates, so that mostly one transaction wins without a conflict. */
     private static final int MAX_JITTER_MS = 60;
@@ -35,14 +37,21 @@
      *
      * @param termRevision the revision of the term key that the election has written
      * @param requestedAtMs when the lease was requested: it can't have begun earlier
+     * @param holdBackUntilMs until when a deposed leader may count itself confirmed
      */
-    record Victory(long term, long termRevision, long leaseId, long requestedAtMs) {}
+    record Victory(long term, long termRevision, long leaseId, long requestedAtMs, long holdBackUntilMs) {}
 
     /** Whether this controller is a candidate, and the member that the leader record names, if any. */
     private record Standing(CandidacyReason reason, String leader) {}
 
     /** One attempt: the term it is for, and the state of the keys that it requires. */
-    private record Attempt(long term, long requiredLeaderRevision, long requiredTermRevision, long requestedAtMs) {}
+    private record Attempt(
+            long term,
+            long requiredLeaderRevision,
+            long requiredTermRevision,
+            long requiredDeposedRevision,
+            long requestedAtMs,
+            long holdBackUntilMs) {}
 
     private final EventLoop eventLoop;
     private final StoreClient store;
@@ -52,6 +61,7 @@
     private final Owner owner;
     private final Set<Long> deadProcesses = new HashSet<>();
     private Optional<Standing> loggedStanding = Optional.empty();
+    private Optional<Attempt> lastAttempt = Optional.empty();
     private boolean attemptInProgress;
     private long backOffUntilMs = Long.MIN_VALUE;
 
@@ -145,10 +155,30 @@
             attemptInProgress = false;
             return;
         }
-        Attempt attempt = new Attempt(nextTerm(), state.leaderRevision(), state.termRevision(), eventLoop.nowMs());
+        Attempt attempt = new Attempt(
+                nextTerm(),
+                state.leaderRevision(),
+                state.termRevision(),
+                state.deposedRevision(),
+                eventLoop.nowMs(),
+                holdBackUntilMs());
+        lastAttempt = Optional.of(attempt);
         store.grantLease(timing.leaseMs(), grant -> onLeaseGrant(attempt, grant));
     }
 
+    private long holdBackUntilMs() {
+        boolean formerLeaderDeposed = state.deposedTerm() > 0 && state.deposedTerm() == state.term();
+        return formerLeaderDeposed ? eventLoop.nowMs() + timing.leaseMs() : NO_HOLD_BACK;
+    }
+
+    /** Until when a leader of a term that this candidacy has won, unnoticed, has to hold back. */
+    long holdBackUntilMs(long wonTerm) {
+        return lastAttempt
+                .filter(attempt -> attempt.term() == wonTerm)
+                .map(Attempt::holdBackUntilMs)
+                .orElse(eventLoop.nowMs() + timing.leaseMs());
+    }
+
     private void onLeaseGrant(Attempt attempt, LeaseGrant grant) {
         if (grant instanceof LeaseGrant.Granted granted) {
             store.commit(
@@ -165,6 +195,7 @@
         return new Transaction()
                 .require(Leadership.LEADER_KEY, attempt.requiredLeaderRevision())
                 .require(Leadership.TERM_KEY, attempt.requiredTermRevision())
+                .require(Leadership.DEPOSED_KEY, attempt.requiredDeposedRevision())
                 .putWithLease(Leadership.LEADER_KEY, LeaderRecordCodec.encode(leader), leaseId)
                 .put(Leadership.TERM_KEY, LeaderRecordCodec.encodeTerm(attempt.term()));
     }
@@ -172,7 +203,8 @@
     private void onOutcome(Attempt attempt, long leaseId, TransactionOutcome outcome) {
         if (outcome instanceof TransactionOutcome.Committed committed) {
             attemptInProgress = false;
-            owner.electionWon(new Victory(attempt.term(), committed.revision(), leaseId, attempt.requestedAtMs()));
+            owner.electionWon(new Victory(
+                    attempt.term(), committed.revision(), leaseId, attempt.requestedAtMs(), attempt.holdBackUntilMs()));
             return;
         }
         // A transaction without an answer may yet be applied: its lease must outlive it.
--- a/src/main/java/io/quartzgw/leadership/ElectionState.java
+++ b/src/main/java/io/quartzgw/leadership/ElectionState.java
@@ -9,7 +9,7 @@
 import java.util.List;
 import java.util.Optional;
 
-/** This controller's view of the two election keys in the state store, kept up to date by a watch. */
+/** This controller's view of the election keys in the state store, kept up to date by a watch. */
 final class ElectionState {
     private static final int RETRY_MS = 250;
 
@@ -23,6 +23,8 @@
     private long leaderRevision;
     private long term;
     private long termRevision;
+    private long deposedTerm;
+    private long deposedRevision;
 
     /** @param onChange called after the view was read or has changed */
     ElectionState(EventLoop eventLoop, StoreClient store, Runnable onChange) {
@@ -55,7 +57,17 @@
         return termRevision;
     }
 
-    /** Reads both keys again and watches them from there; an earlier watch ends. */
+    /** The term of the leader that was last deposed; 0 if none was. */
+    long deposedTerm() {
+        return deposedTerm;
+    }
+
+    /** The revision of the record of the last deposition, or {@link Transaction#NO_REVISION}. */
+    long deposedRevision() {
+        return deposedRevision;
+    }
+
+    /** Reads the keys again and watches them from there; an earlier watch ends. */
     void reload() {
         long generation = ++watchGeneration;
         store.listPrefix(Leadership.PREFIX, result -> onListed(result, generation));
@@ -89,6 +101,8 @@
         leaderRevision = Transaction.NO_REVISION;
         term = 0;
         termRevision = Transaction.NO_REVISION;
+        deposedTerm = 0;
+        deposedRevision = Transaction.NO_REVISION;
         for (KeyValue entry : entries) {
             apply(new KeyChange(entry.key(), entry.value(), entry.revision()));
         }
@@ -106,6 +120,15 @@
             applyTerm(change);
         } else if (change.key().equals(Leadership.LEADER_KEY)) {
             applyLeader(change);
+        } else if (change.key().equals(Leadership.DEPOSED_KEY)) {
+            applyDeposition(change);
+        }
+    }
+
+    private void applyDeposition(KeyChange change) {
+        if (change.newValue().isPresent() && change.revision() >= deposedRevision) {
+            deposedTerm = LeaderRecordCodec.decodeTerm(change.newValue().get());
+            deposedRevision = change.revision();
         }
     }
 
--- a/src/main/java/io/quartzgw/leadership/LeaderLease.java
+++ b/src/main/java/io/quartzgw/leadership/LeaderLease.java
@@ -13,12 +13,15 @@
     private final StoreClient store;
     private final long leaseId;
     private final long trustedMs;
+    private final long holdBackUntilMs;
     private final Runnable onExpired;
     private long confirmedAtMs;
     private boolean released;
 
     /**
      * @param confirmedAtMs a moment at which the lease surely had its full time to live
+     * @param holdBackUntilMs before that moment the lease does not count as confirmed, since a leader that was deposed
+     *     may still count its own so
      * @param onExpired called once if the store reports that the lease has expired
      */
     LeaderLease(
@@ -27,18 +30,20 @@
             LeadershipTiming timing,
             long leaseId,
             long confirmedAtMs,
+            long holdBackUntilMs,
             Runnable onExpired) {
         this.eventLoop = eventLoop;
         this.store = store;
         this.leaseId = leaseId;
         this.trustedMs = (long) (timing.leaseMs() * TRUSTED_FRACTION);
         this.confirmedAtMs = confirmedAtMs;
+        this.holdBackUntilMs = holdBackUntilMs;
         this.onExpired = onExpired;
     }
 
-    /** Whether the lease surely has not expired, so that no other controller can have been elected. */
+    /** Whether the lease surely has not expired, and no other controller can count itself as the confirmed leader. */
     boolean isConfirmed() {
-        return eventLoop.nowMs() < confirmedUntilMs();
+        return eventLoop.nowMs() >= holdBackUntilMs && eventLoop.nowMs() < confirmedUntilMs();
     }
 
     /** Until when the lease surely has not expired, unless it is renewed. */
--- a/src/main/java/io/quartzgw/leadership/Leadership.java
+++ b/src/main/java/io/quartzgw/leadership/Leadership.java
@@ -23,6 +23,8 @@
     public static final String TERM_KEY = "lead/term";
     /** The key of the leader record, which is attached to the leader's lease. */
     static final String LEADER_KEY = "lead/leader";
+    /** The key of the last deposition, which names the deposed leader's term. */
+    static final String DEPOSED_KEY = "lead/deposed";
 
     private static final int RENEWALS_PER_LEASE = 4;
 
@@ -42,6 +44,7 @@
     private final CancellationWatermark watermark;
     private final ElectionState state;
     private final Candidacy candidacy;
+    private final LeaderDeposition deposition;
     private Listener listener;
 
     private long highestObservedTerm;
@@ -63,6 +66,7 @@
         this.watermark = watermark;
         this.state = new ElectionState(eventLoop, store, this::evaluateRole);
         this.candidacy = new Candidacy(eventLoop, store, timing, identity, state, new CandidacyOwner());
+        this.deposition = new LeaderDeposition(eventLoop, store, state, timing);
     }
 
     /** Begins to watch the election keys and to take part in elections. */
@@ -173,7 +177,15 @@
         }
     }
 
+    /** Ends the term of the recorded leader, which a majority of the controllers has not heard for long. */
+    void deposeSilentLeader() {
+        if (!leading()) {
+            state.leader().ifPresent(deposition::depose);
+        }
+    }
+
     private void evaluateRole() {
+        deposition.stateChanged();
         candidacy.logStanding();
         if (leading()) {
             if (state.term() > term) {
@@ -193,7 +205,8 @@
 
     private void adoptVictory(LeaderRecord leader) {
         // When the lease began is not known: it counts as unconfirmed until it is renewed.
-        becomeLeader(leader.term(), leader.leaseId(), eventLoop.nowMs() - timing.leaseMs());
+        long unconfirmedAtMs = eventLoop.nowMs() - timing.leaseMs();
+        becomeLeader(leader.term(), leader.leaseId(), unconfirmedAtMs, candidacy.holdBackUntilMs(leader.term()));
     }
 
     /** Connects the candidacy to this role. */
@@ -213,13 +226,14 @@
             // The watch may have reported the victory first: then its lease is in use already.
             if (!leading() && victory.term() > term) {
                 state.applyElection(victory.term(), victory.termRevision());
-                becomeLeader(victory.term(), victory.leaseId(), victory.requestedAtMs());
+                becomeLeader(victory.term(), victory.leaseId(), victory.requestedAtMs(), victory.holdBackUntilMs());
             }
         }
     }
 
-    private void becomeLeader(long wonTerm, long leaseId, long confirmedAtMs) {
-        LeaderLease wonLease = new LeaderLease(eventLoop, store, timing, leaseId, confirmedAtMs, this::onLeaseExpired);
+    private void becomeLeader(long wonTerm, long leaseId, long confirmedAtMs, long holdBackUntilMs) {
+        LeaderLease wonLease = new LeaderLease(
+                eventLoop, store, timing, leaseId, confirmedAtMs, holdBackUntilMs, this::onLeaseExpired);
         term = wonTerm;
         lease = Optional.of(wonLease);
         watermark.resetStoreRead();
--- a/src/main/java/io/quartzgw/leadership/PeerExchange.java
+++ b/src/main/java/io/quartzgw/leadership/PeerExchange.java
@@ -38,6 +38,7 @@
     private final WriteBudgetExchange writeBudget;
     private final PeerRegistry peers;
     private final RedirectedAgents redirectedAgents;
+    private final LeaderSilence leaderSilence;
     private final PeerMessageFactory messages;
     private final Set<String> awaitingAnswer = new HashSet<>();
     private PeerPayloads payloads = PeerPayloads.NONE;
@@ -67,7 +68,8 @@
         long staleAfterMs = STALE_AFTER_HEARTBEATS * timing.heartbeatMs();
         this.peers = new PeerRegistry(eventLoop, staleAfterMs);
         this.redirectedAgents = new RedirectedAgents(eventLoop, timing.heartbeatMs());
-        this.messages = new PeerMessageFactory(identity, participants, redirectedAgents, staleAfterMs);
+        this.leaderSilence = new LeaderSilence(eventLoop, leadership, peers, timing);
+        this.messages = new PeerMessageFactory(identity, participants, redirectedAgents, leaderSilence, staleAfterMs);
     }
 
     /** Begins to send messages. */
@@ -76,10 +78,21 @@
         broadcast();
         eventLoop.every(timing.heartbeatMs(), () -> {
             redirectedAgents.probe();
+            leaderSilence.check();
+            if (isLeaderDeposedByMajority()) {
+                leadership.deposeSilentLeader();
+            }
             broadcast();
         });
     }
 
+    // A leader that its agents reach serves them whomever else it reaches, so agents have to come here as well.
+    private boolean isLeaderDeposedByMajority() {
+        int controllers = endpoints.size() + 1;
+        int agreeing = 1 + peers.countLeaderSilentIn(leadership.highestTerm());
+        return leaderSilence.isSilent() && agreeing > controllers / 2 && redirectedAgents.count() > 0;
+    }
+
     // ---- sending
 
     /** Sends a message to every peer at once, for example after this controller was elected. */
--- a/src/main/java/io/quartzgw/leadership/PeerMessageCodec.java
+++ b/src/main/java/io/quartzgw/leadership/PeerMessageCodec.java
@@ -18,6 +18,9 @@
     private static final String LED_TERM = "leading";
     private static final String HIGHEST_TERM = "term";
     private static final String STORE_REACHABLE = "store";
+    /** Only in messages of which it is true. */
+    private static final String LEADER_SILENT = "leader_silent";
+
     private static final String JOB_COUNTS = "counts";
     private static final String NOTICE = "notice";
     private static final String WRITE_GRANT = "writes_lent";
@@ -37,6 +40,9 @@
                 .put(LED_TERM, status.ledTerm())
                 .put(HIGHEST_TERM, status.highestTerm())
                 .put(STORE_REACHABLE, status.storeReachable());
+        if (status.leaderSilent()) {
+            node.put(LEADER_SILENT, true);
+        }
         PeerMessage.Attachments attachments = message.attachments();
         attachments.jobCounts().ifPresent(counts -> node.set(JOB_COUNTS, counts));
         attachments.notice().ifPresent(notice -> node.set(NOTICE, notice));
@@ -58,7 +64,8 @@
                 node.path(UPTIME_MS).asLong(),
                 node.path(LED_TERM).asLong(),
                 node.path(HIGHEST_TERM).asLong(),
-                node.path(STORE_REACHABLE).asBoolean());
+                node.path(STORE_REACHABLE).asBoolean(),
+                node.path(LEADER_SILENT).asBoolean());
         PeerMessage.Attachments attachments = new PeerMessage.Attachments(
                 Optional.ofNullable(node.get(JOB_COUNTS)),
                 Optional.ofNullable(node.get(NOTICE)),
--- a/src/main/java/io/quartzgw/leadership/PeerMessageFactory.java
+++ b/src/main/java/io/quartzgw/leadership/PeerMessageFactory.java
@@ -7,6 +7,7 @@
     private final ControllerIdentity identity;
     private final PeerExchange.Participants participants;
     private final RedirectedAgents redirectedAgents;
+    private final LeaderSilence leaderSilence;
     private final long staleAfterMs;
     private long lastSequence;
 
@@ -15,10 +16,12 @@
             ControllerIdentity identity,
             PeerExchange.Participants participants,
             RedirectedAgents redirectedAgents,
+            LeaderSilence leaderSilence,
             long staleAfterMs) {
         this.identity = identity;
         this.participants = participants;
         this.redirectedAgents = redirectedAgents;
+        this.leaderSilence = leaderSilence;
         this.staleAfterMs = staleAfterMs;
     }
 
@@ -40,7 +43,8 @@
                 participants.watermark().uptimeMs(),
                 leadership.leading() ? leadership.term() : 0,
                 leadership.highestTerm(),
-                storeReachable());
+                storeReachable(),
+                leaderSilence.isSilent());
     }
 
     private boolean storeReachable() {
--- a/src/main/java/io/quartzgw/leadership/PeerRegistry.java
+++ b/src/main/java/io/quartzgw/leadership/PeerRegistry.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Stream;
 
@@ -47,6 +48,16 @@
         return recentPeers().anyMatch(PeerState::storeReachable);
     }
 
+    /** How many peers have lately said that they have not heard the leader of a term for long. */
+    int countLeaderSilentIn(long term) {
+        return (int) recentPeers().filter(peer -> peer.leaderSilentIn(term)).count();
+    }
+
+    /** When a process of a peer was last heard; empty if it is not known to be the present one. */
+    OptionalLong heardAtMs(ControllerIdentity peer) {
+        return present(peer).map(state -> OptionalLong.of(state.receivedAtMs())).orElse(OptionalLong.empty());
+    }
+
     private Stream<PeerState> recentPeers() {
         return peers.values().stream().filter(peer -> eventLoop.nowMs() - peer.receivedAtMs() <= staleAfterMs);
     }
--- a/src/main/java/io/quartzgw/leadership/PeerState.java
+++ b/src/main/java/io/quartzgw/leadership/PeerState.java
@@ -10,6 +10,7 @@
     private long countsSequence;
 
     private boolean storeReachable;
+    private boolean leaderSilent;
     private int redirectedAgents;
     private long acknowledgedTerm;
 
@@ -38,6 +39,7 @@
         receivedAtMs = nowMs;
         redirectedAgents = status.redirectedAgents();
         storeReachable = status.storeReachable();
+        leaderSilent = status.leaderSilent();
         acknowledgedTerm = Math.max(acknowledgedTerm, status.highestTerm());
     }
 
@@ -62,6 +64,11 @@
         return storeReachable;
     }
 
+    /** Whether the peer has not heard the leader for long, and knows of no other term than this one. */
+    boolean leaderSilentIn(long term) {
+        return leaderSilent && acknowledgedTerm == term;
+    }
+
     int redirectedAgents() {
         return redirectedAgents;
     }
--- a/src/test/java/io/quartzgw/app/DecisionDigestTest.java
+++ b/src/test/java/io/quartzgw/app/DecisionDigestTest.java
@@ -15,10 +15,10 @@
 
     @ParameterizedTest
     @CsvSource({
-        "11, 13883 6a368e2f5ff76067",
-        "12, 13383 b2322f0e3165c9bc",
-        "429, 13521 c665034bf667a339",
-        "310494, 14202 5ea68012f7216cd8"
+        "11, 13883 c37cbb299a93ea64",
+        "12, 13383 9a070bee26f0b482",
+        "429, 13521 a6b93c651807c103",
+        "310494, 14202 f736d56c35baccb2"
     })
     void controllersDecideAsBeforeThroughSingleFailures(long seed, String expected) {
         ClusterSimulation world = new ClusterSimulation(seed, 3);
@@ -28,10 +28,10 @@
 
     @ParameterizedTest
     @CsvSource({
-        "1, 15732 ded79782a69a9267",
-        "7, 22151 40f7a9b1f14fb2e2",
-        "13, 14372 a4f6997364d80fa5",
-        "40, 25331 3ae72c8c6d8dd3d0"
+        "1, 15661 1d87e2a8c0ab5923",
+        "7, 22151 c8fa2b639672e7ab",
+        "13, 14372 c4e7b939e25cacd8",
+        "40, 25331 d7d0d69a80b6ef24"
     })
     void controllersDecideAsBeforeUnderConcurrentFaults(long seed, String expected) {
         ClusterSimulation world = new ClusterSimulation(seed, 3);
--- a/src/test/java/io/quartzgw/app/LeaderDepositionTest.java
+++ b/src/test/java/io/quartzgw/app/LeaderDepositionTest.java
@@ -6,8 +6,12 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.quartzgw.simulation.ClusterSimulation;
 import io.quartzgw.simulation.Hosts;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BiConsumer;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -37,11 +41,62 @@
         simulation.schedule(simulation.now() + storeSteadyMs, () -> simulation.letStoreComeAndGo(end));
         simulation.runChecked(FAILOVER_LIMIT_MS);
         assertNotEquals(paused, simulation.leader(), "another one leads");
+        assertEquals("{\"term\":1}", simulation.store().value("lead/deposed").toString());
+        assertEquals(1, simulation.counter("leadership.depositions"));
         simulation.runChecked(PAUSE_MS + LONG_MS);
         assertHealthy(simulation);
         assertEquals(REPLICAS, simulation.invariants().startCount(), "no agent's lease has ended");
     }
 
+    /**
+     * The leader still renews its lease and starts tasks on the machines that only it reaches, until the state service
+     * rejects it, perhaps between its last renewal and its deposition. It is replaced once, and the two never start
+     * tasks at the same time, though the deposed one may still count itself confirmed.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {0, 5_000, 5_400, 5_800, 6_200, 6_600, 7_000, 8_000})
+    void leaderCutOffWithSomeAgentsIsReplacedOnce(long rejectedAfterMs) {
+        int leader = simulation.leader();
+        simulation
+                .users()
+                .submitUntilAccepted(
+                        JobRequests.array("j-000700", "blue", 800, 1, 1).put("pull_gb", 0.0));
+        simulation.runChecked(10_000);
+        List<String> itsMachines = ClusterFixtures.firstHalf(simulation.agents().machineIds());
+        List<String> others = new ArrayList<>(simulation.agents().machineIds());
+        others.removeAll(itsMachines);
+        IntStream.range(0, CONTROLLERS)
+                .filter(peer -> peer != leader)
+                .forEach(peer -> others.add(Hosts.controller(peer)));
+        forEachPair(leader, itsMachines, others, simulation.network()::partition);
+        long cutAt = simulation.now();
+        simulation.schedule(cutAt + rejectedAfterMs, () -> simulation.setStoreRejects(leader, rejectedAfterMs > 0));
+        for (int i = 1; i < 40; i++) {
+            ObjectNode job =
+                    JobRequests.array(JobRequests.id(700 + i), "blue", 2, 1, 1).put("pull_gb", 0.0);
+            simulation.schedule(cutAt + 300L * i, () -> simulation.users().submitUntilAccepted(job));
+        }
+        simulation.runChecked(FAILOVER_LIMIT_MS);
+        int successor = simulation.leader();
+        assertNotEquals(leader, successor);
+        simulation.runChecked(LONG_MS);
+        assertEquals(successor, simulation.leader(), "it is not deposed in its turn");
+        simulation.setStoreRejects(leader, false);
+        forEachPair(leader, itsMachines, others, simulation.network()::heal);
+        simulation.runChecked(LONG_MS);
+        assertHealthy(simulation);
+    }
+
+    private static void forEachPair(
+            int leader, List<String> itsMachines, List<String> others, BiConsumer<String, String> action) {
+        for (String other : others) {
+            action.accept(Hosts.controller(leader), other);
+            if (Hosts.isController(other)) {
+                itsMachines.forEach(machine -> action.accept(machine, other));
+            }
+        }
+    }
+
     // Its agents reach it, and it reaches the state service: it leads on, however long nobody else hears it.
     @Test
     void leaderThatOnlyItsPeersDoNotReachIsNotDeposed() {
--- a/src/test/java/io/quartzgw/app/LogEventsTest.java
+++ b/src/test/java/io/quartzgw/app/LogEventsTest.java
@@ -34,11 +34,14 @@
         }
         assertLogged("process was paused", "duration_ms=2", "leading=true", "confirmed=false", "confirmed_age_ms=2");
         assertLogged("leadership lost", "reason=", "confirmed_age_ms=");
+        assertLogged("candidacy changed", "reason=vacant");
         assertLogged("candidacy changed", "reason=led", "leader=rig-");
+        assertLogged("silent leader deposed", "member=rig-" + leader, "term=1");
         assertEquals(1, simulation.counter("process.pauses"));
         assertTrue(simulation.counter("process.paused_ms") >= PAUSE_MS);
         String readme = Files.readString(Path.of("README.md"));
-        for (String event : List.of("process was paused", "candidacy changed", "leadership lost")) {
+        for (String event :
+                List.of("process was paused", "candidacy changed", "silent leader deposed", "leadership lost")) {
             assertTrue(readme.contains("| `" + event + "` |"), event);
         }
     }
--- a/src/test/java/io/quartzgw/simulation/Hosts.java
+++ b/src/test/java/io/quartzgw/simulation/Hosts.java
@@ -27,7 +27,7 @@
         return CONTROLLER_PREFIX + index;
     }
 
-    static boolean isController(String host) {
+    public static boolean isController(String host) {
         return host.startsWith(CONTROLLER_PREFIX);
     }
 
--- a/src/test/java/io/quartzgw/simulation/ProtocolInvariants.java
+++ b/src/test/java/io/quartzgw/simulation/ProtocolInvariants.java
@@ -136,6 +136,11 @@
         violated("unconfirmed_start", task + " is started by " + controller);
     }
 
+    /** A controller sends a command to start a task after one with a higher token has done so. */
+    void recordSupersededStart(String controller, String task) {
+        violated("superseded_start", task + " is started by " + controller);
+    }
+
     /** A controller sends a command to start a task of a job that it knows as cancelled. */
     void recordCancelledStart(String controller, String task) {
         violated("cancelled_start", task + " is started by " + controller);
--- a/src/test/java/io/quartzgw/simulation/SentStarts.java
+++ b/src/test/java/io/quartzgw/simulation/SentStarts.java
@@ -1,22 +1,24 @@
 package io.quartzgw.simulation;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
 import io.quartzgw.eventloop.Effect;
 import io.quartzgw.http.Json;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.function.Consumer;
 import java.util.function.Predicate;
 
 /**
  * Checks every start that a controller sends, in direct calls and in responses to heartbeats, at the moment when it
- * leaves: the controller's term is confirmed, and it does not know the job as cancelled.
+ * leaves: the controller's term is confirmed, it does not know the job as cancelled, and no controller with a higher
+ * token has sent a start before: two leaders never act at once.
  */
 final class SentStarts {
     private static final String COMMANDS_PATH = "/orders";
     private static final String COMMANDS_FIELD = "orders";
 
     private final ProtocolInvariants invariants;
+    private long highestToken;
 
     SentStarts(ProtocolInvariants invariants) {
         this.invariants = invariants;
@@ -29,32 +31,38 @@
      * @param isCancelled whether the controller knows a job as cancelled
      */
     void check(String controller, Effect effect, boolean confirmed, Predicate<String> isCancelled) {
-        forEachStart(effect, task -> {
+        JsonNode message = commandMessage(effect);
+        for (String task : startedTasks(message)) {
             if (!confirmed) {
                 invariants.recordUnconfirmedStart(controller, task);
             }
             if (isCancelled.test(PlacementRules.jobOf(task))) {
                 invariants.recordCancelledStart(controller, task);
             }
-        });
+            long token = message.path("baton").asLong();
+            if (token < highestToken) {
+                invariants.recordSupersededStart(controller, task);
+            }
+            highestToken = Math.max(highestToken, token);
+        }
     }
 
-    private static void forEachStart(Effect effect, Consumer<String> action) {
+    /** The message with commands that an effect sends, or a missing node if it sends none. */
+    private static JsonNode commandMessage(Effect effect) {
+        JsonNode message = null;
         if (effect instanceof Effect.Send send && send.request().path().equals(COMMANDS_PATH)) {
-            startedTasks(send.request().body()).forEach(action);
+            message = Json.readOrNull(send.request().body());
         } else if (effect instanceof Effect.Answer answer) {
-            startedTasks(answer.response().body()).forEach(action);
+            message = Json.readOrNull(answer.response().body());
         }
+        return message == null ? MissingNode.getInstance() : message;
     }
 
-    private static List<String> startedTasks(byte[] body) {
+    private static List<String> startedTasks(JsonNode message) {
         List<String> tasks = new ArrayList<>();
-        JsonNode message = Json.readOrNull(body);
-        if (message != null) {
-            for (JsonNode command : message.path(COMMANDS_FIELD)) {
-                if (command.path("verb").asText().equals("run")) {
-                    tasks.add(command.path("shard").asText());
-                }
+        for (JsonNode command : message.path(COMMANDS_FIELD)) {
+            if (command.path("verb").asText().equals("run")) {
+                tasks.add(command.path("shard").asText());
             }
         }
         return tasks;
