--- a/src/test/java/io/quartzgw/simulation/ClusterSimulation.java
+++ b/src/test/java/io/quartzgw/simulation/ClusterSimulation.java
@@ -107,8 +107,8 @@
         invariants = new ProtocolInvariants(builder.timing.cancelMs(), SimulationSettings.CPU_LIMITS, events::now);
         network = new SimulatedNetwork(context, this::handle);
         SimulationSettings settings = new SimulationSettings(builder.timing, store.limits());
-        controllers =
-                new SimulatedControllers(context, settings, network, new SentStarts(invariants), builder.controllers);
+        controllers = new SimulatedControllers(
+                context, settings, network, new LeaderActions(invariants), builder.controllers);
         agents = new SimulatedAgents(
                 context,
                 network,
--- a/src/test/java/io/quartzgw/simulation/SentStarts.java
+++ b/src/test/java/io/quartzgw/simulation/LeaderActions.java
@@ -9,18 +9,20 @@
 import java.util.function.Predicate;
 
 /**
- * Checks every start that a controller sends, in direct calls and in responses to heartbeats, at the moment when it
- * leaves: the controller's term is confirmed, it does not know the job as cancelled, and no controller with a higher
- * token has sent a start before: two leaders never act at once.
+ * Checks what only a confirmed leader may send, at the moment when it leaves. Of deletions of machines, and of every
+ * start in a direct call or in the response to a heartbeat: the controller's term is confirmed. Of a start also: the
+ * controller's term is confirmed, it does not know the job as cancelled, and no controller with a higher token has sent
+ * a start before: two leaders never act at once.
  */
-final class SentStarts {
+final class LeaderActions {
     private static final String COMMANDS_PATH = "/orders";
+    private static final String DELETION_PATH = "/rentals/delete";
     private static final String COMMANDS_FIELD = "orders";
 
     private final ProtocolInvariants invariants;
     private long highestToken;
 
-    SentStarts(ProtocolInvariants invariants) {
+    LeaderActions(ProtocolInvariants invariants) {
         this.invariants = invariants;
     }
 
@@ -31,6 +33,9 @@
      * @param isCancelled whether the controller knows a job as cancelled
      */
     void check(String controller, Effect effect, boolean confirmed, Predicate<String> isCancelled) {
+        if (!confirmed && isDeletion(effect)) {
+            invariants.recordUnconfirmedDeletion(controller);
+        }
         JsonNode message = commandMessage(effect);
         for (String task : startedTasks(message)) {
             if (!confirmed) {
@@ -47,6 +52,10 @@
         }
     }
 
+    private static boolean isDeletion(Effect effect) {
+        return effect instanceof Effect.Send send && send.request().path().equals(DELETION_PATH);
+    }
+
     /** The message with commands that an effect sends, or a missing node if it sends none. */
     private static JsonNode commandMessage(Effect effect) {
         JsonNode message = null;
--- a/src/test/java/io/quartzgw/simulation/ProtocolInvariants.java
+++ b/src/test/java/io/quartzgw/simulation/ProtocolInvariants.java
@@ -136,6 +136,11 @@
         violated("unconfirmed_start", task + " is started by " + controller);
     }
 
+    /** A controller sends a request to delete machines though its term is not confirmed. */
+    void recordUnconfirmedDeletion(String controller) {
+        violated("unconfirmed_deletion", "machines are deleted by " + controller);
+    }
+
     /** A controller sends a command to start a task after one with a higher token has done so. */
     void recordSupersededStart(String controller, String task) {
         violated("superseded_start", task + " is started by " + controller);
--- a/src/test/java/io/quartzgw/simulation/SimulatedController.java
+++ b/src/test/java/io/quartzgw/simulation/SimulatedController.java
@@ -29,7 +29,7 @@
     private final SimulationContext context;
     private final SimulatedNetwork network;
     private final MessageDigests digests;
-    private final SentStarts sentStarts;
+    private final LeaderActions leaderActions;
     private final Map<Long, Consumer<Response>> openRequests = new HashMap<>();
     private final List<Command> receivedWhilePaused = new ArrayList<>();
     /** What the batch in which the process was paused has left to be sent. */
@@ -57,12 +57,12 @@
             SimulationContext context,
             SimulatedNetwork network,
             MessageDigests digests,
-            SentStarts sentStarts) {
+            LeaderActions leaderActions) {
         this.name = name;
         this.context = context;
         this.network = network;
         this.digests = digests;
-        this.sentStarts = sentStarts;
+        this.leaderActions = leaderActions;
     }
 
     /** Starts a new process. */
@@ -223,7 +223,7 @@
             return;
         }
         digests.add(events.now(), name, effect);
-        sentStarts.check(name, effect, lease.isHeldAt(events.now()), controller.orElseThrow()::isKnownCancelled);
+        leaderActions.check(name, effect, lease.isHeldAt(events.now()), controller.orElseThrow()::isKnownCancelled);
         if (effect instanceof Effect.Answer answer) {
             Consumer<Response> receiver = openRequests.remove(answer.exchange());
             if (receiver != null) {
--- a/src/test/java/io/quartzgw/simulation/SimulatedControllers.java
+++ b/src/test/java/io/quartzgw/simulation/SimulatedControllers.java
@@ -22,12 +22,12 @@
             SimulationContext context,
             SimulationSettings settings,
             SimulatedNetwork network,
-            SentStarts sentStarts,
+            LeaderActions leaderActions,
             int count) {
         this.context = context;
         this.settings = settings;
         for (int i = 0; i < count; i++) {
-            controllers.add(new SimulatedController(Hosts.controller(i), context, network, digests, sentStarts));
+            controllers.add(new SimulatedController(Hosts.controller(i), context, network, digests, leaderActions));
         }
     }
 
