Deposition: repeated within a heartbeat, and logged at debug while it is short of something

Now one every 250 ms, as in elections. The reasons for waiting are logged at debug: how many controllers agree, how many agents came, and why an election attempt failed.

--- a/src/main/java/io/quartzgw/leadership/Candidacy.java
+++ b/src/main/java/io/quartzgw/leadership/Candidacy.java
@@ -186,6 +186,7 @@
                     RequestUrgency.HIGH,
                     outcome -> onOutcome(attempt, granted.leaseId(), outcome));
         } else {
+            logFailure(attempt, grant);
             retryLater();
         }
     }
@@ -207,6 +208,7 @@
                     attempt.term(), committed.revision(), leaseId, attempt.requestedAtMs(), attempt.holdBackUntilMs()));
             return;
         }
+        logFailure(attempt, outcome);
         // A transaction without an answer may yet be applied: its lease must outlive it.
         if (!(outcome instanceof TransactionOutcome.Unknown)) {
             store.revokeLease(leaseId);
@@ -214,6 +216,13 @@
         retryLater();
     }
 
+    private static void logFailure(Attempt attempt, Object result) {
+        LOG.atDebug()
+                .addKeyValue("attempt", attempt)
+                .addKeyValue("result", result)
+                .log("election attempt failed");
+    }
+
     private void retryLater() {
         eventLoop.after(RETRY_MS, () -> {
             attemptInProgress = false;
--- a/src/main/java/io/quartzgw/leadership/LeaderDeposition.java
+++ b/src/main/java/io/quartzgw/leadership/LeaderDeposition.java
@@ -20,11 +20,14 @@
     private static final Logger LOG = LoggerFactory.getLogger(LeaderDeposition.class);
     /** For so many leases after a deposition the next leader is not deposed, whatever is heard of it. */
     private static final int REST_LEASES = 5;
+    /** The state store may answer for a moment only. */
+    private static final int RETRY_MS = 250;
 
     private final EventLoop eventLoop;
     private final StoreClient store;
     private final ElectionState state;
     private final long restMs;
+    private final long heartbeatMs;
     private long deposedTerm;
     private long deposedAtMs;
     private boolean inProgress;
@@ -34,6 +37,7 @@
         this.store = store;
         this.state = state;
         this.restMs = REST_LEASES * timing.leaseMs();
+        this.heartbeatMs = timing.heartbeatMs();
     }
 
     /** Notices depositions by any controller; to be called when the election keys have changed. */
@@ -44,21 +48,27 @@
         }
     }
 
-    /** Deposes a leader, unless another one was deposed a short time ago. */
+    /**
+     * Deposes a leader, unless another one was deposed a short time ago; tries for the interval between two heartbeats,
+     * after which the leader may have been heard again.
+     */
     void depose(LeaderRecord leader) {
         boolean resting = deposedTerm > 0 && deposedTerm != leader.term() && eventLoop.nowMs() - deposedAtMs < restMs;
-        if (inProgress || resting) {
-            return;
+        if (!inProgress && !resting) {
+            attempt(leader, eventLoop.nowMs() + heartbeatMs);
         }
+    }
+
+    private void attempt(LeaderRecord leader, long endMs) {
         inProgress = true;
         Transaction record = new Transaction()
                 .require(Leadership.LEADER_KEY, state.leaderRevision())
                 .require(Leadership.TERM_KEY, state.termRevision())
                 .put(Leadership.DEPOSED_KEY, LeaderRecordCodec.encodeTerm(leader.term()));
-        store.commit(record, RequestUrgency.HIGH, outcome -> onRecorded(leader, outcome));
+        store.commit(record, RequestUrgency.HIGH, outcome -> onOutcome(leader, endMs, outcome));
     }
 
-    private void onRecorded(LeaderRecord leader, TransactionOutcome outcome) {
+    private void onOutcome(LeaderRecord leader, long endMs, TransactionOutcome outcome) {
         inProgress = false;
         if (outcome instanceof TransactionOutcome.Committed) {
             eventLoop.increment("leadership.depositions", 1);
@@ -67,6 +77,14 @@
                     .addKeyValue("term", leader.term())
                     .log("silent leader deposed");
             store.revokeLease(leader.leaseId());
+        } else if (eventLoop.nowMs() + RETRY_MS < endMs) {
+            eventLoop.after(RETRY_MS, () -> retry(leader, endMs));
+        }
+    }
+
+    private void retry(LeaderRecord leader, long endMs) {
+        if (!inProgress && state.leader().filter(leader::equals).isPresent()) {
+            attempt(leader, endMs);
         }
     }
 }
--- a/src/main/java/io/quartzgw/leadership/PeerExchange.java
+++ b/src/main/java/io/quartzgw/leadership/PeerExchange.java
@@ -15,12 +15,16 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Exchanges messages with the other controllers: once a heartbeat with each, and at once after an event. They announce
  * which process runs, who leads with which term, whether the state store answers, cancelled jobs and the job counts.
  */
 public final class PeerExchange {
+    private static final Logger LOG = LoggerFactory.getLogger(PeerExchange.class);
+
     /** The path of the peer listener that messages are posted to. */
     public static final String PATH = "/peer";
 
@@ -88,9 +92,18 @@
 
     // A leader that its agents reach serves them whomever else it reaches, so agents have to come here as well.
     private boolean isLeaderDeposedByMajority() {
-        int controllers = endpoints.size() + 1;
+        if (!leaderSilence.isSilent()) {
+            return false;
+        }
         int agreeing = 1 + peers.countLeaderSilentIn(leadership.highestTerm());
-        return leaderSilence.isSilent() && agreeing > controllers / 2 && redirectedAgents.count() > 0;
+        int agents = redirectedAgents.count();
+        LOG.atDebug()
+                .addKeyValue("term", leadership.highestTerm())
+                .addKeyValue("agreeing_controllers", agreeing)
+                .addKeyValue("redirected_agents", agents)
+                .log("leader silent");
+        int controllers = endpoints.size() + 1;
+        return agreeing > controllers / 2 && agents > 0;
     }
 
     // ---- sending
