Elections go before all other calls to the state service

While a leader stood still, no other was elected for tens of seconds though a majority had agreed to depose it and the state service answered in between: the deposition and the election waited in one queue behind urgent writes, which were cancellations that users repeated (each takes two of the 40 changes a second that a controller has). The end of a lease, also that of a leader that resigns, waited behind users' polls and could be rejected.

Elections, depositions, and grants, renewals and ends of leases have an urgency of their own that goes first. They are few: four calls in an election, four renewals a lease. RequestQueueTest asks for it.

--- a/src/main/java/io/quartzgw/leadership/Candidacy.java
+++ b/src/main/java/io/quartzgw/leadership/Candidacy.java
@@ -183,7 +183,7 @@
         if (grant instanceof LeaseGrant.Granted granted) {
             store.commit(
                     electionTransaction(attempt, granted.leaseId()),
-                    RequestUrgency.HIGH,
+                    RequestUrgency.ELECTION,
                     outcome -> onOutcome(attempt, granted.leaseId(), outcome));
         } else {
             logFailure(attempt, grant);
--- a/src/main/java/io/quartzgw/leadership/LeaderDeposition.java
+++ b/src/main/java/io/quartzgw/leadership/LeaderDeposition.java
@@ -65,7 +65,7 @@
                 .require(Leadership.LEADER_KEY, state.leaderRevision())
                 .require(Leadership.TERM_KEY, state.termRevision())
                 .put(Leadership.DEPOSED_KEY, LeaderRecordCodec.encodeTerm(leader.term()));
-        store.commit(record, RequestUrgency.HIGH, outcome -> onOutcome(leader, endMs, outcome));
+        store.commit(record, RequestUrgency.ELECTION, outcome -> onOutcome(leader, endMs, outcome));
     }
 
     private void onOutcome(LeaderRecord leader, long endMs, TransactionOutcome outcome) {
--- a/src/main/java/io/quartzgw/store/RequestQueue.java
+++ b/src/main/java/io/quartzgw/store/RequestQueue.java
@@ -10,9 +10,9 @@
 import java.util.function.Consumer;
 
 /**
- * Calls to the state store that wait for this controller's share of the store's limits. Urgent calls go first, but a
- * write that has waited for a while goes before urgent ones that came later. Reads need only the budget of requests, so
- * they do not wait behind writes that lack the budget of writes.
+ * Calls to the state store that wait for this controller's share of the store's limits. Urgent calls go first, those of
+ * elections before all, but a write that has waited for a while goes before urgent ones that came later. Reads need
+ * only the budget of requests, so they do not wait behind writes that lack the budget of writes.
  */
 final class RequestQueue {
     /** Calls of normal urgency that wait longer than this are rejected. */
@@ -28,6 +28,8 @@
     private final Consumer<Reply> observer;
     private final TokenBucket requestBudget;
     private final TokenBucket writeBudget;
+    private final Deque<QueuedCall> electionReads = new ArrayDeque<>();
+    private final Deque<QueuedCall> electionWrites = new ArrayDeque<>();
     private final Deque<QueuedCall> urgentReads = new ArrayDeque<>();
     private final Deque<QueuedCall> urgentWrites = new ArrayDeque<>();
     private final Deque<QueuedCall> normalReads = new ArrayDeque<>();
@@ -61,13 +63,11 @@
     }
 
     private Deque<QueuedCall> queueFor(boolean readsOnly, RequestUrgency urgency) {
-        if (readsOnly) {
-            return urgency == RequestUrgency.HIGH ? urgentReads : normalReads;
-        }
         return switch (urgency) {
-            case HIGH -> urgentWrites;
-            case NORMAL -> normalWrites;
-            case BACKGROUND -> backgroundWrites;
+            case ELECTION -> readsOnly ? electionReads : electionWrites;
+            case HIGH -> readsOnly ? urgentReads : urgentWrites;
+            case NORMAL -> readsOnly ? normalReads : normalWrites;
+            case BACKGROUND -> readsOnly ? normalReads : backgroundWrites;
         };
     }
 
@@ -87,7 +87,7 @@
         int demand = submittedWrites + previouslyQueuedWrites;
         submittedWrites = 0;
         previouslyQueuedWrites = 0;
-        for (Deque<QueuedCall> queue : List.of(urgentWrites, normalWrites, backgroundWrites)) {
+        for (Deque<QueuedCall> queue : List.of(electionWrites, urgentWrites, normalWrites, backgroundWrites)) {
             queue.forEach(queued -> previouslyQueuedWrites += queued.writeCount());
         }
         return demand;
@@ -96,6 +96,7 @@
     private void drain() {
         rejectOverdue(normalReads);
         rejectOverdue(normalWrites);
+        sendAll(electionReads);
         sendAll(urgentReads);
         sendWrites();
         // Last, so that many reads starve no write: the budget of writes is far smaller than that of requests.
@@ -113,6 +114,9 @@
     }
 
     private Deque<QueuedCall> nextWriteQueue() {
+        if (!electionWrites.isEmpty()) {
+            return electionWrites;
+        }
         // Guards starts against a stream of submissions: they may have to wait for a write that was not urgent.
         if (overdue(backgroundWrites)) {
             return backgroundWrites;
--- a/src/main/java/io/quartzgw/store/StoreClient.java
+++ b/src/main/java/io/quartzgw/store/StoreClient.java
@@ -123,7 +123,7 @@
     public void grantLease(long ttlMs, Consumer<LeaseGrant> callback) {
         submitRead(
                 codec.leaseRequest(ttlMs),
-                RequestUrgency.HIGH,
+                RequestUrgency.ELECTION,
                 reply -> callback.accept(StoreCodec.decodeLease(reply)));
     }
 
@@ -131,13 +131,13 @@
     public void renewLease(long leaseId, Consumer<LeaseRenewal> callback) {
         submitRead(
                 codec.renewalRequest(leaseId),
-                RequestUrgency.HIGH,
+                RequestUrgency.ELECTION,
                 reply -> callback.accept(StoreCodec.decodeRenewal(reply)));
     }
 
     /** Ends a lease; if the request is lost, the lease expires by itself. */
     public void revokeLease(long leaseId) {
-        submitRead(codec.revocationRequest(leaseId), RequestUrgency.NORMAL, reply -> {});
+        submitRead(codec.revocationRequest(leaseId), RequestUrgency.ELECTION, reply -> {});
     }
 
     // ---- watches
--- a/src/test/java/io/quartzgw/store/RequestQueueTest.java
+++ b/src/test/java/io/quartzgw/store/RequestQueueTest.java
@@ -59,6 +59,20 @@
         assertEquals(429, rejected.get(0).status());
     }
 
+    // While the leader stood still, the elections of the others waited for longer than agents' leases behind
+    // cancellations.
+    @Test
+    void electionIsSentBeforeUrgentWritesThatCameEarlier() {
+        RequestQueue queue = new RequestQueue(eventLoop, LIMITS, reply -> {});
+        for (int i = 0; i < 20; i++) {
+            submit(queue, "/cancellation" + i, 2, RequestUrgency.HIGH);
+        }
+        advance(100);
+        submit(queue, "/election", 2, RequestUrgency.ELECTION);
+        advance(1_000);
+        assertEquals(List.of("/cancellation0", "/election"), sent);
+    }
+
     // Guards submissions while users poll many times as often as usual.
     @Test
     void writeIsSentBeforeManyQueuedReads() {
