--- a/src/test/java/io/quartzgw/http/HttpServerTest.java
+++ b/src/test/java/io/quartzgw/http/HttpServerTest.java
@@ -12,6 +12,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.LongSupplier;
 import org.junit.jupiter.api.Test;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -21,11 +22,8 @@
 class HttpServerTest {
     private static final int PATIENCE_MS = 30_000;
 
-    // Guards the leases of a cluster with more workers than the leader has sockets: accepting must not stop for
-    // those that come last while the first keep their connections.
-    @Test
-    void moreClientsThanSocketsAreEachAnsweredAgainAndAgain() throws Exception {
-        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+    /** Starts a server that answers every request at once, with responses that are valid until a moment. */
+    private static HttpServer startServer(XnioWorker worker, LongSupplier validUntilMs) throws IOException {
         HttpServer[] server = new HttpServer[1];
         server[0] = new HttpServer(
                 worker,
@@ -35,14 +33,23 @@
                 new SocketBudget(8, 8, 6, 1, 1),
                 PATIENCE_MS,
                 request -> {
-                    server[0].answer(request.exchange(), Response.error(200, "none"), Long.MAX_VALUE);
+                    server[0].answer(request.exchange(), Response.error(200, "none"), validUntilMs.getAsLong());
                     return true;
                 });
         server[0].start();
+        return server[0];
+    }
+
+    // Guards the leases of a cluster with more workers than the leader has sockets: accepting must not stop for
+    // those that come last while the first keep their connections.
+    @Test
+    void moreClientsThanSocketsAreEachAnsweredAgainAndAgain() throws Exception {
+        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
+        HttpServer server = startServer(worker, () -> Long.MAX_VALUE);
         List<Client> clients = new ArrayList<>();
         try {
             for (int i = 0; i < 40; i++) {
-                clients.add(new Client(server[0].port(ListenerKind.CLIENT)));
+                clients.add(new Client(server.port(ListenerKind.CLIENT)));
             }
             int lasting = 0;
             for (int round = 0; round < 3; round++) {
@@ -57,7 +64,7 @@
             for (Client client : clients) {
                 client.close();
             }
-            server[0].stop();
+            server.stop();
             worker.shutdownNow();
         }
     }
@@ -66,26 +73,13 @@
     @Test
     void aResponseThatIsNotValidAnyMoreIsAnsweredAsUnavailable() throws Exception {
         XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
-        HttpServer[] server = new HttpServer[1];
-        server[0] = new HttpServer(
-                worker,
-                new DefaultByteBufferPool(true, 8 * 1024),
-                new Endpoint("127.0.0.1", 0),
-                new Endpoint("127.0.0.1", 0),
-                new SocketBudget(8, 8, 6, 1, 1),
-                PATIENCE_MS,
-                request -> {
-                    long validUntilMs = System.nanoTime() / 1_000_000;
-                    server[0].answer(request.exchange(), Response.error(200, "none"), validUntilMs);
-                    return true;
-                });
-        server[0].start();
-        Client client = new Client(server[0].port(ListenerKind.CLIENT));
+        HttpServer server = startServer(worker, () -> System.nanoTime() / 1_000_000);
+        Client client = new Client(server.port(ListenerKind.CLIENT));
         try {
             assertEquals("HTTP/1.1 503 Service Unavailable", client.ask());
         } finally {
             client.close();
-            server[0].stop();
+            server.stop();
             worker.shutdownNow();
         }
     }
