--- a/src/test/java/io/quartzgw/app/PausedLeaderTest.java
+++ b/src/test/java/io/quartzgw/app/PausedLeaderTest.java
@@ -1,6 +1,7 @@
 package io.quartzgw.app;
 
 import static io.quartzgw.app.ClusterAssertions.assertHealthy;
+import static io.quartzgw.app.ClusterFixtures.LEASE_MS;
 import static io.quartzgw.app.ClusterFixtures.clusterWithServices;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -8,6 +9,7 @@
 import io.quartzgw.simulation.ClusterSimulation;
 import java.util.List;
 import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -91,4 +93,56 @@
         assertHealthy(same);
         assertTrue(same.invariants().hasEndedIn("done", JOB));
     }
+
+    /** The same in the response to a heartbeat; direct calls do not arrive. */
+    @Test
+    void responseWithAStartThatWasBuiltBeforeAPauseDoesNotLeaveAfterIt() {
+        holdAllCommands(simulation);
+        submit(simulation);
+        while (simulation.counter("orders.in_responses") == 0) {
+            simulation.runUntil(simulation.now() + 1);
+        }
+        long builtAt = simulation.now();
+        ClusterSimulation same = clusterWithServices();
+        holdAllCommands(same);
+        submit(same);
+        same.runUntil(builtAt - 1);
+        same.pauseControllerWithinBatch(same.leader(), 4_000);
+        same.runUntil(builtAt + 1);
+        assertTrue(same.counter("orders.in_responses") > 0, "the start is decided");
+        same.runChecked(LEASE_MS);
+        assertEquals(List.of(), same.invariants().violations());
+    }
+
+    private static void holdAllCommands(ClusterSimulation cluster) {
+        cluster.agents().machineIds().forEach(cluster.network()::holdCommands);
+    }
+
+    /** An idle machine is to be returned; by the time the leader goes on, its successor may use it. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+    void deletionDecidedBeforeAPauseDoesNotLeaveAfterIt(long earlierMs) {
+        long deletedAt = runUntilAMachineIsDeleted(simulation);
+        ClusterSimulation same = clusterWithServices();
+        submitLarge(same);
+        same.runUntil(deletedAt - earlierMs);
+        same.pauseControllerWithinBatch(same.leader(), SHORTEST_PAUSE_MS);
+        same.runChecked(RECOVERY_MS);
+        assertHealthy(same);
+    }
+
+    private static long runUntilAMachineIsDeleted(ClusterSimulation cluster) {
+        submitLarge(cluster);
+        int most = 0;
+        while (cluster.agents().machineIds().size() >= most) {
+            most = Math.max(most, cluster.agents().machineIds().size());
+            cluster.runUntil(cluster.now() + 1);
+        }
+        return cluster.now();
+    }
+
+    /** Submits more than the rented machines hold. */
+    private static void submitLarge(ClusterSimulation cluster) {
+        cluster.users().submitUntilAccepted(JobRequests.array("j-000702", "blue", 12, 4, 10));
+    }
 }
