Tests: controllers on loopback listen on ports that no outbound connection takes

Its ports were found by binding and closing, in the range from which the system gives ports to outbound connections, and were bound again later: a connection of a controller that had started before, or the second choice, could take one meanwhile. They are chosen at once, all different, and below that range now.

--- a/src/test/java/io/quartzgw/simulation/LoopbackCluster.java
+++ b/src/test/java/io/quartzgw/simulation/LoopbackCluster.java
@@ -18,6 +18,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -26,6 +27,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -34,6 +36,10 @@
  * processes of the program.
  */
 public final class LoopbackCluster implements AutoCloseable {
+    private static final int FIRST_PORT = 10_000;
+    /** The usual range of ports for outbound connections begins here. */
+    private static final int END_OF_PORTS = 32_768;
+
     private static final long HEARTBEAT_MS = 1_000;
     private static final long LEASE_MS = 8_000;
 
@@ -63,23 +69,32 @@
     public LoopbackCluster(int controllers) throws IOException {
         storeServer = serve((call, now, onReply) -> store.handle(call, now, onReply));
         cloudServer = serve((call, now, onReply) -> cloud.handle(call, now, onReply));
-        clientPorts = freePorts(controllers);
-        peerPorts = freePorts(controllers);
+        int[] ports = freePorts(2 * controllers);
+        clientPorts = Arrays.copyOf(ports, controllers);
+        peerPorts = Arrays.copyOfRange(ports, controllers, 2 * controllers);
         cloud.onMachineChange(this::boot, agents::remove);
         ticks = clock.scheduleAtFixedRate(this::tick, 20, 20, TimeUnit.MILLISECONDS);
     }
 
-    private static int[] freePorts(int count) throws IOException {
-        int[] ports = new int[count];
-        ServerSocket[] sockets = new ServerSocket[count];
-        for (int i = 0; i < count; i++) {
-            sockets[i] = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-            ports[i] = sockets[i].getLocalPort();
-        }
-        for (ServerSocket socket : sockets) {
-            socket.close();
+    /**
+     * Finds different ports that nobody listens on, below those that the system gives to outbound connections: one of
+     * these could take a port between its choice and the start of the controller that is to listen there.
+     */
+    private static int[] freePorts(int count) {
+        return ThreadLocalRandom.current()
+                .ints(FIRST_PORT, END_OF_PORTS)
+                .distinct()
+                .filter(LoopbackCluster::isFree)
+                .limit(count)
+                .toArray();
+    }
+
+    private static boolean isFree(int port) {
+        try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+            return socket.isBound();
+        } catch (IOException e) {
+            return false;
         }
-        return ports;
     }
 
     private static long now() {
