--- /dev/null
+++ b/src/test/java/io/quartzgw/app/HeldUpStartsTest.java
@@ -0,0 +1,150 @@
+package io.quartzgw.app;
+
+import static io.quartzgw.app.ClusterAssertions.assertAllEnded;
+import static io.quartzgw.app.ClusterAssertions.assertHealthy;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.quartzgw.liveness.AgentTiming;
+import io.quartzgw.simulation.ClusterSimulation;
+import io.quartzgw.simulation.SeedRanges;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.SplittableRandom;
+import java.util.stream.LongStream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Direct calls are held up for longer than a cancellation may take, on more machines at a time than may be evacuated:
+ * nothing of a cancelled job is started when they arrive.
+ */
+class HeldUpStartsTest {
+    private static final int CONTROLLERS = 3;
+    private static final AgentTiming TIMING = new AgentTiming(5_000, 26_500, 56_500);
+
+    private static final int MACHINES = 12;
+    private static final int CANCELLED_JOBS = 12;
+    private static final long SERVICES_RUN_AT = 60_000;
+    private static final long CANCELLED_AFTER_MS = 1_000;
+
+    private static final long MAX_HOLD_UP_MS = 150_000;
+    private static final long FAULTS_BEGIN = 20_000;
+    private static final long FAULTS_END = 150_000;
+    private static final long END = FAULTS_END + MAX_HOLD_UP_MS + 90_000;
+    private static final int MIN_MACHINES = 4;
+    private static final int MORE_MACHINES = 12;
+    private static final int LASTING_SERVICES = 8;
+    private static final int JOBS = 60;
+
+    static LongStream seeds() {
+        return LongStream.rangeClosed(1, 6);
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void startHeldUpBeyondTheCancelLimitRunsNoCancelledTask(long seed) {
+        ClusterSimulation simulation = clusterInUse(seed);
+        List<String> machines = simulation.agents().machineIds();
+        machines.forEach(simulation.network()::holdCommands);
+        submitAndCancel(simulation);
+        simulation.runChecked(CANCELLED_AFTER_MS + TIMING.cancelMs() + TIMING.heartbeatMs());
+        assertTrue(simulation.counter("orders.unanswered") > 0, "calls had no answer");
+        machines.forEach(simulation.network()::deliverHeldCommands);
+        simulation.runChecked(TIMING.cancelMs());
+        assertEquals(List.of(), simulation.invariants().violations());
+        assertHealthy(simulation);
+    }
+
+    /** A cluster in which a service runs on every machine, with room for one more task on each. */
+    private static ClusterSimulation clusterInUse(long seed) {
+        ClusterSimulation simulation = newSimulation(seed, MACHINES);
+        for (int i = 0; i < MACHINES; i++) {
+            ObjectNode service = JobRequests.service(JobRequests.id(i), "blue", 2, 6);
+            simulation.schedule(1_000, () -> simulation.users().submitUntilAccepted(service));
+        }
+        simulation.runUntil(SERVICES_RUN_AT);
+        return simulation;
+    }
+
+    private static ClusterSimulation newSimulation(long seed, int machines) {
+        return ClusterSimulation.builder(seed)
+                .controllers(CONTROLLERS)
+                .machines(machines)
+                .timing(TIMING)
+                .build();
+    }
+
+    private static void submitAndCancel(ClusterSimulation simulation) {
+        List<ObjectNode> jobs = new ArrayList<>();
+        for (int i = 0; i < CANCELLED_JOBS; i++) {
+            jobs.add(JobRequests.service(JobRequests.id(700 + i), "green", 1, 2).put("pull_gb", 0.0));
+        }
+        OptionalLong cancelAt = OptionalLong.of(simulation.now() + CANCELLED_AFTER_MS);
+        jobs.forEach(job -> simulation.users().submitUntilAccepted(job, cancelAt));
+    }
+
+    static LongStream seedsOfBursts() {
+        return SeedRanges.range("heldUp", 1, 40);
+    }
+
+    @ParameterizedTest
+    @MethodSource("seedsOfBursts")
+    void invariantsHoldWhileBurstsOfCallsAreHeldUpForMinutes(long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        ClusterSimulation simulation = newSimulation(seed, MIN_MACHINES + random.nextInt(MORE_MACHINES));
+        List<String> arrays = load(simulation, random);
+        scheduleBursts(simulation, random);
+        if (random.nextInt(3) == 0) {
+            long crashAt = FAULTS_BEGIN + random.nextInt(100_000);
+            simulation.schedule(crashAt, () -> simulation.crash(simulation.leaderOrFirst(), 3_000));
+        }
+        simulation.runChecked(FAULTS_END);
+        simulation.network().holdUpCommandShare(0, 0);
+        simulation.invariants().faultsOver(simulation.now());
+        while (simulation.now() < END) {
+            simulation.runChecked(1_000);
+            simulation.checkWaitingJobs();
+        }
+        assertHealthy(simulation);
+        assertAllEnded(simulation, arrays);
+    }
+
+    private static void scheduleBursts(ClusterSimulation simulation, SplittableRandom random) {
+        List<Double> shares = List.of(0.2, 0.6, 0.95);
+        for (long at = FAULTS_BEGIN; at < FAULTS_END; at += 5_000 + random.nextInt(20_000)) {
+            double share = shares.get(random.nextInt(shares.size()));
+            long maxMs = random.nextBoolean() ? MAX_HOLD_UP_MS : MAX_HOLD_UP_MS / 10;
+            simulation.schedule(at, () -> simulation.network().holdUpCommandShare(share, maxMs));
+            int cancelled = random.nextInt(6);
+            simulation.schedule(
+                    at + random.nextInt(10_000), () -> simulation.users().cancelRunningJobs(cancelled));
+        }
+    }
+
+    /** Services and arrays, of which half are cancelled soon after they were submitted. */
+    private static List<String> load(ClusterSimulation simulation, SplittableRandom random) {
+        for (int i = 0; i < LASTING_SERVICES; i++) {
+            simulation.users().submitUntilAccepted(JobRequests.service(JobRequests.id(i), "blue", 2, 3));
+        }
+        List<String> arrays = new ArrayList<>();
+        for (int i = 0; i < JOBS; i++) {
+            String id = JobRequests.id(5000 + i);
+            boolean service = i % 3 == 0;
+            ObjectNode spec = service
+                    ? JobRequests.service(id, "blue", 1 + random.nextInt(3), 1)
+                    : JobRequests.array(id, "blue", 1 + random.nextInt(6), 1, 5 + random.nextInt(30));
+            spec.put("pull_gb", random.nextInt(2) * 0.5);
+            if (!service) {
+                arrays.add(id);
+            }
+            long at = 5_000L + random.nextInt(115_000);
+            OptionalLong cancelAt =
+                    random.nextBoolean() ? OptionalLong.of(at + 200 + random.nextInt(4_000)) : OptionalLong.empty();
+            simulation.schedule(at, () -> simulation.users().submitUntilAccepted(spec, cancelAt));
+        }
+        return arrays;
+    }
+}
--- a/src/test/java/io/quartzgw/simulation/CommandDelays.java
+++ b/src/test/java/io/quartzgw/simulation/CommandDelays.java
@@ -10,6 +10,8 @@
     private final SplittableRandom random;
     private double delayedShare;
     private long maxDelayMs;
+    private double heldUpShare;
+    private long maxHoldUpMs;
 
     /** How much later a command arrives, and how much later its response does. */
     record Delay(long commandMs, long responseMs) {
@@ -30,8 +32,17 @@
         maxDelayMs = ms;
     }
 
+    /** Delays a share of the commands by up to a time, however long, before any other delay is drawn. */
+    void setHeldUp(double share, long maxMs) {
+        heldUpShare = share;
+        maxHoldUpMs = maxMs;
+    }
+
     /** Draws the delay of the next command. */
     Delay next() {
+        if (heldUpShare > 0 && random.nextDouble() < heldUpShare) {
+            return new Delay(MIN_DELAY_MS + random.nextLong(maxHoldUpMs), 0);
+        }
         if (maxDelayMs > 0) {
             double part = random.nextDouble();
             return new Delay((long) (maxDelayMs * part * part * part), 0);
--- a/src/test/java/io/quartzgw/simulation/SimulatedNetwork.java
+++ b/src/test/java/io/quartzgw/simulation/SimulatedNetwork.java
@@ -108,6 +108,11 @@
         commandDelays.setMaxDelay(maxMs);
     }
 
+    /** Holds a share of the direct commands up, each by up to a time that may be minutes. */
+    public void holdUpCommandShare(double share, long maxMs) {
+        commandDelays.setHeldUp(share, maxMs);
+    }
+
     /** Sets the share of heartbeats, messages between controllers and user requests that arrive again, late. */
     public void duplicateMessageShare(double share) {
         duplicateShare = share;
