A start without an answer is fenced off by a higher token of the same term

Cause: nothing bounded in time kept a held-up start from running. The agent executes it as long as token and epoch match, and both stay as they are while heartbeats are answered. Only the deletion of the machine stood against it, and that is rationed: one machine in twenty at a time, each for up to 1.5 reservations, those of cancelled jobs last. The class: a promise with a deadline that hangs on a limited, best-effort resource.

Evidence: the records have no start and no stop of the job on that machine, an unchanged epoch and token, and attempts unfenced by the dozen.

Change: a term has 4,096 tokens, and its number is the highest of them. A call with a start that has no answer raises the token of its agent; the next response or call carries it, and from then on the agent rejects the earlier call, however late. The response that does so also stops the attempts in question, since one may have been started after the heartbeat. Whatever the number of lost calls, this takes one heartbeat of the agent; one that takes no response loses its lease and begins an epoch that the call does not name. Exited attempts are removed as soon as the raised token is shown. What an agent that is replaced may still execute is not voided: AllocationRelease and FencingPolicy are as they were. An agent whose tokens are used up gets starts in responses only, which are never late.

Terms stay above all tokens of the one before in either version, so an earlier version that takes a token for a term never sees one above the leader's.

--- a/src/main/java/io/quartzgw/agent/AgentCommandCodec.java
+++ b/src/main/java/io/quartzgw/agent/AgentCommandCodec.java
@@ -14,7 +14,8 @@
 
     /** Returns the body of a direct call. */
     static ObjectNode encode(CommandRequest request) {
-        ObjectNode body = Json.object().put("baton", request.fencingToken()).put("tenure", request.epoch());
+        CommandFence fence = request.fence();
+        ObjectNode body = Json.object().put("baton", fence.token()).put("tenure", fence.epoch());
         encode(request.commands(), body.putArray("orders"));
         return body;
     }
--- a/src/main/java/io/quartzgw/agent/AgentManager.java
+++ b/src/main/java/io/quartzgw/agent/AgentManager.java
@@ -64,7 +64,7 @@
             Listener listener) {
         this.leader = leader;
         PendingCommands pendingCommands = new PendingCommands(leader, listener);
-        this.registry = new AgentRegistry(leader.cluster());
+        this.registry = new AgentRegistry(leader);
         this.release = new AllocationRelease(leader, registry);
         this.reconciler = new TaskReconciler(leader, registry, release, timing, listener::taskFinished);
         this.processor = new HeartbeatProcessor(leader, registry, reconciler, release);
--- a/src/main/java/io/quartzgw/agent/AgentRegistry.java
+++ b/src/main/java/io/quartzgw/agent/AgentRegistry.java
@@ -20,19 +20,21 @@
     private static final Logger LOG = LoggerFactory.getLogger(AgentRegistry.class);
 
     private final ClusterState cluster;
+    private final long term;
     private final Map<String, AgentState> agents = new HashMap<>();
     /** Agents with pending commands, in the order in which their first one came up. */
     private final Set<AgentState> withPendingCommands = new LinkedHashSet<>();
 
-    AgentRegistry(ClusterState cluster) {
-        this.cluster = cluster;
+    AgentRegistry(LeaderContext leader) {
+        this.cluster = leader.cluster();
+        this.term = leader.term().number();
     }
 
     /** Returns the state of a machine's agent, and creates it if the machine is new or has taken the ID of another. */
     AgentState agentOf(Machine machine) {
         AgentState agent = agents.get(machine.id());
         if (agent == null || agent.machine() != machine) {
-            agent = new AgentState(machine);
+            agent = new AgentState(machine, term);
             agents.put(machine.id(), agent);
         }
         return agent;
--- a/src/main/java/io/quartzgw/agent/AgentState.java
+++ b/src/main/java/io/quartzgw/agent/AgentState.java
@@ -20,6 +20,7 @@
     private static final long NEVER_MS = Long.MIN_VALUE / 2;
 
     private final Machine machine;
+    private final AgentToken token;
     private final OutstandingStarts outstandingStarts = new OutstandingStarts();
     /** Attempts that have ended and that the agent still reports. */
     private final Set<Attempt> exited = new HashSet<>();
@@ -37,8 +38,10 @@
 
     private long contactedAtMs = NEVER_MS;
 
-    AgentState(Machine machine) {
+    /** @param term the number of this leader's term */
+    AgentState(Machine machine, long term) {
         this.machine = machine;
+        this.token = new AgentToken(term);
         this.latestHeartbeatAtCall = machine.liveness().latestHeartbeat();
     }
 
@@ -47,6 +50,11 @@
         return machine;
     }
 
+    /** Returns the fencing token of the agent. */
+    AgentToken token() {
+        return token;
+    }
+
     /** Returns the starts that the agent may still execute. */
     OutstandingStarts outstandingStarts() {
         return outstandingStarts;
@@ -116,18 +124,22 @@
         if (outstandingStarts.isEmpty()) {
             return Set.of();
         }
-        return unfinished.stream()
-                .filter(this::mayStartAgain)
-                .map(Attempt::job)
-                .collect(Collectors.toUnmodifiableSet());
+        return unfinished.stream().filter(this::mayStart).map(Attempt::job).collect(Collectors.toUnmodifiableSet());
+    }
+
+    /** Returns whether the present agent may still execute a start of an attempt that it does not know. */
+    boolean mayStart(Attempt attempt) {
+        CommandFence agent = new CommandFence(token.shown(), machine.liveness().epoch());
+        return outstandingStarts.isOutstandingFor(agent, attempt);
     }
 
-    /** Returns whether the agent would run an exited attempt again if it forgot the attempt. */
-    boolean mayStartAgain(Attempt attempt) {
-        return outstandingStarts.isOutstandingIn(machine.liveness().epoch(), attempt);
+    /** Handles a new agent on the same machine: it knows neither tasks nor tokens. */
+    void agentReplaced() {
+        token.agentReplaced();
+        epochChanged();
     }
 
-    /** Handles a new epoch of the agent, or a new agent on the same machine: it knows no tasks. */
+    /** Handles a new epoch of the agent: it knows no tasks. */
     void epochChanged() {
         outstandingStarts.epochChanged();
         lastTaskList = NO_TASK_LIST;
@@ -144,11 +156,11 @@
         return callInFlight;
     }
 
-    /** Records that a direct call with some starts is sent, which names an epoch. */
-    void callStarted(List<Attempt> starts, long epoch) {
+    /** Records that a direct call with some starts is sent. */
+    void callStarted(List<Attempt> starts, CommandFence fence) {
         callInFlight = true;
         latestHeartbeatAtCall = machine.liveness().latestHeartbeat();
-        outstandingStarts.sentDirectly(starts, epoch);
+        outstandingStarts.sentDirectly(starts, fence);
     }
 
     /**
--- a/src/main/java/io/quartzgw/agent/CommandDispatcher.java
+++ b/src/main/java/io/quartzgw/agent/CommandDispatcher.java
@@ -109,9 +109,10 @@
 
     private void send(AgentState agent, List<AgentCommand> commands) {
         Machine machine = agent.machine();
-        CommandRequest request = new CommandRequest(term.fencingToken(), epochFor(machine, commands), commands);
+        CommandFence fence = new CommandFence(agent.token().current(), epochFor(machine, commands));
+        CommandRequest request = new CommandRequest(fence, commands);
         List<Attempt> starts = AgentCommand.startedAttempts(commands);
-        agent.callStarted(starts, request.epoch());
+        agent.callStarted(starts, fence);
         callsInFlight++;
         CommandLog.sentDirectly(machine.id(), term, request);
         eventLoop.increment("orders.calls", 1);
@@ -123,7 +124,7 @@
         long validUntilMs = starts.isEmpty() ? Effect.ALWAYS_VALID : term.confirmedUntilMs();
         eventLoop.call(call, validUntilMs, reply -> {
             logReply(machine, reply, sentAtMs, starts);
-            onReply(agent, reply);
+            onReply(agent, reply, starts);
         });
     }
 
@@ -136,14 +137,18 @@
         return commands.isEmpty() ? liveness.latestObservedEpoch() : liveness.epoch();
     }
 
-    private void onReply(AgentState agent, Reply reply) {
+    private void onReply(AgentState agent, Reply reply, List<Attempt> starts) {
         boolean answered = reply.status() == STATUS_EXECUTED || reply.status() == STATUS_REJECTED;
-        agent.callEnded(answered || !reply.sent());
+        boolean settled = answered || !reply.sent();
+        agent.callEnded(settled);
         callsInFlight--;
         Machine machine = agent.machine();
         if (!term.isCurrent() || !leader.cluster().contains(machine)) {
             return;
         }
+        if (!settled && !starts.isEmpty()) {
+            fenceOff(agent, starts);
+        }
         if (answered) {
             boolean rejected = reply.status() == STATUS_REJECTED;
             HeartbeatCodec.decode(reply.body()).ifPresent(heartbeat -> onAnswer(agent, heartbeat, rejected));
@@ -153,6 +158,18 @@
         }
     }
 
+    /** Makes the agent reject a call without an answer from the next message on that reaches it. */
+    private void fenceOff(AgentState agent, List<Attempt> starts) {
+        agent.token().raise(eventLoop.nowMs());
+        eventLoop.increment("fencing.tokens_raised", 1);
+        LOG.atInfo()
+                .addKeyValue("machine", agent.machine().id())
+                .addKeyValue("epoch", agent.machine().liveness().epoch())
+                .addKeyValue("attempts", starts)
+                .addKeyValue("token", agent.token().current())
+                .log("start unanswered");
+    }
+
     private void onAnswer(AgentState agent, Heartbeat heartbeat, boolean rejected) {
         term.observeToken(heartbeat.fencingToken());
         if (!term.isCurrent() || !replyHandler.onReply(agent, heartbeat)) {
--- a/src/main/java/io/quartzgw/agent/CommandLog.java
+++ b/src/main/java/io/quartzgw/agent/CommandLog.java
@@ -14,12 +14,12 @@
 
     /** Logs the commands of a direct call. */
     static void sentDirectly(String machine, LeaderTerm term, CommandRequest request) {
-        sent(machine, "direct", term, request.epoch(), request.commands()).log("commands sent");
+        sent(machine, "direct", term, request.fence(), request.commands()).log("commands sent");
     }
 
     /** Logs the commands of the response to a heartbeat. */
-    static void sentInResponse(Heartbeat heartbeat, LeaderTerm term, List<AgentCommand> commands) {
-        sent(heartbeat.machine(), "response", term, heartbeat.epoch(), commands)
+    static void sentInResponse(Heartbeat heartbeat, LeaderTerm term, long token, List<AgentCommand> commands) {
+        sent(heartbeat.machine(), "response", term, new CommandFence(token, heartbeat.epoch()), commands)
                 .addKeyValue("sequence", heartbeat.sequence())
                 .log("commands sent");
     }
@@ -29,20 +29,21 @@
         LOG.atDebug()
                 .addKeyValue("machine", heartbeat.machine())
                 .addKeyValue("epoch", heartbeat.epoch())
-                .addKeyValue("term", term.fencingToken())
+                .addKeyValue("term", term.number())
                 .addKeyValue("confirmed_until_ms", term.confirmedUntilMs())
                 .addKeyValue("commands", commands)
                 .log("unconfirmed leader responded");
     }
 
     private static LoggingEventBuilder sent(
-            String machine, String channel, LeaderTerm term, long epoch, List<AgentCommand> commands) {
+            String machine, String channel, LeaderTerm term, CommandFence fence, List<AgentCommand> commands) {
         return LOG.atDebug()
                 .addKeyValue("machine", machine)
                 .addKeyValue("channel", channel)
-                .addKeyValue("term", term.fencingToken())
+                .addKeyValue("term", term.number())
                 .addKeyValue("confirmed", term.isConfirmed())
-                .addKeyValue("epoch", epoch)
+                .addKeyValue("token", fence.token())
+                .addKeyValue("epoch", fence.epoch())
                 .addKeyValue("commands", commands);
     }
 }
--- a/src/main/java/io/quartzgw/agent/HeartbeatProcessor.java
+++ b/src/main/java/io/quartzgw/agent/HeartbeatProcessor.java
@@ -84,7 +84,7 @@
     }
 
     private boolean showsToken(Heartbeat heartbeat) {
-        return heartbeat.fencingToken() >= leader.term().fencingToken();
+        return heartbeat.fencingToken() >= leader.term().lowestToken();
     }
 
     private Optional<Machine> findOrAdoptMachine(Heartbeat heartbeat) {
@@ -116,6 +116,7 @@
         if (epochChanged) {
             onEpochChanged(agent, heartbeat);
         }
+        recordToken(agent, heartbeat, origin);
         if (origin == Origin.AGENT) {
             agent.outstandingStarts().heartbeatReceived(heartbeat.sequence());
         }
@@ -126,6 +127,20 @@
         }
     }
 
+    private void recordToken(AgentState agent, Heartbeat heartbeat, Origin origin) {
+        AgentToken token = agent.token();
+        boolean wasPending = token.isRaisePending();
+        token.recordShown(heartbeat.fencingToken());
+        if (wasPending && !token.isRaisePending()) {
+            LOG.atInfo()
+                    .addKeyValue("machine", heartbeat.machine())
+                    .addKeyValue("token", heartbeat.fencingToken())
+                    .addKeyValue("origin", origin)
+                    .addKeyValue("after_ms", eventLoop.nowMs() - token.raisedAtMs())
+                    .log("raised token shown");
+        }
+    }
+
     private long reclaimAtMs(Heartbeat heartbeat) {
         return heartbeat.reclaimInSeconds().isPresent()
                 ? eventLoop.nowMs() + (long) (heartbeat.reclaimInSeconds().getAsDouble() * MS_PER_SECOND)
@@ -170,7 +185,7 @@
                 .addKeyValue("machine", machine.id())
                 .addKeyValue("epoch", heartbeat.epoch())
                 .log("agent replaced");
-        agent.epochChanged();
+        agent.agentReplaced();
         reconciler.updateUnaccountedCapacity(machine);
         machine.liveness().agentReplaced(heartbeat.id());
         release.allLost(machine);
--- a/src/main/java/io/quartzgw/agent/HeartbeatResponder.java
+++ b/src/main/java/io/quartzgw/agent/HeartbeatResponder.java
@@ -41,7 +41,16 @@
             leader.eventLoop().increment("responses.unconfirmed", 1);
             CommandLog.respondedUnconfirmed(heartbeat, leader.term(), commands);
         }
-        return HeartbeatResponse.renewingLease(commands, leader.term().fencingToken());
+        return HeartbeatResponse.renewingLease(commands, tokenFor(heartbeat));
+    }
+
+    /** Returns the token of a response: never one below what the agent has seen, which would not renew its lease. */
+    private long tokenFor(Heartbeat heartbeat) {
+        long token = leader.cluster()
+                .findMachine(heartbeat.machine())
+                .map(machine -> registry.agentOf(machine).token().current())
+                .orElseGet(() -> leader.term().lowestToken());
+        return Math.max(token, heartbeat.fencingToken());
     }
 
     /** Returns the response to a heartbeat that has been processed. */
@@ -93,7 +102,7 @@
         commands.addAll(pending);
         if (!commands.isEmpty()) {
             leader.eventLoop().increment("orders.in_responses", commands.size());
-            CommandLog.sentInResponse(heartbeat, leader.term(), commands);
+            CommandLog.sentInResponse(heartbeat, leader.term(), tokenFor(heartbeat), commands);
         }
     }
 }
--- a/src/main/java/io/quartzgw/agent/PendingCommands.java
+++ b/src/main/java/io/quartzgw/agent/PendingCommands.java
@@ -17,20 +17,21 @@
 
     /** Returns the commands for a direct call; none if only removals are pending, which can wait for a response. */
     List<AgentCommand> forDirectCall(AgentState agent) {
-        List<AgentCommand> removals = removals(agent);
-        List<AgentCommand> urgent = stopsAndStarts(agent);
-        return urgent.isEmpty() ? List.of() : concatenate(removals, urgent);
+        List<AgentCommand> commands = removals(agent);
+        List<AgentCommand> urgent = stops(agent);
+        if (agent.token().canBeRaised()) {
+            urgent.addAll(starts(agent));
+        }
+        commands.addAll(urgent);
+        return urgent.isEmpty() ? List.of() : commands;
     }
 
     /** Returns the commands for the response to a heartbeat. */
     List<AgentCommand> forHeartbeatResponse(AgentState agent) {
-        List<AgentCommand> removals = removals(agent);
-        return concatenate(removals, stopsAndStarts(agent));
-    }
-
-    private static List<AgentCommand> concatenate(List<AgentCommand> first, List<AgentCommand> second) {
-        List<AgentCommand> commands = new ArrayList<>(first);
-        commands.addAll(second);
+        List<AgentCommand> commands = removals(agent);
+        commands.addAll(stops(agent));
+        commands.addAll(stopsOfUnfenced(agent));
+        commands.addAll(starts(agent));
         return commands;
     }
 
@@ -38,7 +39,7 @@
         List<AgentCommand> removals = new ArrayList<>();
         for (Attempt attempt : agent.removable()) {
             // A start that is executed after the removal would run the task again.
-            if (agent.mayStartAgain(attempt)) {
+            if (agent.mayStart(attempt)) {
                 leader.eventLoop().increment("orders.removals_withheld", 1);
             } else {
                 removals.add(new AgentCommand.Remove(attempt));
@@ -47,7 +48,7 @@
         return removals;
     }
 
-    private List<AgentCommand> stopsAndStarts(AgentState agent) {
+    private static List<AgentCommand> stops(AgentState agent) {
         List<AgentCommand> commands = new ArrayList<>();
         agent.orphans().forEach(attempt -> commands.add(AgentCommand.Stop.immediately(attempt)));
         for (Allocation allocation : agent.machine().allocations()) {
@@ -55,8 +56,18 @@
                 addStop(agent, allocation, commands);
             }
         }
-        if (leader.term().isConfirmed()) {
-            addStarts(agent, commands);
+        return commands;
+    }
+
+    // The response that shows the agent a raised token also stops what the call before may have started since the
+    // agent's heartbeat: then the attempt neither runs nor can be started, though the response renews the lease.
+    private static List<AgentCommand> stopsOfUnfenced(AgentState agent) {
+        List<AgentCommand> commands = new ArrayList<>();
+        for (Allocation allocation : agent.machine().fencing().unfenced()) {
+            Attempt attempt = Attempt.of(allocation);
+            if (agent.mayStart(attempt)) {
+                commands.add(AgentCommand.Stop.immediately(attempt));
+            }
         }
         return commands;
     }
@@ -71,7 +82,11 @@
         }
     }
 
-    private void addStarts(AgentState agent, List<AgentCommand> commands) {
+    private List<AgentCommand> starts(AgentState agent) {
+        List<AgentCommand> commands = new ArrayList<>();
+        if (!leader.term().isConfirmed()) {
+            return commands;
+        }
         boolean machineRecordNeeded = false;
         for (Allocation allocation : agent.machine().allocations()) {
             if (!isStartPending(agent, allocation)) {
@@ -91,6 +106,7 @@
         if (machineRecordNeeded) {
             listener.recordNeeded(agent.machine());
         }
+        return commands;
     }
 
     private static boolean isStartPending(AgentState agent, Allocation allocation) {
--- a/src/main/java/io/quartzgw/app/LeaderRuntime.java
+++ b/src/main/java/io/quartzgw/app/LeaderRuntime.java
@@ -70,7 +70,7 @@
         this.jobs = services.jobs();
         this.cancellations = services.cancellations();
         this.term = new LeaderTerm(leadership);
-        this.cluster = new ClusterState(eventLoop, term.fencingToken());
+        this.cluster = new ClusterState(eventLoop, term.number());
         AgentTiming agentTiming = settings.agentTiming();
         RecoveryTiming recoveryTiming = RecoveryTiming.of(agentTiming);
         LeaderContext context = new LeaderContext(eventLoop, term, cluster, services.catalog());
--- a/src/main/java/io/quartzgw/fleet/ScaleOutRequests.java
+++ b/src/main/java/io/quartzgw/fleet/ScaleOutRequests.java
@@ -72,7 +72,7 @@
 
     private void rent(MachineOffer offer, int count) {
         // Term and counter: a request name is never used again, not even by another leader.
-        String name = "r-" + term.fencingToken() + "-" + ++lastRequestNumber;
+        String name = "r-" + term.number() + "-" + ++lastRequestNumber;
         PendingRental rental = new PendingRental(name, offer, Math.min(count, CloudClient.MAX_RENTAL));
         pending.put(rental.request(), rental);
         LOG.atInfo()
--- a/src/main/java/io/quartzgw/leadership/Candidacy.java
+++ b/src/main/java/io/quartzgw/leadership/Candidacy.java
@@ -146,7 +146,7 @@
     }
 
     private long nextTerm() {
-        return Math.max(state.term(), owner.highestTerm()) + 1;
+        return FencingTokens.termAfter(Math.max(state.term(), owner.highestTerm()));
     }
 
     private void begin() {
--- a/src/main/java/io/quartzgw/leadership/LeaderTerm.java
+++ b/src/main/java/io/quartzgw/leadership/LeaderTerm.java
@@ -6,19 +6,24 @@
  */
 public final class LeaderTerm {
     private final Leadership leadership;
-    private final long fencingToken;
+    private final long number;
     private final long termRevision;
 
     /** Captures the term that this controller leads with now. */
     public LeaderTerm(Leadership leadership) {
         this.leadership = leadership;
-        this.fencingToken = leadership.term();
+        this.number = leadership.term();
         this.termRevision = leadership.termRevision();
     }
 
-    /** The number of the term: agents drop commands with a lower one. */
-    public long fencingToken() {
-        return fencingToken;
+    /** The number of the term, which is also its highest fencing token. */
+    public long number() {
+        return number;
+    }
+
+    /** The lowest fencing token of the term: an agent that has shown it rejects the messages of former leaders. */
+    public long lowestToken() {
+        return FencingTokens.lowestOf(number);
     }
 
     /** The revision of the term key, which every write of this leader to the state store requires. */
@@ -26,14 +31,14 @@
         return termRevision;
     }
 
-    /** Records a token that a message has shown; a higher one ends this term. */
+    /** Records a token that a message has shown; one above those of this term ends it. */
     public void observeToken(long token) {
         leadership.observeTerm(token);
     }
 
     /** Whether this controller still leads with this term, as far as it knows. */
     public boolean isCurrent() {
-        return leadership.leading() && leadership.term() == fencingToken;
+        return leadership.leading() && leadership.term() == number;
     }
 
     /** Until when this controller surely leads with this term, as of now. */
--- a/src/main/java/io/quartzgw/recovery/FailoverRecovery.java
+++ b/src/main/java/io/quartzgw/recovery/FailoverRecovery.java
@@ -108,7 +108,7 @@
         loadIntoCluster(state);
         phase = Phase.GATHERING_HEARTBEATS;
         LOG.atInfo()
-                .addKeyValue("term", leader.term().fencingToken())
+                .addKeyValue("term", leader.term().number())
                 .addKeyValue("revision", state.openJobs().revision())
                 .addKeyValue("read_after_ms", state.openJobs().readAt() - electedAtMs)
                 .addKeyValue("jobs", state.openJobs().entries().size())
@@ -185,7 +185,7 @@
         eventLoop.increment("takeover.silent", unverifiedMachines.size());
         cluster.markChanged();
         LOG.atInfo()
-                .addKeyValue("term", leader.term().fencingToken())
+                .addKeyValue("term", leader.term().number())
                 .addKeyValue("elapsed_ms", elapsedMs)
                 .addKeyValue("unverified_machines", unverifiedMachines.size())
                 .addKeyValue(
--- /dev/null
+++ b/src/test/java/io/quartzgw/leadership/FencingTokensTest.java
@@ -0,0 +1,28 @@
+package io.quartzgw.leadership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The tokens of a term follow those of the term before, whatever version of the program has led with that. */
+class FencingTokensTest {
+
+    @ParameterizedTest
+    @ValueSource(longs = {0, 1, 41, 4096, 4097, 1L << 40})
+    void tokensOfATermAreAboveAllOfTheTermBefore(long former) {
+        long term = FencingTokens.termAfter(former);
+        assertEquals(former + 1, FencingTokens.lowestOf(term));
+        assertEquals(FencingTokens.PER_TERM, term - FencingTokens.lowestOf(term) + 1);
+    }
+
+    /** A version without ranges counts terms by one, and takes each token for a term. */
+    @ParameterizedTest
+    @ValueSource(longs = {4096, 8192})
+    void termThatAnEarlierVersionTakesNextIsAboveAllTokens(long term) {
+        long earlierVersionsTerm = term + 1;
+        assertTrue(earlierVersionsTerm > term);
+        assertTrue(FencingTokens.lowestOf(FencingTokens.termAfter(earlierVersionsTerm)) > earlierVersionsTerm);
+    }
+}
