Log and gauges: unfenced attempts, and cancelled ones that an agent may still start

The records of the incident could not tell that a start was on its way to the machine, nor how long its attempt had been unfenced. Two gauges (fencing.unfenced, fencing.oldest_unfenced_ms), one warning (cancelled attempt may be started) with a counter. A silent agent is not warned of: by the time its reservation ends, its lease has.

--- a/src/main/java/io/quartzgw/agent/AgentManager.java
+++ b/src/main/java/io/quartzgw/agent/AgentManager.java
@@ -33,6 +33,7 @@
     private final HeartbeatProcessor processor;
     private final HeartbeatResponder responder;
     private final CommandDispatcher dispatcher;
+    private final UnfencedAttemptsMonitor unfencedAttempts;
     /** The newest heartbeat of each machine that came before the stored state was read. */
     private final Map<String, Heartbeat> buffered = new HashMap<>();
 
@@ -71,6 +72,7 @@
         this.responder = new HeartbeatResponder(leader, registry, pendingCommands, isCancelled);
         this.dispatcher =
                 new CommandDispatcher(leader, registry, pendingCommands, timing, maxDirectCalls, this::onReply);
+        this.unfencedAttempts = new UnfencedAttemptsMonitor(leader, registry, timing);
     }
 
     // ---- heartbeats
@@ -162,6 +164,11 @@
         release.allLost(machine);
     }
 
+    /** Reports the attempts that are unfenced, and warns of starts that may come too late; called regularly. */
+    public void reportUnfencedAttempts() {
+        unfencedAttempts.check();
+    }
+
     // ---- commands
 
     /** Requests that the start of an allocation is sent at the end of this batch. */
--- /dev/null
+++ b/src/main/java/io/quartzgw/agent/UnfencedAttemptsMonitor.java
@@ -0,0 +1,93 @@
+package io.quartzgw.agent;
+
+import io.quartzgw.eventloop.EventLoop;
+import io.quartzgw.liveness.AgentTiming;
+import io.quartzgw.scheduling.Allocation;
+import io.quartzgw.scheduling.Machine;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Reports how many attempts are unfenced and for how long, and warns of each cancelled one that its agent may still
+ * start when half of the time limit of a cancellation has passed. A silent agent is not among them: the end of its
+ * lease voids the start.
+ */
+final class UnfencedAttemptsMonitor {
+    private static final Logger LOG = LoggerFactory.getLogger(UnfencedAttemptsMonitor.class);
+    private static final double WARNING_CANCEL_FRACTION = 0.5;
+
+    private final LeaderContext leader;
+    private final EventLoop eventLoop;
+    private final AgentRegistry registry;
+    private final AgentTiming timing;
+    private Set<Attempt> warned = new HashSet<>();
+
+    UnfencedAttemptsMonitor(LeaderContext leader, AgentRegistry registry, AgentTiming timing) {
+        this.leader = leader;
+        this.eventLoop = leader.eventLoop();
+        this.registry = registry;
+        this.timing = timing;
+    }
+
+    /** Reports and warns; without a current term there is nothing to report. */
+    void check() {
+        if (!leader.term().isCurrent()) {
+            publish(0, 0);
+            return;
+        }
+        List<Allocation> unfenced = leader.cluster().machines().stream()
+                .flatMap(UnfencedAttemptsMonitor::unfencedOn)
+                .toList();
+        long oldestMs = unfenced.stream()
+                .mapToLong(allocation -> allocation.lostForMs(eventLoop.nowMs()))
+                .max()
+                .orElse(0);
+        publish(unfenced.size(), oldestMs);
+        Set<Attempt> atRisk = new HashSet<>();
+        for (Allocation allocation : unfenced) {
+            if (isLongStartable(allocation)) {
+                atRisk.add(Attempt.of(allocation));
+                warnOnce(allocation);
+            }
+        }
+        warned = atRisk;
+    }
+
+    private static Stream<Allocation> unfencedOn(Machine machine) {
+        return Stream.concat(
+                machine.fencing().unfenced().stream(),
+                machine.allocations().stream().filter(Allocation::isLost));
+    }
+
+    private void publish(long attempts, long oldestMs) {
+        eventLoop.setGauge("fencing.unfenced", attempts);
+        eventLoop.setGauge("fencing.oldest_unfenced_ms", oldestMs);
+    }
+
+    private boolean isLongStartable(Allocation allocation) {
+        Machine machine = allocation.machine();
+        return allocation.job().isTerminal()
+                && machine.liveness().heartbeatWithin(timing.leaseMs(), eventLoop.nowMs())
+                && allocation.isLostFor((long) (WARNING_CANCEL_FRACTION * timing.cancelMs()), eventLoop.nowMs())
+                && registry.agentOf(machine).mayStart(Attempt.of(allocation));
+    }
+
+    private void warnOnce(Allocation allocation) {
+        if (warned.contains(Attempt.of(allocation))) {
+            return;
+        }
+        Machine machine = allocation.machine();
+        eventLoop.increment("fencing.cancelled_at_risk", 1);
+        LOG.atWarn()
+                .addKeyValue("task", allocation.task())
+                .addKeyValue("attempt", allocation.attempt())
+                .addKeyValue("machine", machine.id())
+                .addKeyValue("unfenced_ms", allocation.lostForMs(eventLoop.nowMs()))
+                .addKeyValue("deletion_begun", machine.fencing().isBegun())
+                .log("cancelled attempt may be started");
+    }
+}
--- a/src/main/java/io/quartzgw/app/LeaderRuntime.java
+++ b/src/main/java/io/quartzgw/app/LeaderRuntime.java
@@ -168,6 +168,7 @@
             }
             cluster.markChanged();
         }
+        agents.reportUnfencedAttempts();
     }
 
     /** Processes an agent's heartbeat. */
--- a/src/main/java/io/quartzgw/eventloop/EventLoop.java
+++ b/src/main/java/io/quartzgw/eventloop/EventLoop.java
@@ -157,6 +157,11 @@
         counters.merge(counter, amount, Long::sum);
     }
 
+    /** Sets a figure that operators may want to see as it is now, among the counts. */
+    public void setGauge(String name, long value) {
+        counters.put(name, value);
+    }
+
     /** All counts so far, by name. */
     public Map<String, Long> counters() {
         return counters;
--- a/src/main/java/io/quartzgw/scheduling/Allocation.java
+++ b/src/main/java/io/quartzgw/scheduling/Allocation.java
@@ -108,6 +108,11 @@
         return isLost() && now - lostAt >= durationMs;
     }
 
+    /** Returns how many milliseconds ago the attempt was lost, or 0 if it is not. */
+    public long lostForMs(long now) {
+        return isLost() ? now - lostAt : 0;
+    }
+
     /** When the task was allocated, on the steady clock. */
     public long allocatedAt() {
         return allocatedAt;
--- a/src/test/java/io/quartzgw/agent/AgentManagerTest.java
+++ b/src/test/java/io/quartzgw/agent/AgentManagerTest.java
@@ -123,6 +123,13 @@
         deliver(eventLoop.processBatch(List.of(), new ClockReading(now, now)));
     }
 
+    /** Advances the clock in steps in which the leader renews its lease. */
+    private void passSeconds(int seconds) {
+        for (int i = 0; i < seconds; i++) {
+            advance(1_000);
+        }
+    }
+
     private void deliver(List<Effect> initial) {
         List<Effect> effects = initial;
         while (!effects.isEmpty()) {
@@ -449,4 +456,35 @@
         assertEquals(List.of(), callsInFlight);
         assertEquals(List.of("run"), heartbeat(""));
     }
+
+    @Test
+    void cancelledAttemptThatAnAgentMayStillStartIsReportedOnceAfterHalfOfTheLimit() {
+        endCall(Reply.lost());
+        cluster.terminate(allocation.job());
+        agents.requestStop(allocation, 0, StopReason.JOB_OVER);
+        heartbeat("");
+        passSeconds(17);
+        heartbeat("");
+        agents.reportUnfencedAttempts();
+        assertTrue(eventLoop.counters().get("fencing.oldest_unfenced_ms") >= 17_000);
+        assertFalse(eventLoop.counters().containsKey("fencing.cancelled_at_risk"));
+        passSeconds(1);
+        agents.reportUnfencedAttempts();
+        agents.reportUnfencedAttempts();
+        assertEquals(1, eventLoop.counters().get("fencing.cancelled_at_risk"));
+    }
+
+    @Test
+    void cancelledAttemptIsNotReportedOnceItsAgentHasShownTheRaisedToken() {
+        endCall(Reply.lost());
+        cluster.terminate(allocation.job());
+        agents.requestStop(allocation, 0, StopReason.JOB_OVER);
+        showTokenOfResponse("");
+        heartbeat("");
+        passSeconds(18);
+        heartbeat("");
+        agents.reportUnfencedAttempts();
+        assertEquals(1, eventLoop.counters().get("fencing.unfenced"));
+        assertFalse(eventLoop.counters().containsKey("fencing.cancelled_at_risk"));
+    }
 }
--- a/src/test/java/io/quartzgw/app/LogEventsTest.java
+++ b/src/test/java/io/quartzgw/app/LogEventsTest.java
@@ -13,7 +13,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
-/** What the log and the counters tell of a leader that stood still while the state service came and went. */
+/** What the log and the counters tell those on call of rare events. */
 class LogEventsTest {
     private static final long PAUSE_MS = 20_000;
 
@@ -39,11 +39,7 @@
         assertLogged("silent leader deposed", "member=rig-" + leader, "term=4096");
         assertEquals(1, simulation.counter("process.pauses"));
         assertTrue(simulation.counter("process.paused_ms") >= PAUSE_MS);
-        String readme = Files.readString(Path.of("README.md"));
-        for (String event :
-                List.of("process was paused", "candidacy changed", "silent leader deposed", "leadership lost")) {
-            assertTrue(readme.contains("| `" + event + "` |"), event);
-        }
+        assertInReadme("process was paused", "candidacy changed", "silent leader deposed", "leadership lost");
     }
 
     @Test
@@ -56,6 +52,40 @@
         assertTrue(simulation.counter("responses.unconfirmed") > 0);
     }
 
+    @Test
+    void unansweredStartOfACancelledJobIsSeenInTheLogAndInTheGauges() throws IOException {
+        ClusterSimulation simulation = ClusterFixtures.clusterWithServices();
+        simulation.users().submitUntilAccepted(JobRequests.array("j-000700", "blue", 4, 4, 90));
+        simulation.runChecked(30_000);
+        List<String> machines = simulation.agents().machineIds();
+        String machine = machines.get(machines.size() - 1);
+        PrintStream standardError = System.err;
+        System.setErr(new PrintStream(log, true, StandardCharsets.UTF_8));
+        try {
+            simulation.network().holdCommands(machine);
+            simulation.users().submitUntilAccepted(JobRequests.array("j-000701", "blue", 2, 2, 60));
+            simulation.runChecked(500);
+            simulation.cloud().setOutage(true);
+            simulation.users().cancelJob(0, "j-000701", reply -> {});
+            simulation.runChecked(ClusterFixtures.LEASE_MS);
+            assertTrue(simulation.counter("fencing.unfenced") > 0);
+            assertTrue(simulation.counter("fencing.oldest_unfenced_ms") > ClusterFixtures.LEASE_MS / 2);
+        } finally {
+            System.setErr(standardError);
+        }
+        assertLogged("start unanswered", "machine=" + machine, "attempts=[Attempt[job=j-000701", "token=2");
+        assertLogged("raised token shown", "machine=" + machine, "token=2", "origin=AGENT", "after_ms=");
+        assertTrue(simulation.counter("fencing.tokens_raised") > 0);
+        assertInReadme("start unanswered", "raised token shown", "cancelled attempt may be started");
+    }
+
+    private static void assertInReadme(String... events) throws IOException {
+        String readme = Files.readString(Path.of("README.md"));
+        for (String event : events) {
+            assertTrue(readme.contains("| `" + event + "`"), event);
+        }
+    }
+
     private void assertLogged(String event, String... parts) {
         boolean logged = log.toString(StandardCharsets.UTF_8)
                 .lines()
