--- a/src/main/java/io/quartzgw/agent/AgentToken.java
+++ b/src/main/java/io/quartzgw/agent/AgentToken.java
@@ -53,7 +53,10 @@
         raisedAtMs = nowMs;
     }
 
-    /** Records a token that the agent has shown, which may be above the current one if this state was made anew. */
+    /**
+     * Records a token that the agent has shown. One above the current token was raised by this leader before it forgot
+     * and found the machine again; a message with a lower one would not renew the agent's lease.
+     */
     void recordShown(long token) {
         shown = Math.max(shown, token);
         current = Math.max(current, Math.min(token, highest));
--- a/src/main/java/io/quartzgw/agent/HeartbeatResponder.java
+++ b/src/main/java/io/quartzgw/agent/HeartbeatResponder.java
@@ -44,13 +44,11 @@
         return HeartbeatResponse.renewingLease(commands, tokenFor(heartbeat));
     }
 
-    /** Returns the token of a response: never one below what the agent has seen, which would not renew its lease. */
     private long tokenFor(Heartbeat heartbeat) {
-        long token = leader.cluster()
+        return leader.cluster()
                 .findMachine(heartbeat.machine())
                 .map(machine -> registry.agentOf(machine).token().current())
                 .orElseGet(() -> leader.term().lowestToken());
-        return Math.max(token, heartbeat.fencingToken());
     }
 
     /** Returns the response to a heartbeat that has been processed. */
