Tests: calls held up for minutes in more random clusters; one recovery assertion for three tests

DelayedCommandsTest, UnfencedStartsTest and HeldUpStartsTest ended alike: ClusterAssertions.assertRecovers, which asks each for more than twenty starts, as two of them did.

--- a/src/test/java/io/quartzgw/app/ClusterAssertions.java
+++ b/src/test/java/io/quartzgw/app/ClusterAssertions.java
@@ -1,12 +1,15 @@
 package io.quartzgw.app;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.quartzgw.simulation.ClusterSimulation;
 import java.util.List;
 
 /** What tests of whole controllers assert once a simulation has run. */
 final class ClusterAssertions {
+    private static final int MIN_STARTS = 20;
+
     private ClusterAssertions() {}
 
     /** Asserts that no invariant was violated, no command failed inside a controller, and every service runs. */
@@ -24,6 +27,21 @@
         assertEquals(List.of(), open, "every job has ended");
     }
 
+    /**
+     * Asserts, once a test has ended its faults, that the cluster recovers until a time: every request is answered, no
+     * job waits though there is room, and at the end everything is healthy and every job of a list has ended.
+     */
+    static void assertRecovers(ClusterSimulation simulation, List<String> jobs, long end) {
+        simulation.invariants().faultsOver(simulation.now());
+        while (simulation.now() < end) {
+            simulation.runChecked(1_000);
+            simulation.checkWaitingJobs();
+        }
+        assertHealthy(simulation);
+        assertAllEnded(simulation, jobs);
+        assertTrue(simulation.invariants().startCount() > MIN_STARTS, "tasks were started");
+    }
+
     /** Asserts that users were told of each job that it is done. */
     static void assertAllDone(ClusterSimulation simulation, List<String> jobs) {
         List<String> notDone = jobs.stream()
--- a/src/test/java/io/quartzgw/app/DelayedCommandsTest.java
+++ b/src/test/java/io/quartzgw/app/DelayedCommandsTest.java
@@ -1,11 +1,9 @@
 package io.quartzgw.app;
 
-import static io.quartzgw.app.ClusterAssertions.assertAllEnded;
-import static io.quartzgw.app.ClusterAssertions.assertHealthy;
+import static io.quartzgw.app.ClusterAssertions.assertRecovers;
 import static io.quartzgw.app.ClusterFixtures.LEASE_MS;
 import static io.quartzgw.app.ClusterFixtures.clusterWithServices;
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.quartzgw.liveness.AgentTiming;
@@ -146,14 +144,7 @@
         simulation.runChecked(FAULTS_END);
         simulation.network().delayCommandsUpTo(0);
         simulation.network().delayLinksUpTo(0);
-        simulation.invariants().faultsOver(simulation.now());
-        while (simulation.now() < END) {
-            simulation.runChecked(1_000);
-            simulation.checkWaitingJobs();
-        }
-        assertHealthy(simulation);
-        assertAllEnded(simulation, arrays);
-        assertTrue(simulation.invariants().startCount() > 20, "tasks were started");
+        assertRecovers(simulation, arrays, END);
     }
 
     /** Low-priority jobs that urgent ones preempt, jobs that fail at their start until cancelled, and cancellations. */
--- a/src/test/java/io/quartzgw/app/FailureTest.java
+++ b/src/test/java/io/quartzgw/app/FailureTest.java
@@ -116,6 +116,20 @@
         assertAllEnded(simulation, arrays);
     }
 
+    static LongStream concurrentSeedsWithHeldUpCalls() {
+        return SeedRanges.range("concurrentHeldUp", 1, 20);
+    }
+
+    @ParameterizedTest
+    @MethodSource("concurrentSeedsWithHeldUpCalls")
+    void invariantsHoldUnderConcurrentFaultsWhileCallsAreHeldUpForMinutes(long seed) {
+        ClusterSimulation simulation = new ClusterSimulation(seed, 3);
+        HeldUpCalls.scheduleAll(simulation, seed, FAULTS_END);
+        List<String> arrays = runConcurrentFaults(simulation, seed);
+        assertHealthy(simulation);
+        assertAllEnded(simulation, arrays);
+    }
+
     /** Runs random faults over each other, and returns the arrays that were submitted. */
     static List<String> runConcurrentFaults(ClusterSimulation simulation, long seed) {
         setMessageFaults(simulation);
--- a/src/test/java/io/quartzgw/app/HeldUpStartsTest.java
+++ b/src/test/java/io/quartzgw/app/HeldUpStartsTest.java
@@ -1,7 +1,7 @@
 package io.quartzgw.app;
 
-import static io.quartzgw.app.ClusterAssertions.assertAllEnded;
 import static io.quartzgw.app.ClusterAssertions.assertHealthy;
+import static io.quartzgw.app.ClusterAssertions.assertRecovers;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -34,10 +34,9 @@
     private static final long CANCELLED_AFTER_MS = 1_000;
     private static final long RECOVERY_MS = 180_000;
 
-    private static final long MAX_HOLD_UP_MS = 150_000;
     private static final long FAULTS_BEGIN = 20_000;
     private static final long FAULTS_END = 150_000;
-    private static final long END = FAULTS_END + MAX_HOLD_UP_MS + 90_000;
+    private static final long END = FAULTS_END + HeldUpCalls.LONGEST_MS + 90_000;
     private static final int MIN_MACHINES = 4;
     private static final int MORE_MACHINES = 12;
     private static final int LASTING_SERVICES = 8;
@@ -100,32 +99,13 @@
         SplittableRandom random = new SplittableRandom(seed);
         ClusterSimulation simulation = newSimulation(seed, MIN_MACHINES + random.nextInt(MORE_MACHINES));
         List<String> arrays = load(simulation, random);
-        scheduleBursts(simulation, random);
+        HeldUpCalls.scheduleAll(simulation, seed, FAULTS_END);
         if (random.nextInt(3) == 0) {
             long crashAt = FAULTS_BEGIN + random.nextInt(100_000);
             simulation.schedule(crashAt, () -> simulation.crash(simulation.leaderOrFirst(), 3_000));
         }
         simulation.runChecked(FAULTS_END);
-        simulation.network().holdUpCommandShare(0, 0);
-        simulation.invariants().faultsOver(simulation.now());
-        while (simulation.now() < END) {
-            simulation.runChecked(1_000);
-            simulation.checkWaitingJobs();
-        }
-        assertHealthy(simulation);
-        assertAllEnded(simulation, arrays);
-    }
-
-    private static void scheduleBursts(ClusterSimulation simulation, SplittableRandom random) {
-        List<Double> shares = List.of(0.2, 0.6, 0.95);
-        for (long at = FAULTS_BEGIN; at < FAULTS_END; at += 5_000 + random.nextInt(20_000)) {
-            double share = shares.get(random.nextInt(shares.size()));
-            long maxMs = random.nextBoolean() ? MAX_HOLD_UP_MS : MAX_HOLD_UP_MS / 10;
-            simulation.schedule(at, () -> simulation.network().holdUpCommandShare(share, maxMs));
-            int cancelled = random.nextInt(6);
-            simulation.schedule(
-                    at + random.nextInt(10_000), () -> simulation.users().cancelRunningJobs(cancelled));
-        }
+        assertRecovers(simulation, arrays, END);
     }
 
     /** Services and arrays, of which half are cancelled soon after they were submitted. */
--- a/src/test/java/io/quartzgw/app/UnfencedStartsTest.java
+++ b/src/test/java/io/quartzgw/app/UnfencedStartsTest.java
@@ -1,8 +1,6 @@
 package io.quartzgw.app;
 
-import static io.quartzgw.app.ClusterAssertions.assertAllEnded;
-import static io.quartzgw.app.ClusterAssertions.assertHealthy;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+import static io.quartzgw.app.ClusterAssertions.assertRecovers;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.quartzgw.simulation.ClusterSimulation;
@@ -59,6 +57,18 @@
         run(simulation, seed, Fault.LEADER_CRASH);
     }
 
+    static LongStream seedsWithHeldUpCalls() {
+        return SeedRanges.range("unfencedHeldUp", 1, 20);
+    }
+
+    @ParameterizedTest
+    @MethodSource("seedsWithHeldUpCalls")
+    void invariantsHoldWhileCallsAreHeldUpForMinutes(long seed) {
+        ClusterSimulation simulation = newSimulation(seed, CONTROLLERS);
+        HeldUpCalls.scheduleAll(simulation, seed, FAULTS_END);
+        run(simulation, seed, Fault.LEADER_CRASH);
+    }
+
     /**
      * The leader resigns, since it does not reach a deaf machine; its start, "direct call ended outcome=unknown
      * term_current=false" in the log, reaches that machine after a reboot. The new leader, which knows nothing of the
@@ -110,14 +120,7 @@
         }
         simulation.runChecked(FAULTS_END);
         simulation.network().delayCommandsUpTo(0);
-        simulation.invariants().faultsOver(simulation.now());
-        while (simulation.now() < END) {
-            simulation.runChecked(1_000);
-            simulation.checkWaitingJobs();
-        }
-        assertHealthy(simulation);
-        assertAllEnded(simulation, arrays);
-        assertTrue(simulation.invariants().startCount() > 20, "tasks were started");
+        assertRecovers(simulation, arrays, END);
     }
 
     private static List<String> load(ClusterSimulation simulation, SplittableRandom random) {
