A task whose start is in a response to a new agent is started nowhere else

Cause: an agent may be replaced before the leader knows; until then the leader answers the new agent's heartbeats, with starts. When a reply to a direct call shows the replacement, OutstandingStarts.epochChanged dropped those starts as if the former agent had got them, AllocationRelease released the task, and it was placed elsewhere while the new agent executed the response.

Fix: only a new epoch of the same agent drops starts in responses. Where the agent was replaced they stay known, and AllocationRelease keeps the task bound while an agent may wait for the response, which is 4 s by the protocol. Since no heartbeat of a replaced agent counts as current, a reply to a direct call settles them: one that was sent more than those 4 s after the response.

--- a/src/main/java/io/quartzgw/agent/AgentState.java
+++ b/src/main/java/io/quartzgw/agent/AgentState.java
@@ -33,6 +33,7 @@
 
     private byte[] lastTaskList = NO_TASK_LIST;
     private boolean callInFlight;
+    private long callSentAtMs = NEVER_MS;
     /** The newest current heartbeat when the last direct call was sent. */
     private HeartbeatId latestHeartbeatAtCall;
 
@@ -136,12 +137,16 @@
     /** Handles a new agent on the same machine: it knows neither tasks nor tokens. */
     void agentReplaced() {
         token.agentReplaced();
-        epochChanged();
+        forgetTasks();
     }
 
     /** Handles a new epoch of the agent: it knows no tasks. */
     void epochChanged() {
         outstandingStarts.epochChanged();
+        forgetTasks();
+    }
+
+    private void forgetTasks() {
         lastTaskList = NO_TASK_LIST;
         exited.clear();
         unfinished.clear();
@@ -157,8 +162,9 @@
     }
 
     /** Records that a direct call with some starts is sent. */
-    void callStarted(List<Attempt> starts, CommandFence fence) {
+    void callStarted(List<Attempt> starts, CommandFence fence, long nowMs) {
         callInFlight = true;
+        callSentAtMs = nowMs;
         latestHeartbeatAtCall = machine.liveness().latestHeartbeat();
         outstandingStarts.sentDirectly(starts, fence);
     }
@@ -177,6 +183,11 @@
         }
     }
 
+    /** Handles the reply to the last direct call. */
+    void replyReceived() {
+        outstandingStarts.replyReceived(callSentAtMs);
+    }
+
     /** Returns whether a reply is older than what was known when its call was sent, as only a new agent's can be. */
     boolean isFromReplacedAgent(Heartbeat reply) {
         return !reply.id().isNewerThan(latestHeartbeatAtCall);
--- a/src/main/java/io/quartzgw/agent/AllocationRelease.java
+++ b/src/main/java/io/quartzgw/agent/AllocationRelease.java
@@ -46,6 +46,17 @@
         return allocation.job().isDone(allocation.index()) || !isStartOutstanding(allocation);
     }
 
+    /**
+     * Returns whether an agent may be waiting for a response with the start of an unfinished task. It need not be the
+     * agent that has lost the attempt: that one may have been replaced.
+     */
+    private boolean isResponseAwaited(Allocation allocation) {
+        return !allocation.job().isDone(allocation.index())
+                && registry.agentOf(allocation.machine())
+                        .outstandingStarts()
+                        .isResponseAwaited(Attempt.of(allocation), eventLoop.nowMs());
+    }
+
     /** Handles that an attempt has exited. */
     void attemptExited(Allocation allocation) {
         releaseOrRetain(allocation, End.EXITED);
@@ -65,7 +76,7 @@
      * same attempt is started again on the machine if its agent can be reached.
      */
     void attemptLost(Allocation allocation) {
-        if (isFenced(allocation)) {
+        if (isFenced(allocation) && !isResponseAwaited(allocation)) {
             cluster.release(allocation);
         } else if (!allocation.isLost()) {
             logUnfenced(allocation, End.LOST);
--- a/src/main/java/io/quartzgw/agent/CommandDispatcher.java
+++ b/src/main/java/io/quartzgw/agent/CommandDispatcher.java
@@ -112,7 +112,7 @@
         CommandFence fence = new CommandFence(agent.token().current(), epochFor(machine, commands));
         CommandRequest request = new CommandRequest(fence, commands);
         List<Attempt> starts = AgentCommand.startedAttempts(commands);
-        agent.callStarted(starts, fence);
+        agent.callStarted(starts, fence, eventLoop.nowMs());
         callsInFlight++;
         CommandLog.sentDirectly(machine.id(), term, request);
         eventLoop.increment("orders.calls", 1);
--- a/src/main/java/io/quartzgw/agent/HeartbeatProcessor.java
+++ b/src/main/java/io/quartzgw/agent/HeartbeatProcessor.java
@@ -50,6 +50,7 @@
     Result processReply(AgentState agent, Heartbeat heartbeat) {
         AgentLiveness liveness = agent.machine().liveness();
         liveness.markReachable();
+        agent.replyReceived();
         if (liveness.verified() && agent.isFromReplacedAgent(heartbeat)) {
             onAgentReplaced(agent, heartbeat);
         }
--- a/src/main/java/io/quartzgw/agent/HeartbeatResponder.java
+++ b/src/main/java/io/quartzgw/agent/HeartbeatResponder.java
@@ -95,7 +95,9 @@
         AgentState agent = registry.agentOf(machine);
         List<AgentCommand> pending = pendingCommands.forHeartbeatResponse(agent);
         for (Attempt start : AgentCommand.startedAttempts(pending)) {
-            agent.outstandingStarts().sentInResponse(start, heartbeat.sequence());
+            agent.outstandingStarts()
+                    .sentInResponse(
+                            start, heartbeat.sequence(), leader.eventLoop().nowMs());
         }
         commands.addAll(pending);
         if (!commands.isEmpty()) {
--- a/src/main/java/io/quartzgw/agent/OutstandingStarts.java
+++ b/src/main/java/io/quartzgw/agent/OutstandingStarts.java
@@ -20,15 +20,23 @@
  * placed nowhere else ({@link AllocationRelease}).
  */
 final class OutstandingStarts {
+    /** How long an agent waits for the response to a heartbeat, by the protocol; it drops one that comes later. */
+    private static final long RESPONSE_TIMEOUT_MS = 4_000;
+    /** The longest time by this controller's clock, since the clocks drift apart. */
+    private static final long LONGEST_RESPONSE_MS = RESPONSE_TIMEOUT_MS + RESPONSE_TIMEOUT_MS / 1_000;
+
     /** Starts in the direct call in flight. */
     private final Set<Attempt> inFlight = new HashSet<>();
     /** Starts in direct calls without an answer, with what the calls named. */
     private final Map<Attempt, Set<CommandFence>> unanswered = new HashMap<>();
-    /** Starts in responses, with the sequence of the last heartbeat that was answered so. */
-    private final Map<Attempt, Long> sentInResponses = new HashMap<>();
+    /** Starts in responses, with the last response that had them. */
+    private final Map<Attempt, SentResponse> sentInResponses = new HashMap<>();
 
     private CommandFence fenceInFlight;
 
+    /** A response to the heartbeat with a sequence. */
+    private record SentResponse(long sequence, long sentAtMs) {}
+
     /** Records that a direct call is sent; there is one at a time. */
     void sentDirectly(Collection<Attempt> starts, CommandFence fence) {
         inFlight.addAll(starts);
@@ -49,16 +57,27 @@
     }
 
     /** Records that a start is sent in the response to a heartbeat. */
-    void sentInResponse(Attempt start, long sequence) {
-        sentInResponses.put(start, sequence);
+    void sentInResponse(Attempt start, long sequence, long nowMs) {
+        sentInResponses.put(start, new SentResponse(sequence, nowMs));
     }
 
     /** Handles a heartbeat: an agent sends one at a time, so it has executed or lost the responses to earlier ones. */
     void heartbeatReceived(long sequence) {
-        sentInResponses.values().removeIf(answered -> answered < sequence);
+        sentInResponses.values().removeIf(response -> response.sequence < sequence);
+    }
+
+    /**
+     * Handles the reply to a direct call: the agent has executed or dropped the responses that had left so long before
+     * the call that it waits for them no more.
+     */
+    void replyReceived(long callSentAtMs) {
+        sentInResponses.values().removeIf(response -> callSentAtMs - response.sentAtMs >= LONGEST_RESPONSE_MS);
     }
 
-    /** Handles a new epoch or a new agent: it drops the responses to earlier heartbeats. */
+    /**
+     * Handles a new epoch of the same agent: it drops the responses to earlier heartbeats. An agent that replaces it
+     * does not: the leader may have answered heartbeats of the new agent before it is known to be one.
+     */
     void epochChanged() {
         sentInResponses.clear();
     }
@@ -78,6 +97,12 @@
         return inFlight.contains(start) || unanswered.containsKey(start);
     }
 
+    /** Returns whether an agent may still be waiting for a response with the start. */
+    boolean isResponseAwaited(Attempt start, long nowMs) {
+        SentResponse response = sentInResponses.get(start);
+        return response != null && nowMs - response.sentAtMs < LONGEST_RESPONSE_MS;
+    }
+
     /** Returns whether the start may still be executed from direct calls without an answer, and from nothing else. */
     boolean isOutstandingOnlyUnanswered(Attempt start) {
         return unanswered.containsKey(start) && !inFlight.contains(start) && !sentInResponses.containsKey(start);
--- a/src/test/java/io/quartzgw/agent/AgentManagerTest.java
+++ b/src/test/java/io/quartzgw/agent/AgentManagerTest.java
@@ -289,6 +289,53 @@
         assertEquals(List.of("run"), heartbeat(""), "the new agent is sent the same attempt");
     }
 
+    /** Ends a contact with a reply that the new agent of a restarted machine made before its last heartbeat. */
+    private void learnThatAgentWasReplaced(List<String> verbsOfResponse) {
+        agents.contact(machine);
+        advance(0);
+        sequence = 0;
+        Reply delayedReply = executed("");
+        sequence = 10;
+        assertEquals(verbsOfResponse, heartbeat(""), "the new agent has the higher sequence");
+        endCall(delayedReply);
+    }
+
+    // Guards against ran_twice: the response was taken for the former agent's, and the task was started elsewhere.
+    @Test
+    void taskWhoseStartIsInAResponseToANewAgentIsNotPendingWhenThatAgentIsFoundOut() {
+        endCall(rejected());
+        learnThatAgentWasReplaced(List.of("run"));
+        assertSame(allocation, machine.allocation(allocation.task()));
+        assertFalse(allocation.job().pending().get(0), "the new agent may be executing the response");
+        assertEquals(List.of("run"), heartbeat(""), "the new agent is sent the same attempt");
+    }
+
+    // Guards against capacity that is never freed: no heartbeat of a replaced agent shows what became of a response.
+    @Test
+    void stoppedAttemptWhoseStartWasInAResponseToANewAgentFreesItsCapacityOnceThatResponseIsVoid() {
+        endCall(rejected());
+        learnThatAgentWasReplaced(List.of("run"));
+        agents.requestStop(allocation, 0, StopReason.PREEMPTED);
+        heartbeat("");
+        assertFalse(machine.empty(), "the response may still be executed");
+        passSeconds(5);
+        agents.contact(machine);
+        advance(0);
+        endCall(executed(""));
+        assertTrue(machine.empty(), "the agent has executed or dropped the response");
+    }
+
+    // Guards against a machine that is fenced for nothing: a response is executed within seconds or never.
+    @Test
+    void taskWhoseStartIsInAResponseIsPendingOnceItsMachineWasSilentForItsReservation() {
+        endCall(rejected());
+        learnThatAgentWasReplaced(List.of("run"));
+        passSeconds(20);
+        agents.allTasksLost(machine);
+        assertTrue(machine.empty());
+        assertTrue(allocation.job().pending().get(0));
+    }
+
     // The start was sent only in a response, which was lost: the allocation must not be kept for ever.
     @Test
     void aStoppedAttemptWhoseStartCameToNothingFreesItsPlace() {
