--- a/src/main/java/io/quartzgw/agent/AgentManager.java
+++ b/src/main/java/io/quartzgw/agent/AgentManager.java
@@ -2,10 +2,13 @@
 
 import io.quartzgw.liveness.AgentLiveness.Freshness;
 import io.quartzgw.liveness.AgentTiming;
+import io.quartzgw.replication.MachineStarts;
+import io.quartzgw.replication.StartReplicator;
 import io.quartzgw.scheduling.Allocation;
 import io.quartzgw.scheduling.Job;
 import io.quartzgw.scheduling.Machine;
 import io.quartzgw.scheduling.StopReason;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Predicate;
@@ -34,6 +37,8 @@
     private final HeartbeatResponder responder;
     private final CommandDispatcher dispatcher;
     private final UnfencedAttemptsMonitor unfencedAttempts;
+    private final StartAnnouncer announcer;
+    private final InheritedStarts inheritedStarts;
     /** The newest heartbeat of each machine that came before the stored state was read. */
     private final Map<String, Heartbeat> buffered = new HashMap<>();
 
@@ -56,23 +61,48 @@
      *
      * @param maxDirectCalls how many direct calls to agents may be in flight at once
      * @param isCancelled whether a job is known to be cancelled, also before the open jobs have been read
+     * @param replicator tells the other controllers of starts before they leave in direct calls
      */
     public AgentManager(
             LeaderContext leader,
             AgentTiming timing,
             int maxDirectCalls,
             Predicate<String> isCancelled,
+            StartReplicator replicator,
             Listener listener) {
         this.leader = leader;
-        PendingCommands pendingCommands = new PendingCommands(leader, listener);
+        this.announcer = new StartAnnouncer(replicator);
+        PendingCommands pendingCommands = new PendingCommands(leader, announcer, listener);
         this.registry = new AgentRegistry(leader);
         this.release = new AllocationRelease(leader, registry);
         this.reconciler = new TaskReconciler(leader, registry, release, timing, listener::taskFinished);
         this.processor = new HeartbeatProcessor(leader, registry, reconciler, release);
         this.responder = new HeartbeatResponder(leader, registry, pendingCommands, isCancelled);
-        this.dispatcher =
-                new CommandDispatcher(leader, registry, pendingCommands, timing, maxDirectCalls, this::onReply);
+        this.dispatcher = new CommandDispatcher(
+                leader, registry, pendingCommands, announcer, timing, maxDirectCalls, this::onReply);
         this.unfencedAttempts = new UnfencedAttemptsMonitor(leader, registry, timing);
+        this.inheritedStarts = new InheritedStarts(leader, registry, announcer);
+        replicator.onReplicated(this::startsReplicated);
+    }
+
+    /** As the other constructor, for a controller without others. */
+    AgentManager(
+            LeaderContext leader,
+            AgentTiming timing,
+            int maxDirectCalls,
+            Predicate<String> isCancelled,
+            Listener listener) {
+        this(
+                leader,
+                timing,
+                maxDirectCalls,
+                isCancelled,
+                StartReplicator.withoutFollowers(leader.eventLoop(), leader.term()),
+                listener);
+    }
+
+    private void startsReplicated(String machine) {
+        leader.cluster().findMachine(machine).ifPresent(registry::requestStarts);
     }
 
     // ---- heartbeats
@@ -136,6 +166,30 @@
     /** Forgets the agent of a machine that has been removed. */
     public void forget(Machine machine) {
         registry.remove(machine).ifPresent(reconciler::forget);
+        announcer.machineRemoved(machine.id());
+    }
+
+    /** Handles that the starts of former leaders are still to be taken over: until then any may be on its way. */
+    public void awaitFormerStarts() {
+        release.awaitFormerStarts(true);
+    }
+
+    /**
+     * Takes over the starts of former leaders that may still be on their way.
+     *
+     * @return how many were taken over: the others went to machines that are gone, or are of tasks that have ended
+     */
+    public int inheritStarts(Collection<MachineStarts> formerStarts) {
+        release.awaitFormerStarts(false);
+        return inheritedStarts.inherit(formerStarts);
+    }
+
+    /**
+     * Allocates the unaccounted tasks of a job that a former leader's call may still start to the machines of those
+     * calls, since no silent machine can run them.
+     */
+    public void allocateInheritedStarts(Job job) {
+        inheritedStarts.allocateUnaccounted(job);
     }
 
     /**
@@ -164,8 +218,14 @@
         release.allLost(machine);
     }
 
+    /** Sends the starts of former leaders again for which there is quota; called in every batch. */
+    public void permitInheritedStarts(Predicate<Job> isWithinQuota) {
+        inheritedStarts.permit(isWithinQuota);
+    }
+
     /** Reports the attempts that are unfenced, and warns of starts that may come too late; called regularly. */
     public void reportUnfencedAttempts() {
+        inheritedStarts.forgetVoid();
         unfencedAttempts.check();
     }
 
--- a/src/main/java/io/quartzgw/agent/AgentRegistry.java
+++ b/src/main/java/io/quartzgw/agent/AgentRegistry.java
@@ -96,6 +96,8 @@
                 && !agent.outstandingStarts().isOutstanding(Attempt.of(allocation));
         if (neverSent) {
             cluster.release(allocation);
+            // The other controllers have to hear that its start is not sent.
+            withPendingCommands.add(agent);
             return;
         }
         allocation.requestStop(graceSeconds);
--- a/src/main/java/io/quartzgw/agent/AgentState.java
+++ b/src/main/java/io/quartzgw/agent/AgentState.java
@@ -1,6 +1,7 @@
 package io.quartzgw.agent;
 
 import io.quartzgw.liveness.HeartbeatId;
+import io.quartzgw.scheduling.Allocation;
 import io.quartzgw.scheduling.Machine;
 import java.util.Arrays;
 import java.util.Collection;
@@ -134,6 +135,15 @@
         return outstandingStarts.isOutstandingFor(agent, attempt);
     }
 
+    /** Returns whether the start of an allocation has to be sent. */
+    boolean isStartPending(Allocation allocation) {
+        return !allocation.observed()
+                && !allocation.stopping()
+                && !allocation.startWithheld()
+                && !allocation.job().isTerminal()
+                && !outstandingStarts.isInFlight(Attempt.of(allocation));
+    }
+
     /** Handles a new agent on the same machine: it knows neither tasks nor tokens. */
     void agentReplaced() {
         token.agentReplaced();
--- a/src/main/java/io/quartzgw/agent/AllocationRelease.java
+++ b/src/main/java/io/quartzgw/agent/AllocationRelease.java
@@ -19,6 +19,7 @@
     private final EventLoop eventLoop;
     private final ClusterState cluster;
     private final AgentRegistry registry;
+    private boolean awaitingFormerStarts;
 
     /** How an attempt came to run no more. */
     private enum End {
@@ -36,9 +37,18 @@
         this.registry = registry;
     }
 
+    /** Sets whether the starts of former leaders are not known yet: until then any of them may be outstanding. */
+    void awaitFormerStarts(boolean awaiting) {
+        awaitingFormerStarts = awaiting;
+    }
+
     /** Returns whether a direct call may still start an allocation's attempt. */
     boolean isStartOutstanding(Allocation allocation) {
-        return registry.agentOf(allocation.machine()).outstandingStarts().isOutstandingDirectly(Attempt.of(allocation));
+        boolean mayBeInherited = awaitingFormerStarts && cluster.isOfFormerLeader(allocation.attempt());
+        return mayBeInherited
+                || registry.agentOf(allocation.machine())
+                        .outstandingStarts()
+                        .isOutstandingDirectly(Attempt.of(allocation));
     }
 
     private boolean isFenced(Allocation allocation) {
@@ -101,7 +111,7 @@
         OutstandingStarts outstanding = agent.outstandingStarts();
         if (machine.fencing().hasUnfenced()) {
             machine.fencing().unfenced().stream()
-                    .filter(allocation -> !outstanding.isOutstandingDirectly(Attempt.of(allocation)))
+                    .filter(allocation -> !isStartOutstanding(allocation))
                     .forEach(cluster::release);
         }
         machine.allocations().stream()
--- a/src/main/java/io/quartzgw/agent/Attempt.java
+++ b/src/main/java/io/quartzgw/agent/Attempt.java
@@ -1,5 +1,6 @@
 package io.quartzgw.agent;
 
+import io.quartzgw.replication.ReplicatedStart;
 import io.quartzgw.scheduling.Allocation;
 import io.quartzgw.scheduling.ClusterState;
 import io.quartzgw.scheduling.Job;
@@ -20,6 +21,16 @@
         return new Attempt(allocation.job().id(), allocation.index(), allocation.attempt());
     }
 
+    /** Returns the attempt of a start that another controller has replicated. */
+    static Attempt of(ReplicatedStart start) {
+        return new Attempt(start.job(), start.index(), start.attempt());
+    }
+
+    /** Returns the start of the attempt, as it is replicated to the other controllers. */
+    ReplicatedStart toReplicatedStart() {
+        return new ReplicatedStart(job, index, number);
+    }
+
     /** Returns the name of the task. */
     public String task() {
         return job + "/" + index;
--- a/src/main/java/io/quartzgw/agent/CommandDispatcher.java
+++ b/src/main/java/io/quartzgw/agent/CommandDispatcher.java
@@ -36,6 +36,7 @@
     private final LeaderTerm term;
     private final AgentRegistry registry;
     private final PendingCommands pendingCommands;
+    private final StartAnnouncer announcer;
     private final AgentTiming timing;
     private final int maxCalls;
     private final ReplyHandler replyHandler;
@@ -52,6 +53,7 @@
             LeaderContext leader,
             AgentRegistry registry,
             PendingCommands pendingCommands,
+            StartAnnouncer announcer,
             AgentTiming timing,
             int maxCalls,
             ReplyHandler replyHandler) {
@@ -60,6 +62,7 @@
         this.term = leader.term();
         this.registry = registry;
         this.pendingCommands = pendingCommands;
+        this.announcer = announcer;
         this.timing = timing;
         this.maxCalls = maxCalls;
         this.replyHandler = replyHandler;
@@ -75,6 +78,7 @@
                 continue;
             }
             registry.removePending(agent);
+            announcer.announce(agent);
             List<AgentCommand> commands = pendingCommands.forDirectCall(agent);
             if (!commands.isEmpty()) {
                 send(agent, commands);
@@ -156,6 +160,9 @@
             eventLoop.increment(reply.sent() ? "orders.unanswered" : "orders.unsent", 1);
             machine.liveness().markUnreachable(eventLoop.nowMs());
         }
+        if (!starts.isEmpty()) {
+            announcer.announce(agent);
+        }
     }
 
     /** Makes the agent reject a call without an answer from the next message on that reaches it. */
--- /dev/null
+++ b/src/main/java/io/quartzgw/agent/InheritedStarts.java
@@ -0,0 +1,151 @@
+package io.quartzgw.agent;
+
+import io.quartzgw.eventloop.EventLoop;
+import io.quartzgw.replication.MachineStarts;
+import io.quartzgw.scheduling.Allocation;
+import io.quartzgw.scheduling.ClusterState;
+import io.quartzgw.scheduling.Job;
+import io.quartzgw.scheduling.Machine;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+
+/**
+ * The starts of former leaders that may still be on their way. Each is outstanding on its machine like a call of this
+ * leader without an answer, so its task is placed nowhere else while that machine exists ({@link AllocationRelease}).
+ */
+final class InheritedStarts {
+    private final LeaderContext leader;
+    private final EventLoop eventLoop;
+    private final ClusterState cluster;
+    private final AgentRegistry registry;
+    private final StartAnnouncer announcer;
+    /** By task; the newest start of a task proves that the earlier ones are void. */
+    private final Map<String, InheritedStart> newestByTask = new HashMap<>();
+
+    /** Allocations of inherited starts that must not be sent again yet. */
+    private final Set<Allocation> withheld = new LinkedHashSet<>();
+
+    private record InheritedStart(Machine machine, Attempt attempt) {}
+
+    InheritedStarts(LeaderContext leader, AgentRegistry registry, StartAnnouncer announcer) {
+        this.leader = leader;
+        this.eventLoop = leader.eventLoop();
+        this.cluster = leader.cluster();
+        this.registry = registry;
+        this.announcer = announcer;
+    }
+
+    /**
+     * Takes over the starts that may have been sent to machines that exist, of tasks that are not done.
+     *
+     * @return how many were taken over
+     */
+    int inherit(Collection<MachineStarts> formerStarts) {
+        for (MachineStarts machineStarts : formerStarts) {
+            cluster.findMachine(machineStarts.machine())
+                    .ifPresent(machine -> machineStarts.starts().forEach(start -> add(machine, Attempt.of(start))));
+        }
+        newestByTask.values().forEach(this::markOutstanding);
+        return newestByTask.size();
+    }
+
+    private void add(Machine machine, Attempt attempt) {
+        if (mayHaveBeenSent(attempt)) {
+            newestByTask.merge(attempt.task(), new InheritedStart(machine, attempt), InheritedStarts::newer);
+        }
+    }
+
+    /** A start is announced before it is recorded, and recorded before it is sent. */
+    private boolean mayHaveBeenSent(Attempt attempt) {
+        return attempt.openJob(cluster)
+                .filter(job -> attempt.index() < job.recordedStartLimit() && !job.isDone(attempt.index()))
+                .isPresent();
+    }
+
+    private static InheritedStart newer(InheritedStart one, InheritedStart other) {
+        return one.attempt.number() > other.attempt.number() ? one : other;
+    }
+
+    private void markOutstanding(InheritedStart start) {
+        AgentState agent = registry.agentOf(start.machine);
+        agent.outstandingStarts().inherited(start.attempt, CommandFence.ofFormerLeader(leader.term()));
+        announcer.announce(agent);
+    }
+
+    /**
+     * Allocates the unaccounted tasks of a job whose start was inherited to the machines of those starts, with the same
+     * attempts, as if they had been lost there. Called when no silent machine can run them.
+     */
+    void allocateUnaccounted(Job job) {
+        job.unaccounted().stream().boxed().toList().forEach(index -> allocateIfInherited(job, index));
+    }
+
+    private void allocateIfInherited(Job job, int index) {
+        InheritedStart start = newestByTask.get(job.task(index));
+        if (start == null || !cluster.contains(start.machine)) {
+            return;
+        }
+        Allocation allocation = cluster.allocate(job, index, start.machine, start.attempt.number());
+        allocation.markStartSent();
+        if (job.zonesAllowed(start.machine.zone())) {
+            allocation.markLost(eventLoop.nowMs());
+            allocation.withholdStart(true);
+            withheld.add(allocation);
+        } else {
+            cluster.retainUnfenced(allocation);
+        }
+    }
+
+    /**
+     * Sends the inherited starts again for which there is quota. A start may have been announced and its task given up
+     * without being sent; then the former leader has given its share of the quota to another task.
+     */
+    void permit(Predicate<Job> isWithinQuota) {
+        withheld.removeIf(allocation -> !allocation.isLost() || !isAllocated(allocation));
+        List<Allocation> permitted = withheld.stream()
+                .filter(allocation -> isWithinQuota.test(allocation.job()))
+                .toList();
+        for (Allocation allocation : permitted) {
+            withheld.remove(allocation);
+            allocation.withholdStart(false);
+            registry.requestStart(allocation);
+        }
+    }
+
+    private static boolean isAllocated(Allocation allocation) {
+        return allocation.machine().allocation(allocation.task()) == allocation;
+    }
+
+    /**
+     * Forgets the starts that are void: those to machines that are gone, of tasks that are done, and of tasks that have
+     * a later attempt, which no leader begins before. Called regularly.
+     */
+    void forgetVoid() {
+        List<InheritedStart> voidStarts =
+                newestByTask.values().stream().filter(this::isVoid).toList();
+        for (InheritedStart start : voidStarts) {
+            newestByTask.remove(start.attempt.task());
+            if (cluster.contains(start.machine)) {
+                AgentState agent = registry.agentOf(start.machine);
+                agent.outstandingStarts().inheritedIsVoid(start.attempt);
+                announcer.announce(agent);
+            }
+        }
+    }
+
+    private boolean isVoid(InheritedStart start) {
+        Optional<Job> job = cluster.findJob(start.attempt.job());
+        if (job.isEmpty() || !cluster.contains(start.machine)) {
+            return true;
+        }
+        Allocation allocation = job.get().allocation(start.attempt.index());
+        return job.get().isDone(start.attempt.index())
+                || (allocation != null && allocation.attempt() > start.attempt.number());
+    }
+}
--- a/src/main/java/io/quartzgw/agent/OutstandingStarts.java
+++ b/src/main/java/io/quartzgw/agent/OutstandingStarts.java
@@ -56,6 +56,23 @@
         inFlight.clear();
     }
 
+    /** Records a start that a direct call of a former leader may carry. */
+    void inherited(Attempt start, CommandFence fence) {
+        unanswered.computeIfAbsent(start, attempt -> new HashSet<>()).add(fence);
+    }
+
+    /** Handles that no direct call carries an inherited start any more. */
+    void inheritedIsVoid(Attempt start) {
+        unanswered.remove(start);
+    }
+
+    /** Returns the starts that direct calls may still carry. */
+    Set<Attempt> outstandingDirectly() {
+        Set<Attempt> starts = new HashSet<>(unanswered.keySet());
+        starts.addAll(inFlight);
+        return starts;
+    }
+
     /** Records that a start is sent in the response to a heartbeat. */
     void sentInResponse(Attempt start, long sequence, long nowMs) {
         sentInResponses.put(start, new SentResponse(sequence, nowMs));
--- a/src/main/java/io/quartzgw/agent/PendingCommands.java
+++ b/src/main/java/io/quartzgw/agent/PendingCommands.java
@@ -3,15 +3,18 @@
 import io.quartzgw.scheduling.Allocation;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Predicate;
 
 /** Builds the commands that are pending for an agent, in the order in which the agent has to execute them. */
 final class PendingCommands {
     private final LeaderContext leader;
+    private final StartAnnouncer announcer;
     private final AgentManager.Listener listener;
 
     /** @param listener notified of what has to be recorded before a start */
-    PendingCommands(LeaderContext leader, AgentManager.Listener listener) {
+    PendingCommands(LeaderContext leader, StartAnnouncer announcer, AgentManager.Listener listener) {
         this.leader = leader;
+        this.announcer = announcer;
         this.listener = listener;
     }
 
@@ -20,7 +23,7 @@
         List<AgentCommand> commands = removals(agent);
         List<AgentCommand> urgent = stops(agent);
         if (agent.token().canBeRaised()) {
-            urgent.addAll(starts(agent));
+            urgent.addAll(starts(agent, attempt -> announcer.mayLeaveDirectly(agent, attempt)));
         }
         commands.addAll(urgent);
         return urgent.isEmpty() ? List.of() : commands;
@@ -31,7 +34,12 @@
         List<AgentCommand> commands = removals(agent);
         commands.addAll(stops(agent));
         commands.addAll(stopsOfUnfenced(agent));
-        commands.addAll(starts(agent));
+        List<AgentCommand> starts = starts(agent, attempt -> true);
+        long notReplicated = starts.stream()
+                .filter(start -> !announcer.mayLeaveDirectly(agent, start.attempt()))
+                .count();
+        leader.eventLoop().increment("replication.starts_by_response_only", notReplicated);
+        commands.addAll(starts);
         return commands;
     }
 
@@ -82,25 +90,26 @@
         }
     }
 
-    private List<AgentCommand> starts(AgentState agent) {
+    private List<AgentCommand> starts(AgentState agent, Predicate<Attempt> mayLeave) {
         List<AgentCommand> commands = new ArrayList<>();
         if (!leader.term().isConfirmed()) {
             return commands;
         }
         boolean machineRecordNeeded = false;
         for (Allocation allocation : agent.machine().allocations()) {
-            if (!isStartPending(agent, allocation)) {
+            if (!agent.isStartPending(allocation)) {
                 continue;
             }
+            Attempt attempt = Attempt.of(allocation);
             boolean startRecorded = allocation.index() < allocation.job().recordedStartLimit();
             if (!startRecorded) {
                 listener.recordNeeded(allocation.job(), allocation.index());
             }
             if (!agent.machine().hasRunTasks()) {
                 machineRecordNeeded = true;
-            } else if (startRecorded) {
+            } else if (startRecorded && mayLeave.test(attempt)) {
                 allocation.markStartSent();
-                commands.add(new AgentCommand.Start(Attempt.of(allocation)));
+                commands.add(new AgentCommand.Start(attempt));
             }
         }
         if (machineRecordNeeded) {
@@ -108,11 +117,4 @@
         }
         return commands;
     }
-
-    private static boolean isStartPending(AgentState agent, Allocation allocation) {
-        return !allocation.observed()
-                && !allocation.stopping()
-                && !allocation.job().isTerminal()
-                && !agent.outstandingStarts().isInFlight(Attempt.of(allocation));
-    }
 }
--- /dev/null
+++ b/src/main/java/io/quartzgw/agent/StartAnnouncer.java
@@ -0,0 +1,42 @@
+package io.quartzgw.agent;
+
+import io.quartzgw.replication.ReplicatedStart;
+import io.quartzgw.replication.StartReplicator;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/**
+ * Announces the starts that direct calls may carry to the other controllers, before a call leaves and until none may be
+ * executed any more. So a successor of this leader knows them, and places their tasks nowhere else.
+ */
+final class StartAnnouncer {
+    private final StartReplicator replicator;
+
+    StartAnnouncer(StartReplicator replicator) {
+        this.replicator = replicator;
+    }
+
+    /** Announces all starts that direct calls may carry to an agent's machine from now on, or may still carry. */
+    void announce(AgentState agent) {
+        Stream<Attempt> pending = agent.machine().allocations().stream()
+                .filter(agent::isStartPending)
+                .map(Attempt::of);
+        Stream<Attempt> outstanding = agent.outstandingStarts().outstandingDirectly().stream();
+        Set<ReplicatedStart> starts = Stream.concat(pending, outstanding)
+                .map(Attempt::toReplicatedStart)
+                .collect(Collectors.toCollection(LinkedHashSet::new));
+        replicator.announce(agent.machine().id(), starts);
+    }
+
+    /** Announces that no direct call can carry a start to a machine, since the machine is gone. */
+    void machineRemoved(String machine) {
+        replicator.announce(machine, Set.of());
+    }
+
+    /** Returns whether a direct call may carry a start: its announcement has arrived. */
+    boolean mayLeaveDirectly(AgentState agent, Attempt attempt) {
+        return replicator.isReplicated(agent.machine().id(), attempt.toReplicatedStart());
+    }
+}
--- a/src/main/java/io/quartzgw/agent/package-info.java
+++ b/src/main/java/io/quartzgw/agent/package-info.java
@@ -5,8 +5,8 @@
  * that agents report, and sends agents the commands to start, stop and remove attempts. What an agent reports takes
  * precedence over the leader's cluster state.
  *
- * <p>State: for each agent, the exited and orphaned attempts, the outstanding starts and the direct call in flight. All
- * of it belongs to one term and is never stored.
+ * <p>State: for each agent, the exited and orphaned attempts, the outstanding starts and the direct call in flight; the
+ * starts inherited from former leaders. All of it belongs to one term and is never stored.
  *
  * <p>Callers: the leader and its failover recovery, on the event loop's thread only.
  */
--- a/src/main/java/io/quartzgw/app/Controller.java
+++ b/src/main/java/io/quartzgw/app/Controller.java
@@ -16,6 +16,7 @@
 import io.quartzgw.leadership.PeerExchange;
 import io.quartzgw.leadership.PeerPayloads;
 import io.quartzgw.leadership.WriteBudgetExchange;
+import io.quartzgw.replication.ReplicaHolder;
 import io.quartzgw.store.StoreClient;
 import io.quartzgw.submission.Admission;
 import io.quartzgw.submission.JobCountsCodec;
@@ -44,6 +45,7 @@
     private final MachineCatalog catalog;
     private final JobStore jobs;
     private final SubmissionHandler submissions;
+    private final ReplicaHolder replicas;
     private final Supplier<JsonNode> processMetrics;
     private Optional<LeaderRuntime> leader = Optional.empty();
 
@@ -69,6 +71,8 @@
         ControllerIdentity identity = new ControllerIdentity(settings.member(), process);
         this.leadership = new Leadership(eventLoop, store, timing, identity, watermark);
         this.peers = new PeerExchange(eventLoop, timing, identity, settings.peers(), peerParticipants(settings));
+        this.replicas = new ReplicaHolder(
+                eventLoop, leadership, identity, settings.peers().keySet());
         this.catalog = new MachineCatalog(eventLoop, store, cloud, leadership::leading);
         this.jobs = new JobStore(store);
         this.submissions = new SubmissionHandler(
@@ -112,7 +116,11 @@
         HeartbeatEndpoint heartbeats =
                 new HeartbeatEndpoint(eventLoop, leadership, peers, settings.member(), () -> leader);
         return new RequestRouter.Handlers(
-                submissions::serve, heartbeats::serve, this::serveReadiness, peers::serve, this::serveMetrics);
+                submissions::serve,
+                heartbeats::serve,
+                this::serveReadiness,
+                new RequestRouter.PeerHandlers(
+                        peers::serve, replicas::serveUpdate, replicas::serveRead, this::serveMetrics));
     }
 
     // A controller that has sent the state service nothing for a while is ready all the same: only failures count.
@@ -142,7 +150,18 @@
 
     private ControllerServices services() {
         return new ControllerServices(
-                eventLoop, settings, leadership, peers, store, jobs, cancellations, watermark, catalog, cloud);
+                eventLoop,
+                settings,
+                leadership,
+                timing,
+                peers,
+                store,
+                jobs,
+                cancellations,
+                watermark,
+                catalog,
+                cloud,
+                replicas);
     }
 
     private final class LeadershipChanges implements Leadership.Listener {
@@ -159,6 +178,7 @@
 
         @Override
         public void leadershipLost() {
+            leader.flatMap(LeaderRuntime::startReplica).ifPresent(replicas::adopt);
             leader = Optional.empty();
         }
     }
--- a/src/main/java/io/quartzgw/app/ControllerServices.java
+++ b/src/main/java/io/quartzgw/app/ControllerServices.java
@@ -6,7 +6,9 @@
 import io.quartzgw.fleet.CloudClient;
 import io.quartzgw.fleet.MachineCatalog;
 import io.quartzgw.leadership.Leadership;
+import io.quartzgw.leadership.LeadershipTiming;
 import io.quartzgw.leadership.PeerExchange;
+import io.quartzgw.replication.ReplicaHolder;
 import io.quartzgw.store.StoreClient;
 import io.quartzgw.submission.JobStore;
 
@@ -15,10 +17,12 @@
         EventLoop eventLoop,
         Settings settings,
         Leadership leadership,
+        LeadershipTiming leadershipTiming,
         PeerExchange peers,
         StoreClient store,
         JobStore jobs,
         CancellationRegistry cancellations,
         CancellationWatermark watermark,
         MachineCatalog catalog,
-        CloudClient cloud) {}
+        CloudClient cloud,
+        ReplicaHolder replicas) {}
--- /dev/null
+++ b/src/main/java/io/quartzgw/app/LeaderPolicies.java
@@ -0,0 +1,41 @@
+package io.quartzgw.app;
+
+import io.quartzgw.fleet.FleetManager;
+import io.quartzgw.model.TeamQuota;
+import io.quartzgw.recovery.RecoveryTiming;
+import io.quartzgw.scheduling.SchedulingPolicy;
+import io.quartzgw.scheduling.ServiceLevelObjectives;
+
+/** Derives the policies of a leader's parts from the settings. */
+final class LeaderPolicies {
+    /** The clocks of two controllers are each within the time bound of true time. */
+    private static final int CLOCKS_COMPARED = 2;
+
+    private LeaderPolicies() {}
+
+    static SchedulingPolicy scheduling(Settings settings) {
+        ServiceLevelObjectives objectives = new ServiceLevelObjectives(
+                settings.completionObjectives(), settings.deadlineObjectives(), settings.startObjectives());
+        return new SchedulingPolicy(settings.teams(), objectives, reservedCpus(settings) > 0, settings.agentTiming());
+    }
+
+    static FleetManager.Policy fleet(Settings settings, RecoveryTiming recoveryTiming) {
+        return new FleetManager.Policy(
+                reservedCpus(settings),
+                recoveryTiming.reservationMs(),
+                settings.cloudLimits().listLagMs());
+    }
+
+    static long maxClockSkewMs(Settings settings) {
+        return CLOCKS_COMPARED * (long) settings.timeBoundMs();
+    }
+
+    // Where work within the guarantee has an objective, its capacity is rented before the work arrives.
+    private static double reservedCpus(Settings settings) {
+        return settings.hasObjective("guarantee")
+                ? settings.teams().values().stream()
+                        .mapToDouble(TeamQuota::guaranteedCpus)
+                        .sum()
+                : 0;
+    }
+}
--- a/src/main/java/io/quartzgw/app/LeaderRuntime.java
+++ b/src/main/java/io/quartzgw/app/LeaderRuntime.java
@@ -14,10 +14,11 @@
 import io.quartzgw.leadership.LeaderTerm;
 import io.quartzgw.leadership.Leadership;
 import io.quartzgw.liveness.AgentTiming;
-import io.quartzgw.model.TeamQuota;
 import io.quartzgw.progress.ProgressRecorder;
 import io.quartzgw.recovery.FailoverRecovery;
 import io.quartzgw.recovery.RecoveryTiming;
+import io.quartzgw.replication.StartReplica;
+import io.quartzgw.replication.StartReplicator;
 import io.quartzgw.scheduling.Allocation;
 import io.quartzgw.scheduling.ClusterState;
 import io.quartzgw.scheduling.Consolidation;
@@ -25,13 +26,12 @@
 import io.quartzgw.scheduling.Machine;
 import io.quartzgw.scheduling.Scheduler;
 import io.quartzgw.scheduling.SchedulingPolicy;
-import io.quartzgw.scheduling.ServiceLevelObjectives;
 import io.quartzgw.scheduling.StopReason;
-import io.quartzgw.store.StoreClient;
 import io.quartzgw.submission.JobCounts;
 import io.quartzgw.submission.JobStore;
 import io.quartzgw.submission.OpenJob;
 import io.quartzgw.submission.TerminalState;
+import java.util.Optional;
 
 /**
  * Everything that this controller does as the leader of one term; a later term starts with a new one. It builds the
@@ -41,8 +41,6 @@
     private static final double TICK_LEASES = 0.03;
     /** After it resigned for lack of heartbeats, this controller is no candidate for this many intervals. */
     private static final int BACK_OFF_HEARTBEATS = 6;
-    /** The clocks of two controllers are each within the time bound of true time. */
-    private static final int CLOCKS_COMPARED = 2;
 
     private final EventLoop eventLoop;
     private final Settings settings;
@@ -51,6 +49,7 @@
     private final CancellationRegistry cancellations;
     private final LeaderTerm term;
     private final ClusterState cluster;
+    private final StartReplicator replicator;
     private final AgentManager agents;
     private final ProgressRecorder progress;
     private final FailoverRecovery recovery;
@@ -74,41 +73,54 @@
         AgentTiming agentTiming = settings.agentTiming();
         RecoveryTiming recoveryTiming = RecoveryTiming.of(agentTiming);
         LeaderContext context = new LeaderContext(eventLoop, term, cluster, services.catalog());
+        StartReplication replication = StartReplication.of(services, term, recoveryTiming);
+        this.replicator = replication.replicator();
         this.agents = new AgentManager(
                 context,
                 agentTiming,
                 SocketBudget.of(settings.sockets()).agentCalls(),
                 cancellations::contains,
+                replicator,
                 new AgentEvents());
         this.progress = new ProgressRecorder(
                 eventLoop, services.store(), term, agentTiming.heartbeatMs(), new ProgressEvents());
         this.scheduler = newScheduler();
-        this.records = newMachineRecords(services.store());
+        this.records = new MachineRecords(
+                eventLoop,
+                services.store(),
+                term,
+                cluster,
+                LeaderPolicies.maxClockSkewMs(settings),
+                agents::requestStarts);
         this.fleet = newFleet(services, recoveryTiming);
         this.fleetScaling = new FleetScaling(eventLoop, fleet, agentTiming.heartbeatMs());
         this.openJobs = newOpenJobWatcher(services);
         this.countPages = new JobCountPager(cluster);
         this.reachability = new AgentReachability(eventLoop, cluster, services.peers(), agentTiming.heartbeatMs());
-        this.recovery = new FailoverRecovery(
-                context,
-                new FailoverRecovery.Collaborators(services.store(), services.peers(), agents, progress, records),
-                recoveryTiming,
-                previousLeaderActiveUntilMs,
-                this::knownTerminal,
-                openJobs);
+        this.recovery = newRecovery(services, context, replication, previousLeaderActiveUntilMs);
     }
 
-    private Scheduler newScheduler() {
-        ServiceLevelObjectives objectives = new ServiceLevelObjectives(
-                settings.completionObjectives(), settings.deadlineObjectives(), settings.startObjectives());
-        SchedulingPolicy policy =
-                new SchedulingPolicy(settings.teams(), objectives, reservedCpus(settings) > 0, settings.agentTiming());
-        return new Scheduler(eventLoop, cluster, policy, this::cloudExhausted, new AgentTaskLauncher(agents));
+    private FailoverRecovery newRecovery(
+            ControllerServices services,
+            LeaderContext context,
+            StartReplication replication,
+            long previousLeaderActiveUntilMs) {
+        FailoverRecovery.Collaborators collaborators = new FailoverRecovery.Collaborators(
+                services.store(),
+                services.peers(),
+                agents,
+                progress,
+                records,
+                replication.formerStartsReader(),
+                replicator);
+        RecoveryTiming timing = RecoveryTiming.of(settings.agentTiming());
+        return new FailoverRecovery(
+                context, collaborators, timing, previousLeaderActiveUntilMs, this::knownTerminal, openJobs);
     }
 
-    private MachineRecords newMachineRecords(StoreClient store) {
-        long maxClockSkewMs = CLOCKS_COMPARED * (long) settings.timeBoundMs();
-        return new MachineRecords(eventLoop, store, term, cluster, maxClockSkewMs, agents::requestStarts);
+    private Scheduler newScheduler() {
+        SchedulingPolicy policy = LeaderPolicies.scheduling(settings);
+        return new Scheduler(eventLoop, cluster, policy, this::cloudExhausted, new AgentTaskLauncher(agents));
     }
 
     private FleetManager newFleet(ControllerServices services, RecoveryTiming recoveryTiming) {
@@ -117,11 +129,8 @@
                 scheduler::isSchedulable,
                 new AgentTaskLauncher(agents),
                 settings.agentTiming().leaseMs());
-        FleetManager.Policy policy = new FleetManager.Policy(
-                reservedCpus(settings),
-                recoveryTiming.reservationMs(),
-                settings.cloudLimits().listLagMs());
-        FleetContext context = new FleetContext(eventLoop, services.cloud(), term, cluster, policy);
+        FleetContext context = new FleetContext(
+                eventLoop, services.cloud(), term, cluster, LeaderPolicies.fleet(settings, recoveryTiming));
         return new FleetManager(context, services.catalog(), records, consolidation, new FleetEvents());
     }
 
@@ -136,15 +145,6 @@
                 new OpenJobWatcher.JobEvents(this::knownTerminal, this::terminate));
     }
 
-    // Where work within the guarantee has an objective, its capacity is rented before the work arrives.
-    private static double reservedCpus(Settings settings) {
-        return settings.hasObjective("guarantee")
-                ? settings.teams().values().stream()
-                        .mapToDouble(TeamQuota::guaranteedCpus)
-                        .sum()
-                : 0;
-    }
-
     // The scheduler is built before the fleet that it asks.
     private boolean cloudExhausted() {
         return fleet.isExhausted();
@@ -188,6 +188,7 @@
         }
         recovery.checkProgress();
         if (recovery.isStateLoaded()) {
+            agents.permitInheritedStarts(scheduler::isWithinQuota);
             if (term.isConfirmed() && cluster.takeChanged()) {
                 scheduler.schedule();
                 fleetScaling.request();
@@ -198,12 +199,18 @@
             }
         }
         agents.sendPendingCommands();
+        replicator.flush();
         if (recovery.isStateLoaded()) {
             records.flush();
             progress.flush();
         }
     }
 
+    /** The starts that direct calls of this term may still carry, unless those of former leaders are not known. */
+    Optional<StartReplica> startReplica() {
+        return replicator.replica();
+    }
+
     // ---- jobs
 
     void jobAccepted(OpenJob job) {
--- a/src/main/java/io/quartzgw/app/RequestRouter.java
+++ b/src/main/java/io/quartzgw/app/RequestRouter.java
@@ -5,6 +5,7 @@
 import io.quartzgw.http.Request;
 import io.quartzgw.http.Response;
 import io.quartzgw.leadership.PeerExchange;
+import io.quartzgw.replication.ReplicaHolder;
 import io.quartzgw.submission.SubmissionHandler;
 import java.util.function.Consumer;
 
@@ -28,14 +29,26 @@
      * @param submissions serves users' requests about jobs, and checks their methods itself
      * @param heartbeat serves agents' heartbeats
      * @param readiness serves the load balancer's health checks
-     * @param peerMessage serves the messages of other controllers
-     * @param metrics serves operators' requests for counters
+     * @param peer serves the requests on the peer listener
      */
     record Handlers(
             Consumer<Request> submissions,
             Consumer<Request> heartbeat,
             Consumer<Request> readiness,
-            Consumer<Request> peerMessage,
+            PeerHandlers peer) {}
+
+    /**
+     * What serves the requests of each path of the peer listener.
+     *
+     * @param message serves the messages of other controllers
+     * @param startsUpdate serves a leader's updates of the starts in its direct calls
+     * @param startsRead serves a new leader's requests for the starts of former ones
+     * @param metrics serves operators' requests for counters
+     */
+    record PeerHandlers(
+            Consumer<Request> message,
+            Consumer<Request> startsUpdate,
+            Consumer<Request> startsRead,
             Consumer<Request> metrics) {}
 
     RequestRouter(EventLoop eventLoop, Handlers handlers) {
@@ -67,8 +80,13 @@
 
     private void routePeerRequest(Request request) {
         switch (request.path()) {
-            case PeerExchange.PATH -> requireMethod("POST", request, handlers.peerMessage());
-            case METRICS_PATH -> requireMethod("GET", request, handlers.metrics());
+            case PeerExchange.PATH ->
+                requireMethod("POST", request, handlers.peer().message());
+            case ReplicaHolder.UPDATE_PATH ->
+                requireMethod("POST", request, handlers.peer().startsUpdate());
+            case ReplicaHolder.READ_PATH ->
+                requireMethod("POST", request, handlers.peer().startsRead());
+            case METRICS_PATH -> requireMethod("GET", request, handlers.peer().metrics());
             default -> answerNotFound(request);
         }
     }
--- a/src/main/java/io/quartzgw/recovery/FailoverRecovery.java
+++ b/src/main/java/io/quartzgw/recovery/FailoverRecovery.java
@@ -6,6 +6,10 @@
 import io.quartzgw.fleet.MachineRecords;
 import io.quartzgw.leadership.PeerExchange;
 import io.quartzgw.progress.ProgressRecorder;
+import io.quartzgw.replication.FormerStarts;
+import io.quartzgw.replication.FormerStartsReader;
+import io.quartzgw.replication.MachineStarts;
+import io.quartzgw.replication.StartReplicator;
 import io.quartzgw.scheduling.ClusterState;
 import io.quartzgw.scheduling.Job;
 import io.quartzgw.scheduling.Machine;
@@ -18,6 +22,7 @@
 import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
 
 /**
  * Rebuilds the cluster state of a new leader: reads the stored state, gathers heartbeats for a limited time, and then
@@ -43,6 +48,8 @@
     private final UnverifiedMachines unverifiedMachines;
     private final ReservationExpiry reservationExpiry;
     private final long electedAtMs;
+    private boolean startsInherited;
+    private boolean resolutionDue;
     private Phase phase = Phase.LOADING_STATE;
 
     /**
@@ -53,13 +60,17 @@
      * @param agents takes heartbeats and contacts agents
      * @param progress loads which tasks have finished or may have been started
      * @param machineRecords loads the rented machines
+     * @param formerStartsReader reads the starts of former leaders that may still be on their way
+     * @param replicator replicates the starts of this leader, and those of former ones
      */
     public record Collaborators(
             StoreClient store,
             PeerExchange peers,
             AgentManager agents,
             ProgressRecorder progress,
-            MachineRecords machineRecords) {}
+            MachineRecords machineRecords,
+            FormerStartsReader formerStartsReader,
+            StartReplicator replicator) {}
 
     /**
      * Creates the recovery of the current term.
@@ -115,6 +126,13 @@
                 .addKeyValue("machines", cluster.machines().size())
                 .log("stored state loaded");
         unverifiedMachines.markUnaccounted();
+        collaborators.agents().awaitFormerStarts();
+        collaborators
+                .formerStartsReader()
+                .read(
+                        state.inSync().record(),
+                        formerStarts ->
+                                onFormerStarts(formerStarts, state.inSync().revision()));
         collaborators.agents().beginReconciling();
         collaborators
                 .store()
@@ -147,6 +165,51 @@
                         unverifiedMachines::add);
     }
 
+    // ---- starts of former leaders
+
+    private void onFormerStarts(FormerStarts formerStarts, long inSyncRevision) {
+        if (formerStarts instanceof FormerStarts.Known known) {
+            inherit(known);
+        } else if (formerStarts instanceof FormerStarts.Unknown unknown) {
+            logUnknown(unknown);
+            collaborators.agents().inheritStarts(List.of());
+        }
+        startsInherited = true;
+        resolutionDue = true;
+        collaborators.replicator().begin(collaborators.store(), inSyncRevision);
+    }
+
+    private void inherit(FormerStarts.Known known) {
+        List<MachineStarts> machines = known.replica().machines();
+        int inherited = collaborators.agents().inheritStarts(machines);
+        eventLoop.increment("takeover.starts_inherited", inherited);
+        LOG.atInfo()
+                .addKeyValue("term", leader.term().number())
+                .addKeyValue("source", known.source())
+                .addKeyValue("former_term", known.replica().term())
+                .addKeyValue("after_ms", eventLoop.nowMs() - electedAtMs)
+                .addKeyValue("machines", machines.size())
+                .addKeyValue(
+                        "starts",
+                        machines.stream()
+                                .mapToInt(machine -> machine.starts().size())
+                                .sum())
+                .addKeyValue("inherited", inherited)
+                .log("former starts inherited");
+    }
+
+    private void logUnknown(FormerStarts.Unknown unknown) {
+        eventLoop.increment("takeover.starts_unknown", 1);
+        // The first leader of a cluster has no machines, and none before it has sent a start.
+        Level level = cluster.machines().isEmpty() ? Level.INFO : Level.WARN;
+        LOG.atLevel(level)
+                .addKeyValue("term", leader.term().number())
+                .addKeyValue("after_ms", eventLoop.nowMs() - electedAtMs)
+                .addKeyValue("controllers_without_replica", unknown.controllersWithoutReplica())
+                .addKeyValue("machines", cluster.machines().size())
+                .log("former starts unknown");
+    }
+
     // ---- heartbeats
 
     private void contactUnverified() {
@@ -166,7 +229,11 @@
         List<Machine> verified = unverifiedMachines.removeVerified();
         if (!verified.isEmpty()) {
             verified.forEach(collaborators.agents()::updateUnaccountedCapacity);
-            unverifiedMachines.resolveUnaccounted();
+            resolutionDue = true;
+        }
+        if (resolutionDue && startsInherited) {
+            resolutionDue = false;
+            unverifiedMachines.resolveUnaccounted(collaborators.agents()::allocateInheritedStarts);
         }
         if (phase == Phase.GATHERING_HEARTBEATS && (unverifiedMachines.isEmpty() || isWindowElapsed())) {
             closeWindow();
--- a/src/main/java/io/quartzgw/recovery/UnverifiedMachines.java
+++ b/src/main/java/io/quartzgw/recovery/UnverifiedMachines.java
@@ -73,11 +73,18 @@
         return verified;
     }
 
-    /** Marks the jobs that can have no task on the remaining machines as fully accounted for. */
-    void resolveUnaccounted() {
+    /**
+     * Marks the jobs that can have no task on the remaining machines as fully accounted for.
+     *
+     * @param beforeResolution performed before the unaccounted tasks of a job become pending
+     */
+    void resolveUnaccounted(Consumer<Job> beforeResolution) {
         List.copyOf(cluster.jobsWithUnaccountedTasks()).stream()
                 .filter(job -> !mayRunOnAny(job))
-                .forEach(cluster::resolveUnaccounted);
+                .forEach(job -> {
+                    beforeResolution.accept(job);
+                    cluster.resolveUnaccounted(job);
+                });
     }
 
     /**
--- a/src/main/java/io/quartzgw/scheduling/Allocation.java
+++ b/src/main/java/io/quartzgw/scheduling/Allocation.java
@@ -31,6 +31,7 @@
     private long runningSince;
     private long lostAt = NOT_LOST;
     private boolean startSent;
+    private boolean startWithheld;
     private boolean stopping;
     private double stopGraceS;
 
@@ -133,6 +134,16 @@
         startSent = true;
     }
 
+    /** Whether the start must not be sent yet. */
+    public boolean startWithheld() {
+        return startWithheld;
+    }
+
+    /** Sets whether the start must not be sent yet; the task counts as possibly running all the same. */
+    public void withholdStart(boolean withheld) {
+        startWithheld = withheld;
+    }
+
     /** Whether the machine is gone before the task can complete there, by its owner's runtime estimate. */
     boolean machineGoneBeforeEnd(long now) {
         if (stopping || !observed() || job.spec().gang()) {
--- a/src/main/java/io/quartzgw/scheduling/ClusterState.java
+++ b/src/main/java/io/quartzgw/scheduling/ClusterState.java
@@ -180,6 +180,11 @@
         return (term << 32) + ++attempts;
     }
 
+    /** Whether an attempt was begun by a former leader. */
+    public boolean isOfFormerLeader(long attempt) {
+        return attempt >>> 32 < term;
+    }
+
     /** Assigns a task to a machine and reserves the resources there. */
     public Allocation allocate(Job job, int index, Machine machine, long attempt) {
         if (job.allocation(index) != null) {
--- a/src/main/java/io/quartzgw/scheduling/Job.java
+++ b/src/main/java/io/quartzgw/scheduling/Job.java
@@ -208,6 +208,13 @@
         return unaccounted.isEmpty() && tasksPerZone.getOrDefault(zone, 0) == allocations.size();
     }
 
+    /** Whether the allocated tasks satisfy the zone constraints, one of them being in the zone. */
+    public boolean zonesAllowed(String zone) {
+        int tasks = tasksInZone(zone);
+        return (!spec().spread() || tasks <= spec().tasksPerZone())
+                && (!spec().singleZone() || tasks == allocations.size());
+    }
+
     /** The number of allocated tasks in the zone. */
     public int tasksInZone(String zone) {
         return tasksPerZone.getOrDefault(zone, 0);
--- a/src/main/java/io/quartzgw/scheduling/Scheduler.java
+++ b/src/main/java/io/quartzgw/scheduling/Scheduler.java
@@ -63,6 +63,11 @@
         return constraints.isSchedulable(machine);
     }
 
+    /** Whether the quota of the job's team allows all that runs or may run. */
+    public boolean isWithinQuota(Job job) {
+        return constraints.isWithinQuota(job);
+    }
+
     /** Runs one pass: allocates and starts all pending tasks that can run now. */
     public void schedule() {
         stopBrokenGangs();
--- a/src/main/java/io/quartzgw/scheduling/SchedulingConstraints.java
+++ b/src/main/java/io/quartzgw/scheduling/SchedulingConstraints.java
@@ -44,6 +44,12 @@
                 && !machine.exclusions().refusedJobs().contains(job.id());
     }
 
+    /** Whether the team's quota allows all that runs or may run. */
+    boolean isWithinQuota(Job job) {
+        TeamQuota team = teams.get(job.spec().team());
+        return team != null && team.withinLimit(cluster.maxPossibleUsage(team.name()));
+    }
+
     /** Whether the team's quota allows one more task of the job. */
     boolean taskWithinQuota(Job job) {
         TeamQuota team = teams.get(job.spec().team());
--- /dev/null
+++ b/src/test/java/io/quartzgw/agent/InheritedStartsTest.java
@@ -0,0 +1,290 @@
+package io.quartzgw.agent;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.quartzgw.eventloop.ClockReading;
+import io.quartzgw.eventloop.Command;
+import io.quartzgw.eventloop.Effect;
+import io.quartzgw.eventloop.EventLoop;
+import io.quartzgw.fleet.CloudClient;
+import io.quartzgw.fleet.CloudLimits;
+import io.quartzgw.fleet.MachineCatalog;
+import io.quartzgw.http.Endpoint;
+import io.quartzgw.http.Json;
+import io.quartzgw.http.Reply;
+import io.quartzgw.leadership.FencingTokens;
+import io.quartzgw.leadership.LeaderTerm;
+import io.quartzgw.leadership.Leadership;
+import io.quartzgw.liveness.AgentTiming;
+import io.quartzgw.model.JobShape;
+import io.quartzgw.model.MachineType;
+import io.quartzgw.model.Resources;
+import io.quartzgw.replication.MachineStarts;
+import io.quartzgw.replication.ReplicatedStart;
+import io.quartzgw.replication.StartReplicator;
+import io.quartzgw.scheduling.Allocation;
+import io.quartzgw.scheduling.ClusterState;
+import io.quartzgw.scheduling.Job;
+import io.quartzgw.scheduling.Machine;
+import io.quartzgw.simulation.Elections;
+import io.quartzgw.simulation.JobSpecs;
+import io.quartzgw.simulation.SimulatedStore;
+import io.quartzgw.store.StoreClient;
+import io.quartzgw.store.StoreLimits;
+import io.quartzgw.store.Transaction;
+import io.quartzgw.submission.OpenJob;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** What a leader does with the starts of former leaders, and when its own may leave in direct calls. */
+class InheritedStartsTest {
+    private static final Endpoint STATE = new Endpoint("10.2.0.1", 1);
+    private static final Endpoint FOLLOWER = new Endpoint("10.0.0.2", 1);
+    private static final String MACHINE = "i-1";
+    private static final String OTHER_MACHINE = "i-2";
+    private static final String JOB = "j-000001";
+    private static final int RECORDED_STARTS = 2;
+    private static final long FORMER_ATTEMPT = 7;
+    private static final long TERM_IN_ATTEMPTS = 5;
+    private static final MachineType TYPE =
+            new MachineType("t", new Resources(8, 0, 32), 40, 1, 1, 0.3, 10, List.of("a", "b"));
+
+    private final EventLoop eventLoop = new EventLoop(1);
+    private final SimulatedStore stateService = new SimulatedStore();
+    private final StoreClient store = new StoreClient(eventLoop, STATE, new StoreLimits(100_000, 100_000, 8192, 16));
+    private final Leadership leadership = Elections.candidate(eventLoop, store);
+    private final List<Effect.Send> updates = new ArrayList<>();
+    private final List<Effect.Send> directCalls = new ArrayList<>();
+    private long now;
+    private long sequence;
+    private LeaderTerm term;
+    private ClusterState cluster;
+    private StartReplicator replicator;
+    private AgentManager agents;
+    private Machine machine;
+    private Job job;
+
+    @BeforeEach
+    void leadWithAVerifiedMachine() {
+        Elections.elect(leadership, this::advance);
+        term = new LeaderTerm(leadership);
+        cluster = new ClusterState(eventLoop, TERM_IN_ATTEMPTS);
+        replicator = new StartReplicator(eventLoop, term, "rig-0", Map.of("rig-1", FOLLOWER), 1_000);
+        eventLoop.onBatchEnd(() -> agents.sendPendingCommands());
+        eventLoop.onBatchEnd(replicator::flush);
+        CloudClient cloud = new CloudClient(eventLoop, STATE, new CloudLimits(4, 5_000));
+        agents = new AgentManager(
+                new LeaderContext(eventLoop, term, cluster, new MachineCatalog(eventLoop, store, cloud, () -> true)),
+                new AgentTiming(2_500, 16_000, 36_000),
+                10,
+                id -> false,
+                replicator,
+                new IgnoringListener());
+        agents.beginReconciling();
+        machine = addMachine(MACHINE, "a");
+        job = addJob();
+        cluster.markUnaccounted(job);
+    }
+
+    private Machine addMachine(String id, String zone) {
+        Machine added = new Machine(id, TYPE, zone, false, now, now);
+        added.markHasRunTasks();
+        cluster.add(added);
+        agents.receive(heartbeat(id, zone, 0));
+        return added;
+    }
+
+    private Job addJob() {
+        Job added = cluster.add(new OpenJob(
+                JobSpecs.named(JOB)
+                        .team("team")
+                        .shape(JobShape.ARRAY)
+                        .tasks(3)
+                        .demand(2, 0, 4)
+                        .spec(),
+                1,
+                0));
+        added.recordedStartLimit(RECORDED_STARTS);
+        return added;
+    }
+
+    private Heartbeat heartbeat(String id, String zone, long attempt) {
+        ObjectNode body = Json.object()
+                .put("host", id)
+                .put("address", "10.1.0.2:9000")
+                .put("host_type", "t")
+                .put("yard", zone)
+                .put("loaner", false)
+                .put("tenure", 1)
+                .put("counter", ++sequence)
+                .put("baton", FencingTokens.lowestOf(term.number()));
+        var tasks = body.putArray("shards");
+        if (attempt > 0) {
+            tasks.addObject().put("shard", JOB + "/0").put("try_no", attempt).put("phase", "running");
+        }
+        return HeartbeatCodec.decode(Json.write(body)).orElseThrow();
+    }
+
+    private static final class IgnoringListener implements AgentManager.Listener {
+        @Override
+        public void taskFinished(Job job, int index) {}
+
+        @Override
+        public void recordNeeded(Machine machine) {}
+
+        @Override
+        public void recordNeeded(Job job, int index) {}
+    }
+
+    private void advance(long ms) {
+        now += ms;
+        deliver(eventLoop.processBatch(List.of(), new ClockReading(now, now)));
+    }
+
+    /** The state service replies at once; updates to the follower and direct calls to agents stay in flight. */
+    private void deliver(List<Effect> initial) {
+        List<Effect> effects = initial;
+        while (!effects.isEmpty()) {
+            List<Command> replies = new ArrayList<>();
+            for (Effect effect : effects) {
+                Effect.Send send = (Effect.Send) effect;
+                if (send.request().endpoint().equals(FOLLOWER)) {
+                    updates.add(send);
+                } else if (send.request().path().equals("/orders")) {
+                    directCalls.add(send);
+                } else {
+                    stateService.handle(
+                            send.request(), now, reply -> replies.add(new Command.CallEnded(send.call(), reply)));
+                }
+            }
+            effects = replies.isEmpty() ? List.of() : eventLoop.processBatch(replies, new ClockReading(now, now));
+        }
+    }
+
+    private void acknowledgeUpdate() {
+        Effect.Send update = updates.remove(0);
+        var body = Json.readCborOrNull(update.request().body());
+        long version = body.path("receiver").asLong() == 0 ? 0 : body.path("to").asLong();
+        ObjectNode status = Json.object()
+                .put("process", 3)
+                .put("term", body.path("term").asLong())
+                .put("version", version);
+        Command ended = new Command.CallEnded(update.call(), new Reply(200, Json.writeCbor(status)));
+        deliver(eventLoop.processBatch(List.of(ended), new ClockReading(++now, now)));
+    }
+
+    private int inherit(String machineId, int index, long attempt) {
+        Set<ReplicatedStart> starts = Set.of(new ReplicatedStart(JOB, index, attempt));
+        return agents.inheritStarts(List.of(new MachineStarts(machineId, starts)));
+    }
+
+    private void resolve() {
+        agents.allocateInheritedStarts(job);
+        cluster.resolveUnaccounted(job);
+        agents.permitInheritedStarts(unused -> true);
+    }
+
+    // Guards against ran_twice: the task was placed anew as soon as no machine ran it.
+    @Test
+    void unaccountedTaskIsBoundToTheMachineOfItsInheritedStart() {
+        assertEquals(1, inherit(MACHINE, 0, FORMER_ATTEMPT));
+        resolve();
+        Allocation allocation = job.allocation(0);
+        assertEquals(FORMER_ATTEMPT, allocation.attempt());
+        assertTrue(allocation.isLost());
+        assertTrue(agents.isStartOutstanding(allocation));
+        assertEquals("{1, 2}", job.pending().toString());
+    }
+
+    @Test
+    void startToAMachineThatIsGoneBindsNothing() {
+        assertEquals(0, inherit("i-9", 0, FORMER_ATTEMPT));
+        resolve();
+        assertEquals("{0, 1, 2}", job.pending().toString());
+    }
+
+    // Guards against tasks in the wrong place: such a start was announced, but never sent.
+    @Test
+    void startBeyondTheRecordedOnesBindsNothing() {
+        assertEquals(0, inherit(MACHINE, 2, FORMER_ATTEMPT));
+    }
+
+    @Test
+    void ofSeveralStartsOfATaskTheNewestBindsIt() {
+        addMachine(OTHER_MACHINE, "a");
+        agents.inheritStarts(List.of(
+                new MachineStarts(MACHINE, Set.of(new ReplicatedStart(JOB, 0, FORMER_ATTEMPT + 1))),
+                new MachineStarts(OTHER_MACHINE, Set.of(new ReplicatedStart(JOB, 0, FORMER_ATTEMPT)))));
+        resolve();
+        assertEquals(machine, job.allocation(0).machine());
+    }
+
+    // Guards against a quota that is exceeded: the task of an announced start may have been given up before it left.
+    @Test
+    void inheritedStartIsSentAgainOnlyWithinTheQuota() {
+        inherit(MACHINE, 0, FORMER_ATTEMPT);
+        agents.allocateInheritedStarts(job);
+        cluster.resolveUnaccounted(job);
+        agents.permitInheritedStarts(unused -> false);
+        assertFalse(respondTo(0).contains("run"));
+        assertNotNull(job.allocation(0), "it may run all the same");
+        agents.permitInheritedStarts(unused -> true);
+        assertTrue(respondTo(0).contains("run"));
+    }
+
+    private String respondTo(long attempt) {
+        ReceivedHeartbeat received = agents.receive(heartbeat(MACHINE, "a", attempt));
+        return HeartbeatResponseCodec.encode(agents.respond(received)).toString();
+    }
+
+    // A later attempt is begun only when the earlier ones can't be started any more.
+    @Test
+    void startOfATaskThatHasALaterAttemptIsVoid() {
+        addMachine(OTHER_MACHINE, "a");
+        inherit(OTHER_MACHINE, 0, FORMER_ATTEMPT);
+        agents.receive(heartbeat(MACHINE, "a", FORMER_ATTEMPT + 1));
+        agents.reportUnfencedAttempts();
+        cluster.release(job.allocation(0));
+        Allocation again =
+                cluster.allocate(job, 0, cluster.findMachine(OTHER_MACHINE).orElseThrow(), FORMER_ATTEMPT);
+        assertFalse(agents.isStartOutstanding(again));
+    }
+
+    // Guards against ran_twice by a start that is not known yet: its attempt may end before.
+    @Test
+    void attemptOfAFormerLeaderIsUnfencedUntilTheFormerStartsAreKnown() {
+        agents.awaitFormerStarts();
+        agents.receive(heartbeat(MACHINE, "a", FORMER_ATTEMPT));
+        Allocation allocation = job.allocation(0);
+        agents.allTasksLost(machine);
+        assertEquals(allocation, job.allocation(0));
+        agents.inheritStarts(List.of());
+        agents.allTasksLost(machine);
+        assertNull(job.allocation(0));
+    }
+
+    // Guards against ran_twice: a successor has to know of a start before it can be late.
+    @Test
+    void startLeavesInADirectCallOnceTheFollowerHasAcknowledgedIt() {
+        replicator.begin(store, Transaction.NO_REVISION);
+        advance(0);
+        cluster.resolveUnaccounted(job);
+        Allocation allocation = cluster.allocate(job, 0, machine, cluster.nextAttempt());
+        agents.requestStart(allocation);
+        advance(1);
+        acknowledgeUpdate();
+        assertEquals(List.of(), directCalls, "the follower has said which process it is");
+        assertTrue(respondTo(0).contains("run"), "a response is never late");
+        acknowledgeUpdate();
+        assertEquals(1, directCalls.size());
+    }
+}
--- /dev/null
+++ b/src/test/java/io/quartzgw/app/CrashesWithHeldUpStarts.java
@@ -0,0 +1,90 @@
+package io.quartzgw.app;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.quartzgw.simulation.ClusterSimulation;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Crashes of the leader, or of the leader and another controller, while its direct calls are held up, laid over the
+ * other faults of a random cluster. Some machines are started again before the calls reach them.
+ */
+final class CrashesWithHeldUpStarts {
+    private static final int CONTROLLERS = 3;
+    private static final long FIRST_MS = 25_000;
+    private static final int SHORTEST_INTERVAL_MS = 12_000;
+    private static final int INTERVAL_SPREAD_MS = 20_000;
+
+    private static final double HELD_UP_SHARE = 0.9;
+    private static final long LONGEST_HOLD_UP_MS = 30_000;
+    private static final int LONGEST_BURST_MS = 4_000;
+    private static final long SHORTEST_DOWN_MS = 100;
+    private static final int DOWN_SPREAD_MS = 3_000;
+    private static final int LATEST_REBOOT_MS = 25_000;
+    private static final int MAX_REBOOTS = 4;
+
+    private static final int FIRST_JOB = 8_000;
+    private static final int JOBS_PER_CRASH = 3;
+    private static final int MAX_TASKS = 4;
+
+    private CrashesWithHeldUpStarts() {}
+
+    /**
+     * Schedules the crashes of a run.
+     *
+     * @param seed of the run; the crashes have a random source of their own, so that the other faults stay as they are
+     * @param end when the last machine has been started again
+     */
+    static void scheduleAll(ClusterSimulation simulation, long seed, long end) {
+        SplittableRandom random = new SplittableRandom(~seed);
+        int crashes = 0;
+        for (long at = FIRST_MS;
+                at + LONGEST_BURST_MS + LATEST_REBOOT_MS < end;
+                at += SHORTEST_INTERVAL_MS + random.nextInt(INTERVAL_SPREAD_MS)) {
+            schedule(simulation, random, at, FIRST_JOB + crashes * JOBS_PER_CRASH);
+            crashes++;
+        }
+        simulation.schedule(end, () -> simulation.network().holdUpCommandShare(0, 0));
+    }
+
+    private static void schedule(ClusterSimulation simulation, SplittableRandom random, long at, int firstJob) {
+        simulation.schedule(at, () -> simulation.network().holdUpCommandShare(HELD_UP_SHARE, LONGEST_HOLD_UP_MS));
+        for (int i = 0; i < JOBS_PER_CRASH; i++) {
+            ObjectNode job = JobRequests.array(
+                            JobRequests.id(firstJob + i), "blue", 1 + random.nextInt(MAX_TASKS), 1, 10)
+                    .put("pull_gb", 0.0);
+            simulation.schedule(
+                    at + random.nextInt(LONGEST_BURST_MS),
+                    () -> simulation.users().submitUntilAccepted(job));
+        }
+        long crashAt = at + 1 + random.nextInt(LONGEST_BURST_MS);
+        long downMs = SHORTEST_DOWN_MS + random.nextInt(DOWN_SPREAD_MS);
+        int others = random.nextInt(CONTROLLERS);
+        simulation.schedule(crashAt, () -> crash(simulation, downMs, others));
+        int reboots = random.nextInt(MAX_REBOOTS + 1);
+        for (int i = 0; i < reboots; i++) {
+            int pick = random.nextInt(Integer.MAX_VALUE);
+            boolean epochKept = random.nextBoolean();
+            simulation.schedule(crashAt + random.nextInt(LATEST_REBOOT_MS), () -> reboot(simulation, pick, epochKept));
+        }
+    }
+
+    /** @param other how far from the leader the other controller is that crashes with it; 0 for none */
+    private static void crash(ClusterSimulation simulation, long downMs, int other) {
+        int leader = simulation.leaderOrFirst();
+        LoggerFactory.getLogger(CrashesWithHeldUpStarts.class).info("crash of {} and {} others", leader, other);
+        simulation.network().holdUpCommandShare(0, 0);
+        simulation.crash(leader, downMs);
+        if (other > 0) {
+            simulation.crash((leader + other) % CONTROLLERS, downMs / 2);
+        }
+    }
+
+    private static void reboot(ClusterSimulation simulation, int pick, boolean epochKept) {
+        List<String> machines = simulation.agents().machineIds();
+        if (!machines.isEmpty()) {
+            simulation.agents().reboot(machines.get(pick % machines.size()), epochKept);
+        }
+    }
+}
--- a/src/test/java/io/quartzgw/app/DecisionDigestTest.java
+++ b/src/test/java/io/quartzgw/app/DecisionDigestTest.java
@@ -15,10 +15,10 @@
 
     @ParameterizedTest
     @CsvSource({
-        "11, 13883 13ab6f1c84f56b2c",
-        "12, 13383 530f9c65bf647e70",
-        "429, 13521 719e506aeef6c3a4",
-        "310494, 14202 d1ad1763b9ee5c5e"
+        "11, 16250 31db8c6fd37181ea",
+        "12, 15781 6f3006ed0657f694",
+        "429, 15959 19c5ea00738ae257",
+        "310494, 16706 082e36655656f1be"
     })
     void controllersDecideAsBeforeThroughSingleFailures(long seed, String expected) {
         ClusterSimulation world = new ClusterSimulation(seed, 3);
@@ -28,10 +28,10 @@
 
     @ParameterizedTest
     @CsvSource({
-        "1, 15831 8a49e5bf7994e062",
-        "7, 22743 86b4917c752fd65b",
-        "13, 14488 3b3a96100039ea78",
-        "40, 24840 a751d9668ad0e35b"
+        "1, 18338 1bd0970703087fdb",
+        "7, 25046 024f7994a196ab62",
+        "13, 17968 81a536f9bdd0e842",
+        "40, 28979 49fc56bed80c3d8d"
     })
     void controllersDecideAsBeforeUnderConcurrentFaults(long seed, String expected) {
         ClusterSimulation world = new ClusterSimulation(seed, 3);
--- a/src/test/java/io/quartzgw/app/DelayedCommandsTest.java
+++ b/src/test/java/io/quartzgw/app/DelayedCommandsTest.java
@@ -68,6 +68,19 @@
         run(simulation, seed, false);
     }
 
+    static LongStream seedsWithCrashes() {
+        return SeedRanges.range("lateCrashes", 1, 30);
+    }
+
+    /** Guards against ran_twice: a successor has to know the starts that its predecessor had sent. */
+    @ParameterizedTest
+    @MethodSource("seedsWithCrashes")
+    void invariantsHoldWhileLeadersCrashWithStartsHeldUp(long seed) {
+        ClusterSimulation simulation = newSimulation(seed);
+        CrashesWithHeldUpStarts.scheduleAll(simulation, seed, FAULTS_END);
+        run(simulation, seed, true);
+    }
+
     /** Commands may reach an agent that has replaced the one they were sent to. */
     @ParameterizedTest
     @MethodSource("seeds")
--- a/src/test/java/io/quartzgw/app/FailureTest.java
+++ b/src/test/java/io/quartzgw/app/FailureTest.java
@@ -130,6 +130,21 @@
         assertAllEnded(simulation, arrays);
     }
 
+    static LongStream concurrentSeedsWithCrashes() {
+        return SeedRanges.range("concurrentCrashes", 1, 15);
+    }
+
+    /** Guards against ran_twice: a successor has to know the starts that its predecessor had sent. */
+    @ParameterizedTest
+    @MethodSource("concurrentSeedsWithCrashes")
+    void invariantsHoldUnderConcurrentFaultsWhileLeadersCrashWithStartsHeldUp(long seed) {
+        ClusterSimulation simulation = new ClusterSimulation(seed, 3);
+        CrashesWithHeldUpStarts.scheduleAll(simulation, seed, FAULTS_END);
+        List<String> arrays = runConcurrentFaults(simulation, seed);
+        assertHealthy(simulation);
+        assertAllEnded(simulation, arrays);
+    }
+
     /** Runs random faults over each other, and returns the arrays that were submitted. */
     static List<String> runConcurrentFaults(ClusterSimulation simulation, long seed) {
         setMessageFaults(simulation);
--- /dev/null
+++ b/src/test/java/io/quartzgw/app/FormerLeadersStartsTest.java
@@ -0,0 +1,199 @@
+package io.quartzgw.app;
+
+import static io.quartzgw.app.ClusterAssertions.assertAllDone;
+import static io.quartzgw.app.ClusterAssertions.assertHealthy;
+import static io.quartzgw.app.ClusterFixtures.LEASE_MS;
+import static io.quartzgw.app.ClusterFixtures.clusterWithServices;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.quartzgw.liveness.AgentTiming;
+import io.quartzgw.simulation.ClusterSimulation;
+import io.quartzgw.simulation.Hosts;
+import java.util.List;
+import java.util.stream.IntStream;
+import java.util.stream.LongStream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * A leader's direct call with a start is held up, the leader ends, and the machines start again before the call reaches
+ * them. Guards against {@code ran_twice}: a successor that did not know the start gave the task to another machine.
+ */
+class FormerLeadersStartsTest {
+    private static final int CONTROLLERS = 3;
+    private static final long LONGEST_FAILOVER_MS = 60_000;
+    private static final long RECOVERY_MS = 120_000;
+    private static final long BACK_MS = 1_000;
+    private static final long BACK_AT_ONCE_MS = 100;
+    private static final long CANCEL_MS = new AgentTiming(2_500, LEASE_MS, 36_000).cancelMs();
+    private static final double TASK_CPUS = 2;
+    private static final int TASKS = 2;
+    private static final String JOB = "j-000701";
+
+    private ClusterSimulation simulation;
+    private List<String> machines;
+
+    static LongStream seeds() {
+        return LongStream.rangeClosed(1, 12);
+    }
+
+    /** Fills most machines, and submits a job whose starts are held up wherever they go. */
+    private void sendStartsThatAreHeldUp(long seed, ObjectNode job) {
+        simulation = clusterWithServices(seed);
+        simulation.users().submitUntilAccepted(JobRequests.array("j-000700", "blue", 4, 4, 90));
+        simulation.runChecked(30_000);
+        machines = simulation.agents().machinesWithRoom(TASK_CPUS);
+        assertFalse(machines.isEmpty());
+        machines.forEach(simulation.network()::holdCommands);
+        simulation.users().submitUntilAccepted(job);
+        simulation.runChecked(1_000);
+    }
+
+    /** Without an image to fetch, a task runs as soon as its start arrives. */
+    private static ObjectNode tasks() {
+        return JobRequests.array(JOB, "blue", TASKS, TASK_CPUS, 60).put("pull_gb", 0.0);
+    }
+
+    private void crashLeader(long backMs) {
+        simulation.crash(simulation.leader(), backMs);
+    }
+
+    private void runUntilTasksRun() {
+        long end = simulation.now() + LONGEST_FAILOVER_MS;
+        while (simulation.now() < end && !simulation.invariants().runningTasks().contains(JOB + "/0")) {
+            simulation.runChecked(500);
+        }
+    }
+
+    private void rebootAndDeliverHeldCommands() {
+        machines.forEach(machine -> {
+            simulation.agents().reboot(machine, false);
+            simulation.network().deliverHeldCommands(machine);
+        });
+    }
+
+    private void assertTasksRunOnceAndEnd() {
+        runUntilTasksRun();
+        rebootAndDeliverHeldCommands();
+        simulation.runChecked(RECOVERY_MS);
+        assertEquals(List.of(), simulation.invariants().violations());
+        assertAllDone(simulation, List.of(JOB));
+        simulation.runChecked(RECOVERY_MS);
+        assertHealthy(simulation);
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void startRunsNowhereElseAfterItsLeaderHasCrashed(long seed) {
+        sendStartsThatAreHeldUp(seed, tasks());
+        crashLeader(BACK_MS);
+        assertTasksRunOnceAndEnd();
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void startRunsNowhereElseIfItsMachineWasSilentSinceTheCrash(long seed) {
+        sendStartsThatAreHeldUp(seed, tasks());
+        crashLeader(BACK_MS);
+        machines.forEach(machine -> simulation.network().partition(machine, Hosts.ALL));
+        runUntilTasksRun();
+        machines.forEach(machine -> simulation.network().heal(machine, Hosts.ALL));
+        assertTasksRunOnceAndEnd();
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void startRunsNowhereElseIfItsLeaderIsBackAtOnce(long seed) {
+        sendStartsThatAreHeldUp(seed, tasks());
+        crashLeader(BACK_AT_ONCE_MS);
+        assertTasksRunOnceAndEnd();
+    }
+
+    // The controllers that are back have forgotten what they held; the third has it.
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void startRunsNowhereElseIfAnotherControllerCrashesWithTheLeader(long seed) {
+        sendStartsThatAreHeldUp(seed, tasks());
+        int leader = simulation.leader();
+        simulation.crash(leader, BACK_AT_ONCE_MS);
+        simulation.crash((leader + 1 + (int) (seed % 2)) % CONTROLLERS, BACK_AT_ONCE_MS);
+        assertTasksRunOnceAndEnd();
+    }
+
+    // The new leader waits for the controller that knows, and meanwhile places nothing that may run.
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void startRunsNowhereElseIfTheOnlyControllerThatKnowsIsReachedLate(long seed) {
+        sendStartsThatAreHeldUp(seed, tasks());
+        int leader = simulation.leader();
+        String knowing = Hosts.controller((leader + 1) % CONTROLLERS);
+        simulation.network().partition(knowing, Hosts.ALL);
+        simulation.crash(leader, BACK_AT_ONCE_MS);
+        simulation.crash((leader + 2) % CONTROLLERS, BACK_AT_ONCE_MS);
+        simulation.runChecked(10_000);
+        simulation.network().heal(knowing, Hosts.ALL);
+        assertTasksRunOnceAndEnd();
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void startRunsNowhereElseAfterASecondFailover(long seed) {
+        sendStartsThatAreHeldUp(seed, tasks());
+        crashLeader(BACK_MS);
+        simulation.runChecked(5_000 + 250 * seed);
+        crashLeader(BACK_MS);
+        assertTasksRunOnceAndEnd();
+    }
+
+    // One follower is out of sync: the leader has gone on without its acknowledgements.
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void startRunsNowhereElseIfAFollowerWasCutOffFromTheLeader(long seed) {
+        simulation = clusterWithServices(seed);
+        String leader = Hosts.controller(simulation.leader());
+        String follower = Hosts.controller((simulation.leader() + 1 + (int) (seed % 2)) % CONTROLLERS);
+        simulation.users().submitUntilAccepted(JobRequests.array("j-000700", "blue", 4, 4, 90));
+        simulation.runChecked(30_000);
+        simulation.network().partition(leader, follower);
+        simulation.runChecked(5_000);
+        machines = simulation.agents().machinesWithRoom(TASK_CPUS);
+        machines.forEach(simulation.network()::holdCommands);
+        simulation.users().submitUntilAccepted(tasks());
+        simulation.runChecked(1_000);
+        crashLeader(BACK_MS);
+        simulation.network().heal(leader, follower);
+        assertTasksRunOnceAndEnd();
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void gangsStartRunsNowhereElse(long seed) {
+        sendStartsThatAreHeldUp(seed, tasks().put("shape", "gang"));
+        crashLeader(BACK_MS);
+        assertTasksRunOnceAndEnd();
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void startOfAJobThatIsCancelledAfterwardsRunsNot(long seed) {
+        sendStartsThatAreHeldUp(seed, tasks());
+        crashLeader(BACK_MS);
+        runUntilTasksRun();
+        simulation.users().cancelJob(simulation.leaderOrFirst(), JOB, reply -> {});
+        simulation.runChecked(CANCEL_MS + LEASE_MS);
+        rebootAndDeliverHeldCommands();
+        simulation.runChecked(RECOVERY_MS);
+        assertHealthy(simulation);
+    }
+
+    // Nobody is left who knows of the start.
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void startRunsNowhereElseAfterAllControllersHaveCrashed(long seed) {
+        sendStartsThatAreHeldUp(seed, tasks());
+        IntStream.range(0, CONTROLLERS).forEach(controller -> simulation.crash(controller, BACK_MS));
+        assertTasksRunOnceAndEnd();
+    }
+}
--- a/src/test/java/io/quartzgw/app/LogEventsTest.java
+++ b/src/test/java/io/quartzgw/app/LogEventsTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.quartzgw.simulation.ClusterSimulation;
+import io.quartzgw.simulation.Hosts;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -11,6 +12,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 /** What the log and the counters tell those on call of rare events. */
@@ -57,8 +59,9 @@
         ClusterSimulation simulation = ClusterFixtures.clusterWithServices();
         simulation.users().submitUntilAccepted(JobRequests.array("j-000700", "blue", 4, 4, 90));
         simulation.runChecked(30_000);
-        List<String> machines = simulation.agents().machineIds();
-        String machine = machines.get(machines.size() - 1);
+        List<String> withRoom = simulation.agents().machinesWithRoom(4);
+        assertEquals(1, withRoom.size(), "the tasks go to this machine");
+        String machine = withRoom.get(0);
         PrintStream standardError = System.err;
         System.setErr(new PrintStream(log, true, StandardCharsets.UTF_8));
         try {
@@ -79,6 +82,45 @@
         assertInReadme("start unanswered", "raised token shown", "cancelled attempt may be started");
     }
 
+    @Test
+    void replicationOfStartsIsSeenInTheLogAndInTheCounters() throws IOException {
+        ClusterSimulation simulation = ClusterFixtures.clusterWithServices();
+        int leader = simulation.leader();
+        int follower = (leader + 1) % 3;
+        PrintStream standardError = System.err;
+        System.setErr(new PrintStream(log, true, StandardCharsets.UTF_8));
+        try {
+            simulation.network().partition(Hosts.controller(leader), Hosts.controller(follower));
+            simulation.runChecked(5_000);
+            assertEquals(1, simulation.counter("replication.in_sync"));
+            simulation.network().heal(Hosts.controller(leader), Hosts.controller(follower));
+            simulation.runChecked(5_000);
+            assertEquals(2, simulation.counter("replication.in_sync"));
+            simulation.agents().machineIds().forEach(simulation.network()::holdCommands);
+            simulation.users().submitUntilAccepted(JobRequests.array("j-000701", "blue", 2, 2, 60));
+            simulation.runChecked(1_000);
+            assertTrue(simulation.counter("replication.starts") > 0);
+            simulation.crash(leader, 1_000);
+            simulation.runChecked(PAUSE_MS);
+            assertEquals(2, simulation.counter("takeover.starts_inherited"));
+            IntStream.range(0, 3).forEach(controller -> simulation.crash(controller, 1_000));
+            simulation.runChecked(PAUSE_MS);
+            assertEquals(1, simulation.counter("takeover.starts_unknown"));
+        } finally {
+            System.setErr(standardError);
+        }
+        assertLogged("replication stalled", "member=rig-" + follower, "term=4096", "status=0", "unacknowledged=");
+        assertLogged("replication resumed", "member=rig-" + follower, "stalled_ms=");
+        assertLogged("followers in sync recorded", "term=4096", "members=[rig-");
+        assertLogged("former starts inherited", "source=rig-", "former_term=4096", "machines=1", "inherited=2");
+        assertLogged("former starts unknown", "controllers_without_replica=2", "machines=");
+        assertInReadme(
+                "replication stalled",
+                "former starts inherited",
+                "former starts unknown",
+                "followers in sync recorded");
+    }
+
     private static void assertInReadme(String... events) throws IOException {
         String readme = Files.readString(Path.of("README.md"));
         for (String event : events) {
--- a/src/test/java/io/quartzgw/app/UnfencedStartsTest.java
+++ b/src/test/java/io/quartzgw/app/UnfencedStartsTest.java
@@ -69,6 +69,19 @@
         run(simulation, seed, Fault.LEADER_CRASH);
     }
 
+    static LongStream seedsWithCrashes() {
+        return SeedRanges.range("unfencedCrashes", 1, 25);
+    }
+
+    /** Guards against ran_twice: a successor has to know the starts that its predecessor had sent. */
+    @ParameterizedTest
+    @MethodSource("seedsWithCrashes")
+    void invariantsHoldWhileLeadersCrashWithStartsHeldUp(long seed) {
+        ClusterSimulation simulation = newSimulation(seed, CONTROLLERS);
+        CrashesWithHeldUpStarts.scheduleAll(simulation, seed, FAULTS_END);
+        run(simulation, seed, Fault.REBOOT);
+    }
+
     /**
      * The leader resigns, since it does not reach a deaf machine; its start, "direct call ended outcome=unknown
      * term_current=false" in the log, reaches that machine after a reboot. The new leader, which knows nothing of the
--- /dev/null
+++ b/src/test/java/io/quartzgw/replication/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the replication of starts. */
+package io.quartzgw.replication;
--- a/src/test/java/io/quartzgw/simulation/SimulatedAgents.java
+++ b/src/test/java/io/quartzgw/simulation/SimulatedAgents.java
@@ -147,6 +147,14 @@
         });
     }
 
+    /** The machines with so much free capacity. */
+    public List<String> machinesWithRoom(double cpus) {
+        return all().stream()
+                .filter(agent -> agent.freeCpus() >= cpus)
+                .map(agent -> agent.id)
+                .toList();
+    }
+
     private Optional<Host> find(String id) {
         return Optional.ofNullable(hosts.get(id));
     }
