A new leader keeps the capacity of inherited starts from the beginning

Cause: a task whose start was inherited was allocated to its machine only when no silent machine could run it; by then its capacity was given away, the agent refused the start, and the machine was fenced for the attempt.

Fix: the task is allocated at once, and its start is withheld until the job is accounted for and the team's quota allows it. A later attempt that an agent reports takes its place. A machine that is not verified is not fenced for what is lost there.

StartReplicatorTest has a test for a guard that could be taken out unnoticed: the record names a follower again only when it has the whole log.

--- a/src/main/java/io/quartzgw/fleet/FencingPolicy.java
+++ b/src/main/java/io/quartzgw/fleet/FencingPolicy.java
@@ -68,7 +68,10 @@
 
     // A reachable agent is sent the starts of lost attempts again.
     private boolean hasUnreachableLost(Machine machine) {
-        if (!machine.reservationExpired() && !machine.liveness().unreachable()) {
+        // Of a machine that is not verified it is not known what runs there.
+        boolean unreachable =
+                machine.liveness().verified() && machine.liveness().unreachable();
+        if (!machine.reservationExpired() && !unreachable) {
             return false;
         }
         long waitMs = machine.reservationExpired() ? 0 : reachableAgainMs;
--- a/src/main/java/io/quartzgw/recovery/UnverifiedMachines.java
+++ b/src/main/java/io/quartzgw/recovery/UnverifiedMachines.java
@@ -73,18 +73,11 @@
         return verified;
     }
 
-    /**
-     * Marks the jobs that can have no task on the remaining machines as fully accounted for.
-     *
-     * @param beforeResolution performed before the unaccounted tasks of a job become pending
-     */
-    void resolveUnaccounted(Consumer<Job> beforeResolution) {
+    /** Marks the jobs that can have no task on the remaining machines as fully accounted for. */
+    void resolveUnaccounted() {
         List.copyOf(cluster.jobsWithUnaccountedTasks()).stream()
                 .filter(job -> !mayRunOnAny(job))
-                .forEach(job -> {
-                    beforeResolution.accept(job);
-                    cluster.resolveUnaccounted(job);
-                });
+                .forEach(cluster::resolveUnaccounted);
     }
 
     /**
@@ -100,7 +93,8 @@
         }
     }
 
-    private boolean mayRunOnAny(Job job) {
+    /** Returns whether any of the machines may run a task of the job. */
+    boolean mayRunOnAny(Job job) {
         return machines.stream().anyMatch(machine -> mayRunOn(job, machine));
     }
 
--- a/src/main/java/io/quartzgw/scheduling/Allocation.java
+++ b/src/main/java/io/quartzgw/scheduling/Allocation.java
@@ -91,6 +91,7 @@
         }
         phase = reported;
         lostAt = NOT_LOST;
+        startWithheld = false;
     }
 
     /** Records that the attempt no longer runs, with its agent or by itself, though it may be started again there. */
--- a/src/test/java/io/quartzgw/replication/ReplicationFixture.java
+++ b/src/test/java/io/quartzgw/replication/ReplicationFixture.java
@@ -18,6 +18,7 @@
 import io.quartzgw.store.StoreLimits;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -43,6 +44,8 @@
     final List<Call> delivered = new ArrayList<>();
 
     private final Map<String, FollowerProcess> followers = new HashMap<>();
+    private final Set<String> unreachable = new HashSet<>();
+    private Runnable afterStoreCall = () -> {};
     private long now;
     private long processes;
 
@@ -85,6 +88,20 @@
         followers.remove(member);
     }
 
+    /** Sets whether calls to a follower are lost while its process goes on. */
+    void setUnreachable(String member, boolean on) {
+        if (on) {
+            unreachable.add(member);
+        } else {
+            unreachable.remove(member);
+        }
+    }
+
+    /** Sets what is run after every call to the state service. */
+    void afterStoreCall(Runnable action) {
+        afterStoreCall = action;
+    }
+
     ReplicaHolder holder(String member) {
         return followers.get(member).holder;
     }
@@ -135,6 +152,7 @@
                 if (send.request().endpoint().equals(STATE)) {
                     stateService.handle(
                             send.request(), now, reply -> replies.add(new Command.CallEnded(send.call(), reply)));
+                    afterStoreCall.run();
                 } else {
                     replies.add(new Command.CallEnded(send.call(), callFollower(send.request())));
                 }
@@ -149,7 +167,7 @@
                 .findFirst()
                 .orElseThrow()
                 .getKey();
-        if (!followers.containsKey(member)) {
+        if (!followers.containsKey(member) || unreachable.contains(member)) {
             return Reply.lost();
         }
         delivered.add(call);
--- a/src/test/java/io/quartzgw/replication/StartReplicatorTest.java
+++ b/src/test/java/io/quartzgw/replication/StartReplicatorTest.java
@@ -102,6 +102,31 @@
         assertFalse(isReplicated(LATER), "it is waited for again");
     }
 
+    // Guards against a successor that trusts a replica from before its follower was left out.
+    @Test
+    void recordNamesAFollowerAgainOnlyOnceItHoldsTheWholeLog() {
+        int machines = 3 * ReplicaHolder.MAX_STARTS_PER_MESSAGE;
+        cluster.setUnreachable(ONE, true);
+        for (int i = 0; i < machines; i++) {
+            replicator.announce("i-2" + i, Set.of(START));
+        }
+        cluster.pass(2 * HEARTBEAT_MS);
+        assertEquals(Set.of(OTHER, LEADER), cluster.record().members());
+        List<Integer> heldWhenNamed = new ArrayList<>();
+        cluster.afterStoreCall(() -> {
+            if (cluster.record().members().contains(ONE)) {
+                heldWhenNamed.add(machinesHeldBy(ONE));
+            }
+        });
+        cluster.setUnreachable(ONE, false);
+        cluster.pass(2 * HEARTBEAT_MS);
+        assertEquals(machines, heldWhenNamed.get(0));
+    }
+
+    private int machinesHeldBy(String member) {
+        return cluster.holder(member).complete().orElseThrow().machines().size();
+    }
+
     @Test
     void atLeastOneFollowerHasToHoldAStart() {
         cluster.end(ONE);
