--- a/src/main/java/io/quartzgw/agent/InheritedStarts.java
+++ b/src/main/java/io/quartzgw/agent/InheritedStarts.java
@@ -43,7 +43,7 @@
 
     /**
      * Takes over the starts that may have been sent to machines that exist, of tasks that are not done. Their tasks are
-     * allocated to those machines, with the same attempts, as if they had been lost there.
+     * allocated to those machines, with the same attempts, as the former leader had them.
      *
      * @return how many were taken over
      */
@@ -67,7 +67,9 @@
         }
         Allocation allocation = cluster.allocate(job, start.attempt.index(), start.machine, start.attempt.number());
         allocation.markStartSent();
-        allocation.markLost(eventLoop.nowMs());
+        if (start.machine.reservationExpired()) {
+            allocation.markLost(eventLoop.nowMs());
+        }
         allocation.withholdStart(true);
         withheld.add(allocation);
     }
