Move: an attempt is one type, in model, for agents, commands and the replication

agent.Attempt and replication.ReplicatedStart named the same thing. No behaviour changes; agent.Attempts relates attempts to allocations and open jobs.

--- a/src/main/java/io/quartzgw/agent/AgentCommand.java
+++ b/src/main/java/io/quartzgw/agent/AgentCommand.java
@@ -1,5 +1,6 @@
 package io.quartzgw.agent;
 
+import io.quartzgw.model.Attempt;
 import java.util.List;
 
 /** A command to an agent. */
--- a/src/main/java/io/quartzgw/agent/AgentCommandCodec.java
+++ b/src/main/java/io/quartzgw/agent/AgentCommandCodec.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.quartzgw.http.Json;
+import io.quartzgw.model.Attempt;
 import java.util.List;
 
 /** Encodes commands to agents with the names that the protocol uses. */
--- a/src/main/java/io/quartzgw/agent/AgentRegistry.java
+++ b/src/main/java/io/quartzgw/agent/AgentRegistry.java
@@ -93,7 +93,7 @@
         AgentState agent = agentOf(allocation.machine());
         boolean neverSent = !allocation.startSent()
                 && !allocation.observed()
-                && !agent.outstandingStarts().isOutstanding(Attempt.of(allocation));
+                && !agent.outstandingStarts().isOutstanding(Attempts.of(allocation));
         if (neverSent) {
             cluster.release(allocation);
             // The other controllers have to hear that its start is not sent.
--- a/src/main/java/io/quartzgw/agent/AgentState.java
+++ b/src/main/java/io/quartzgw/agent/AgentState.java
@@ -1,6 +1,7 @@
 package io.quartzgw.agent;
 
 import io.quartzgw.liveness.HeartbeatId;
+import io.quartzgw.model.Attempt;
 import io.quartzgw.scheduling.Allocation;
 import io.quartzgw.scheduling.Machine;
 import java.util.Arrays;
@@ -141,7 +142,7 @@
                 && !allocation.stopping()
                 && !allocation.startWithheld()
                 && !allocation.job().isTerminal()
-                && !outstandingStarts.isInFlight(Attempt.of(allocation));
+                && !outstandingStarts.isInFlight(Attempts.of(allocation));
     }
 
     /** Handles a new agent on the same machine: it knows neither tasks nor tokens. */
--- a/src/main/java/io/quartzgw/agent/AllocationRelease.java
+++ b/src/main/java/io/quartzgw/agent/AllocationRelease.java
@@ -1,6 +1,7 @@
 package io.quartzgw.agent;
 
 import io.quartzgw.eventloop.EventLoop;
+import io.quartzgw.model.Attempt;
 import io.quartzgw.scheduling.Allocation;
 import io.quartzgw.scheduling.ClusterState;
 import io.quartzgw.scheduling.Machine;
@@ -48,7 +49,7 @@
         return mayBeInherited
                 || registry.agentOf(allocation.machine())
                         .outstandingStarts()
-                        .isOutstandingDirectly(Attempt.of(allocation));
+                        .isOutstandingDirectly(Attempts.of(allocation));
     }
 
     private boolean isFenced(Allocation allocation) {
@@ -64,7 +65,7 @@
         return !allocation.job().isDone(allocation.index())
                 && registry.agentOf(allocation.machine())
                         .outstandingStarts()
-                        .isResponseAwaited(Attempt.of(allocation), eventLoop.nowMs());
+                        .isResponseAwaited(Attempts.of(allocation), eventLoop.nowMs());
     }
 
     /** Handles that an attempt has exited. */
@@ -121,7 +122,7 @@
     }
 
     private void settleStopped(Allocation allocation, OutstandingStarts outstanding) {
-        Attempt attempt = Attempt.of(allocation);
+        Attempt attempt = Attempts.of(allocation);
         if (!outstanding.isOutstanding(attempt)) {
             cluster.release(allocation);
         } else if (outstanding.isOutstandingOnlyUnanswered(attempt)) {
--- a/src/main/java/io/quartzgw/agent/CommandDispatcher.java
+++ b/src/main/java/io/quartzgw/agent/CommandDispatcher.java
@@ -7,6 +7,7 @@
 import io.quartzgw.leadership.LeaderTerm;
 import io.quartzgw.liveness.AgentLiveness;
 import io.quartzgw.liveness.AgentTiming;
+import io.quartzgw.model.Attempt;
 import io.quartzgw.scheduling.Machine;
 import java.util.List;
 import org.slf4j.Logger;
--- a/src/main/java/io/quartzgw/agent/Heartbeat.java
+++ b/src/main/java/io/quartzgw/agent/Heartbeat.java
@@ -2,6 +2,7 @@
 
 import io.quartzgw.http.Endpoint;
 import io.quartzgw.liveness.HeartbeatId;
+import io.quartzgw.model.Attempt;
 import java.util.List;
 import java.util.OptionalDouble;
 
--- a/src/main/java/io/quartzgw/agent/HeartbeatCodec.java
+++ b/src/main/java/io/quartzgw/agent/HeartbeatCodec.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.core.JsonToken;
 import io.quartzgw.http.Endpoint;
 import io.quartzgw.liveness.HeartbeatId;
+import io.quartzgw.model.Attempt;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Arrays;
--- a/src/main/java/io/quartzgw/agent/HeartbeatResponder.java
+++ b/src/main/java/io/quartzgw/agent/HeartbeatResponder.java
@@ -1,6 +1,7 @@
 package io.quartzgw.agent;
 
 import io.quartzgw.liveness.AgentLiveness.Freshness;
+import io.quartzgw.model.Attempt;
 import io.quartzgw.scheduling.Machine;
 import java.util.ArrayList;
 import java.util.List;
@@ -78,7 +79,7 @@
     /** A task is only started by a leader that has read its job, so a job that this leader does not have has ended. */
     private boolean isTerminal(Attempt attempt) {
         return isCancelled.test(attempt.job())
-                || attempt.openJob(leader.cluster()).isEmpty();
+                || Attempts.openJob(attempt, leader.cluster()).isEmpty();
     }
 
     private static List<AgentCommand> terminalStops(Heartbeat heartbeat, Predicate<Attempt> terminal) {
--- a/src/main/java/io/quartzgw/agent/InheritedStarts.java
+++ b/src/main/java/io/quartzgw/agent/InheritedStarts.java
@@ -1,6 +1,7 @@
 package io.quartzgw.agent;
 
 import io.quartzgw.eventloop.EventLoop;
+import io.quartzgw.model.Attempt;
 import io.quartzgw.replication.MachineStarts;
 import io.quartzgw.scheduling.Allocation;
 import io.quartzgw.scheduling.ClusterState;
@@ -49,7 +50,7 @@
     int inherit(Collection<MachineStarts> formerStarts) {
         for (MachineStarts machineStarts : formerStarts) {
             cluster.findMachine(machineStarts.machine())
-                    .ifPresent(machine -> machineStarts.starts().forEach(start -> add(machine, Attempt.of(start))));
+                    .ifPresent(machine -> machineStarts.starts().forEach(start -> add(machine, start)));
         }
         newestByTask.values().forEach(this::markOutstanding);
         return newestByTask.size();
@@ -63,7 +64,7 @@
 
     /** A start is announced before it is recorded, and recorded before it is sent. */
     private boolean mayHaveBeenSent(Attempt attempt) {
-        return attempt.openJob(cluster)
+        return Attempts.openJob(attempt, cluster)
                 .filter(job -> attempt.index() < job.recordedStartLimit() && !job.isDone(attempt.index()))
                 .isPresent();
     }
--- a/src/main/java/io/quartzgw/agent/PendingCommands.java
+++ b/src/main/java/io/quartzgw/agent/PendingCommands.java
@@ -1,5 +1,6 @@
 package io.quartzgw.agent;
 
+import io.quartzgw.model.Attempt;
 import io.quartzgw.scheduling.Allocation;
 import java.util.ArrayList;
 import java.util.List;
@@ -72,7 +73,7 @@
     private static List<AgentCommand> stopsOfUnfenced(AgentState agent) {
         List<AgentCommand> commands = new ArrayList<>();
         for (Allocation allocation : agent.machine().fencing().unfenced()) {
-            Attempt attempt = Attempt.of(allocation);
+            Attempt attempt = Attempts.of(allocation);
             if (agent.mayStart(attempt)) {
                 commands.add(AgentCommand.Stop.immediately(attempt));
             }
@@ -84,7 +85,7 @@
     // moment, and a leader that is not confirmed, or knows the job as cancelled, must start nothing. An attempt whose
     // start comes late is stopped once a heartbeat shows it, and its task waits until then (AllocationRelease).
     private static void addStop(AgentState agent, Allocation allocation, List<AgentCommand> commands) {
-        Attempt attempt = Attempt.of(allocation);
+        Attempt attempt = Attempts.of(allocation);
         if (allocation.observed() || agent.outstandingStarts().isUnanswered(attempt)) {
             commands.add(new AgentCommand.Stop(attempt, allocation.stopGraceS()));
         }
@@ -100,7 +101,7 @@
             if (!agent.isStartPending(allocation)) {
                 continue;
             }
-            Attempt attempt = Attempt.of(allocation);
+            Attempt attempt = Attempts.of(allocation);
             boolean startRecorded = allocation.index() < allocation.job().recordedStartLimit();
             if (!startRecorded) {
                 listener.recordNeeded(allocation.job(), allocation.index());
--- a/src/main/java/io/quartzgw/agent/StartAnnouncer.java
+++ b/src/main/java/io/quartzgw/agent/StartAnnouncer.java
@@ -1,6 +1,6 @@
 package io.quartzgw.agent;
 
-import io.quartzgw.replication.ReplicatedStart;
+import io.quartzgw.model.Attempt;
 import io.quartzgw.replication.StartReplicator;
 import java.util.LinkedHashSet;
 import java.util.Set;
@@ -22,11 +22,10 @@
     void announce(AgentState agent) {
         Stream<Attempt> pending = agent.machine().allocations().stream()
                 .filter(agent::isStartPending)
-                .map(Attempt::of);
+                .map(Attempts::of);
         Stream<Attempt> outstanding = agent.outstandingStarts().outstandingDirectly().stream();
-        Set<ReplicatedStart> starts = Stream.concat(pending, outstanding)
-                .map(Attempt::toReplicatedStart)
-                .collect(Collectors.toCollection(LinkedHashSet::new));
+        Set<Attempt> starts = Stream.concat(pending, outstanding).collect(Collectors.toCollection(LinkedHashSet::new));
+
         replicator.announce(agent.machine().id(), starts);
     }
 
@@ -37,6 +36,6 @@
 
     /** Returns whether a direct call may carry a start: its announcement has arrived. */
     boolean mayLeaveDirectly(AgentState agent, Attempt attempt) {
-        return replicator.isReplicated(agent.machine().id(), attempt.toReplicatedStart());
+        return replicator.isReplicated(agent.machine().id(), attempt);
     }
 }
--- a/src/main/java/io/quartzgw/agent/TaskReconciler.java
+++ b/src/main/java/io/quartzgw/agent/TaskReconciler.java
@@ -2,6 +2,7 @@
 
 import io.quartzgw.eventloop.EventLoop;
 import io.quartzgw.liveness.AgentTiming;
+import io.quartzgw.model.Attempt;
 import io.quartzgw.scheduling.Allocation;
 import io.quartzgw.scheduling.ClusterState;
 import io.quartzgw.scheduling.Job;
@@ -93,7 +94,7 @@
      */
     private void releaseUnreported(Machine machine, Set<Attempt> reported) {
         for (Allocation allocation : machine.allocationsSnapshot()) {
-            if (allocation.observed() && !reported.contains(Attempt.of(allocation))) {
+            if (allocation.observed() && !reported.contains(Attempts.of(allocation))) {
                 release.attemptLost(allocation);
             }
         }
@@ -129,7 +130,7 @@
             return;
         }
         Attempt attempt = task.attempt();
-        Optional<Job> job = attempt.openJob(cluster).filter(open -> needsAllocation(open, attempt));
+        Optional<Job> job = Attempts.openJob(attempt, cluster).filter(open -> needsAllocation(open, attempt));
         if (job.isPresent()) {
             cluster.allocate(job.get(), attempt.index(), agent.machine(), attempt.number())
                     .recordPhase(phase, eventLoop.nowMs());
@@ -162,7 +163,7 @@
         agentsReportingExit
                 .computeIfAbsent(attempt.job(), id -> new HashSet<>())
                 .add(agent);
-        Optional<Job> openJob = attempt.openJob(cluster);
+        Optional<Job> openJob = Attempts.openJob(attempt, cluster);
         if (openJob.isEmpty()) {
             agent.addRemovable(attempt);
         } else if (task.cause() == Heartbeat.ExitCause.DONE
--- a/src/main/java/io/quartzgw/agent/UnfencedAttemptsMonitor.java
+++ b/src/main/java/io/quartzgw/agent/UnfencedAttemptsMonitor.java
@@ -2,6 +2,7 @@
 
 import io.quartzgw.eventloop.EventLoop;
 import io.quartzgw.liveness.AgentTiming;
+import io.quartzgw.model.Attempt;
 import io.quartzgw.scheduling.Allocation;
 import io.quartzgw.scheduling.Machine;
 import java.util.HashSet;
@@ -50,7 +51,7 @@
         Set<Attempt> atRisk = new HashSet<>();
         for (Allocation allocation : unfenced) {
             if (isLongStartable(allocation)) {
-                atRisk.add(Attempt.of(allocation));
+                atRisk.add(Attempts.of(allocation));
                 warnOnce(allocation);
             }
         }
@@ -73,11 +74,11 @@
         return allocation.job().isTerminal()
                 && machine.liveness().heartbeatWithin(timing.leaseMs(), eventLoop.nowMs())
                 && allocation.isLostFor((long) (WARNING_CANCEL_FRACTION * timing.cancelMs()), eventLoop.nowMs())
-                && registry.agentOf(machine).mayStart(Attempt.of(allocation));
+                && registry.agentOf(machine).mayStart(Attempts.of(allocation));
     }
 
     private void warnOnce(Allocation allocation) {
-        if (warned.contains(Attempt.of(allocation))) {
+        if (warned.contains(Attempts.of(allocation))) {
             return;
         }
         Machine machine = allocation.machine();
--- a/src/main/java/io/quartzgw/replication/MachineStarts.java
+++ b/src/main/java/io/quartzgw/replication/MachineStarts.java
@@ -1,5 +1,6 @@
 package io.quartzgw.replication;
 
+import io.quartzgw.model.Attempt;
 import java.util.Set;
 
 /**
@@ -8,4 +9,4 @@
  * @param machine the machine's ID
  * @param starts the starts; empty if there are none any more
  */
-public record MachineStarts(String machine, Set<ReplicatedStart> starts) {}
+public record MachineStarts(String machine, Set<Attempt> starts) {}
--- a/src/main/java/io/quartzgw/replication/ReplicationCodec.java
+++ b/src/main/java/io/quartzgw/replication/ReplicationCodec.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.quartzgw.http.Json;
+import io.quartzgw.model.Attempt;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -151,7 +152,7 @@
             machine.starts().forEach(start -> starts.addArray()
                     .add(start.job())
                     .add(start.index())
-                    .add(start.attempt()));
+                    .add(start.number()));
         }
         return node;
     }
@@ -162,7 +163,7 @@
         }
         List<MachineStarts> machines = new ArrayList<>();
         for (Map.Entry<String, JsonNode> entry : node.properties()) {
-            Optional<Set<ReplicatedStart>> starts = decodeStarts(entry.getValue());
+            Optional<Set<Attempt>> starts = decodeStarts(entry.getValue());
             if (starts.isEmpty()) {
                 return Optional.empty();
             }
@@ -171,16 +172,16 @@
         return Optional.of(machines);
     }
 
-    private static Optional<Set<ReplicatedStart>> decodeStarts(JsonNode node) {
+    private static Optional<Set<Attempt>> decodeStarts(JsonNode node) {
         if (!node.isArray()) {
             return Optional.empty();
         }
-        Set<ReplicatedStart> starts = new LinkedHashSet<>();
+        Set<Attempt> starts = new LinkedHashSet<>();
         for (JsonNode start : node) {
             if (!isStart(start)) {
                 return Optional.empty();
             }
-            starts.add(new ReplicatedStart(
+            starts.add(new Attempt(
                     start.get(JOB).asText(),
                     start.get(INDEX).asInt(),
                     start.get(ATTEMPT).asLong()));
--- a/src/main/java/io/quartzgw/replication/StartLog.java
+++ b/src/main/java/io/quartzgw/replication/StartLog.java
@@ -1,5 +1,6 @@
 package io.quartzgw.replication;
 
+import io.quartzgw.model.Attempt;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -31,7 +32,7 @@
     record Addition(long version, long atMs) {}
 
     /** The starts of a machine, and the version of the last change. */
-    private record Entry(long version, Map<ReplicatedStart, Addition> additions) {}
+    private record Entry(long version, Map<Attempt, Addition> additions) {}
 
     /**
      * The changes after a version.
@@ -47,15 +48,15 @@
     }
 
     /** Sets all starts of a machine, and returns whether that changes anything. */
-    boolean put(String machine, Set<ReplicatedStart> starts, long nowMs) {
+    boolean put(String machine, Set<Attempt> starts, long nowMs) {
         Entry before = entries.get(machine);
-        Set<ReplicatedStart> known = before == null ? Set.of() : before.additions.keySet();
+        Set<Attempt> known = before == null ? Set.of() : before.additions.keySet();
         if (known.equals(starts)) {
             return false;
         }
         version++;
-        Map<ReplicatedStart, Addition> additions = new LinkedHashMap<>();
-        for (ReplicatedStart start : starts) {
+        Map<Attempt, Addition> additions = new LinkedHashMap<>();
+        for (Attempt start : starts) {
             additions.put(start, known.contains(start) ? before.additions.get(start) : new Addition(version, nowMs));
         }
         if (before != null) {
@@ -71,7 +72,7 @@
     }
 
     /** Returns whether a follower with some version has a machine's start. */
-    boolean isIn(long followerVersion, String machine, ReplicatedStart start) {
+    boolean isIn(long followerVersion, String machine, Attempt start) {
         Entry entry = entries.get(machine);
         Addition addition = entry == null ? null : entry.additions.get(start);
         return addition != null && addition.version <= followerVersion;
--- a/src/main/java/io/quartzgw/replication/StartReplica.java
+++ b/src/main/java/io/quartzgw/replication/StartReplica.java
@@ -1,5 +1,6 @@
 package io.quartzgw.replication;
 
+import io.quartzgw.model.Attempt;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.NavigableMap;
@@ -9,7 +10,7 @@
 /** What one controller holds of the log of one leader's starts. */
 public final class StartReplica {
     private final long term;
-    private final NavigableMap<String, Set<ReplicatedStart>> startsByMachine = new TreeMap<>();
+    private final NavigableMap<String, Set<Attempt>> startsByMachine = new TreeMap<>();
     private long version;
     private boolean complete;
 
--- a/src/main/java/io/quartzgw/replication/StartReplicator.java
+++ b/src/main/java/io/quartzgw/replication/StartReplicator.java
@@ -5,6 +5,7 @@
 import io.quartzgw.http.Endpoint;
 import io.quartzgw.http.Reply;
 import io.quartzgw.leadership.LeaderTerm;
+import io.quartzgw.model.Attempt;
 import io.quartzgw.store.StoreClient;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -66,14 +67,14 @@
     }
 
     /** Sets all starts that direct calls may carry to a machine from now on, or may still carry. */
-    public void announce(String machine, Set<ReplicatedStart> starts) {
+    public void announce(String machine, Set<Attempt> starts) {
         if (!followers.isEmpty()) {
             log.put(machine, starts, eventLoop.nowMs());
         }
     }
 
     /** Returns whether every other controller in sync has acknowledged a start that was announced. */
-    public boolean isReplicated(String machine, ReplicatedStart start) {
+    public boolean isReplicated(String machine, Attempt start) {
         return followers.isEmpty() || log.isIn(replicatedVersion, machine, start);
     }
 
--- a/src/test/java/io/quartzgw/agent/AgentCodecsTest.java
+++ b/src/test/java/io/quartzgw/agent/AgentCodecsTest.java
@@ -6,6 +6,7 @@
 import io.quartzgw.http.Endpoint;
 import io.quartzgw.http.Json;
 import io.quartzgw.liveness.HeartbeatId;
+import io.quartzgw.model.Attempt;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
--- a/src/test/java/io/quartzgw/agent/InheritedStartsTest.java
+++ b/src/test/java/io/quartzgw/agent/InheritedStartsTest.java
@@ -21,11 +21,11 @@
 import io.quartzgw.leadership.LeaderTerm;
 import io.quartzgw.leadership.Leadership;
 import io.quartzgw.liveness.AgentTiming;
+import io.quartzgw.model.Attempt;
 import io.quartzgw.model.JobShape;
 import io.quartzgw.model.MachineType;
 import io.quartzgw.model.Resources;
 import io.quartzgw.replication.MachineStarts;
-import io.quartzgw.replication.ReplicatedStart;
 import io.quartzgw.replication.StartReplicator;
 import io.quartzgw.scheduling.Allocation;
 import io.quartzgw.scheduling.ClusterState;
@@ -183,7 +183,7 @@
     }
 
     private int inherit(String machineId, int index, long attempt) {
-        Set<ReplicatedStart> starts = Set.of(new ReplicatedStart(JOB, index, attempt));
+        Set<Attempt> starts = Set.of(new Attempt(JOB, index, attempt));
         return agents.inheritStarts(List.of(new MachineStarts(machineId, starts)));
     }
 
@@ -222,8 +222,8 @@
     void ofSeveralStartsOfATaskTheNewestBindsIt() {
         addMachine(OTHER_MACHINE, "a");
         agents.inheritStarts(List.of(
-                new MachineStarts(MACHINE, Set.of(new ReplicatedStart(JOB, 0, FORMER_ATTEMPT + 1))),
-                new MachineStarts(OTHER_MACHINE, Set.of(new ReplicatedStart(JOB, 0, FORMER_ATTEMPT)))));
+                new MachineStarts(MACHINE, Set.of(new Attempt(JOB, 0, FORMER_ATTEMPT + 1))),
+                new MachineStarts(OTHER_MACHINE, Set.of(new Attempt(JOB, 0, FORMER_ATTEMPT)))));
         resolve();
         assertEquals(machine, job.allocation(0).machine());
     }
--- a/src/test/java/io/quartzgw/replication/FormerStartsReaderTest.java
+++ b/src/test/java/io/quartzgw/replication/FormerStartsReaderTest.java
@@ -9,6 +9,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.quartzgw.leadership.ControllerIdentity;
+import io.quartzgw.model.Attempt;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
@@ -18,7 +19,7 @@
 class FormerStartsReaderTest {
     private static final long LIMIT_MS = 15_000;
     private static final long FORMER_TERM = 3;
-    private static final ReplicatedStart START = new ReplicatedStart("j-000001", 0, 7);
+    private static final Attempt START = new Attempt("j-000001", 0, 7);
     private static final int MANY_MACHINES = 1_500;
 
     private final ReplicationFixture cluster = new ReplicationFixture();
--- a/src/test/java/io/quartzgw/replication/StartLogTest.java
+++ b/src/test/java/io/quartzgw/replication/StartLogTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.quartzgw.model.Attempt;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -19,8 +20,8 @@
 /** The log of a leader and the replicas that follow it. */
 class StartLogTest {
     private static final String MACHINE = "i-1";
-    private static final ReplicatedStart FIRST = new ReplicatedStart("j-000001", 0, 7);
-    private static final ReplicatedStart SECOND = new ReplicatedStart("j-000001", 1, 8);
+    private static final Attempt FIRST = new Attempt("j-000001", 0, 7);
+    private static final Attempt SECOND = new Attempt("j-000001", 1, 8);
     private static final int STEPS = 400;
     private static final int MACHINES = 12;
     private static final int FOLLOWERS = 2;
@@ -66,14 +67,14 @@
     @MethodSource("seeds")
     void replicaEqualsTheLogAtItsVersionHoweverItIsPaged(long seed) {
         SplittableRandom random = new SplittableRandom(seed);
-        Map<Long, Map<String, Set<ReplicatedStart>>> stateByVersion = new TreeMap<>();
-        Map<String, Set<ReplicatedStart>> state = new TreeMap<>();
+        Map<Long, Map<String, Set<Attempt>>> stateByVersion = new TreeMap<>();
+        Map<String, Set<Attempt>> state = new TreeMap<>();
         stateByVersion.put(log.version(), Map.of());
         StartReplica[] replicas =
                 IntStream.range(0, FOLLOWERS).mapToObj(i -> new StartReplica(1)).toArray(StartReplica[]::new);
         for (int step = 0; step < STEPS; step++) {
             String machine = "i-" + random.nextInt(MACHINES);
-            Set<ReplicatedStart> starts = randomStarts(random);
+            Set<Attempt> starts = randomStarts(random);
             log.put(machine, starts, step);
             put(state, machine, starts);
             stateByVersion.put(log.version(), Map.copyOf(state));
@@ -97,7 +98,7 @@
                 log.machines().stream().collect(Collectors.toMap(MachineStarts::machine, MachineStarts::starts)));
     }
 
-    private static void put(Map<String, Set<ReplicatedStart>> state, String machine, Set<ReplicatedStart> starts) {
+    private static void put(Map<String, Set<Attempt>> state, String machine, Set<Attempt> starts) {
         if (starts.isEmpty()) {
             state.remove(machine);
         } else {
@@ -105,9 +106,9 @@
         }
     }
 
-    private static Set<ReplicatedStart> randomStarts(SplittableRandom random) {
+    private static Set<Attempt> randomStarts(SplittableRandom random) {
         return IntStream.range(0, random.nextInt(4))
-                .mapToObj(i -> new ReplicatedStart("j-000001", random.nextInt(5), 1 + random.nextInt(9)))
+                .mapToObj(i -> new Attempt("j-000001", random.nextInt(5), 1 + random.nextInt(9)))
                 .collect(Collectors.toSet());
     }
 
@@ -118,7 +119,7 @@
         return changes.complete();
     }
 
-    private static Map<String, Set<ReplicatedStart>> startsOf(StartReplica replica) {
+    private static Map<String, Set<Attempt>> startsOf(StartReplica replica) {
         return replica.machines().stream().collect(Collectors.toMap(MachineStarts::machine, MachineStarts::starts));
     }
 
--- a/src/test/java/io/quartzgw/replication/StartReplicatorTest.java
+++ b/src/test/java/io/quartzgw/replication/StartReplicatorTest.java
@@ -10,6 +10,7 @@
 
 import io.quartzgw.http.Call;
 import io.quartzgw.http.Json;
+import io.quartzgw.model.Attempt;
 import io.quartzgw.store.Transaction;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
@@ -24,8 +25,8 @@
 /** When a start counts as known to the other controllers, and what they hold of it. */
 class StartReplicatorTest {
     private static final String MACHINE = "i-1";
-    private static final ReplicatedStart START = new ReplicatedStart("j-000001", 0, 7);
-    private static final ReplicatedStart LATER = new ReplicatedStart("j-000001", 1, 8);
+    private static final Attempt START = new Attempt("j-000001", 0, 7);
+    private static final Attempt LATER = new Attempt("j-000001", 1, 8);
     private static final int BAD_REQUEST = 400;
     private static final int CONFLICT = 409;
 
@@ -40,17 +41,17 @@
         cluster.pass(HEARTBEAT_MS);
     }
 
-    private void announce(ReplicatedStart... starts) {
+    private void announce(Attempt... starts) {
         cluster.run(() -> replicator.announce(MACHINE, new LinkedHashSet<>(List.of(starts))));
     }
 
-    private boolean isReplicated(ReplicatedStart start) {
+    private boolean isReplicated(Attempt start) {
         return replicator.isReplicated(MACHINE, start);
     }
 
-    private Optional<Set<ReplicatedStart>> heldBy(String member) {
+    private Optional<Set<Attempt>> heldBy(String member) {
         return cluster.holder(member).complete().map(replica -> {
-            Set<ReplicatedStart> starts = new LinkedHashSet<>();
+            Set<Attempt> starts = new LinkedHashSet<>();
             replica.machines().forEach(machine -> starts.addAll(machine.starts()));
             return starts;
         });
