--- a/src/test/java/io/quartzgw/app/HeldUpStartsTest.java
+++ b/src/test/java/io/quartzgw/app/HeldUpStartsTest.java
@@ -23,7 +23,7 @@
  */
 class HeldUpStartsTest {
     private static final int CONTROLLERS = 3;
-    private static final AgentTiming TIMING = new AgentTiming(5_000, 26_500, 56_500);
+    static final AgentTiming TIMING = new AgentTiming(5_000, 26_500, 56_500);
 
     private static final int SERVICES = 12;
     /** Each service takes a large machine or two small ones; as many are left to move them to. */
@@ -31,7 +31,7 @@
 
     private static final int CANCELLED_JOBS = 12;
     private static final long SERVICES_RUN_AT = 60_000;
-    private static final long CANCELLED_AFTER_MS = 1_000;
+    static final long CANCELLED_AFTER_MS = 1_000;
     private static final long RECOVERY_MS = 180_000;
 
     private static final long FAULTS_BEGIN = 20_000;
@@ -62,7 +62,7 @@
     }
 
     /** A cluster in which a service runs on every machine, with room for one more task on each. */
-    private static ClusterSimulation clusterInUse(long seed) {
+    static ClusterSimulation clusterInUse(long seed) {
         ClusterSimulation simulation = newSimulation(seed, CAPACITY);
         for (int i = 0; i < SERVICES; i++) {
             ObjectNode service = JobRequests.service(JobRequests.id(i), "blue", 2, 6);
@@ -80,7 +80,7 @@
                 .build();
     }
 
-    private static void submitAndCancel(ClusterSimulation simulation) {
+    static void submitAndCancel(ClusterSimulation simulation) {
         List<ObjectNode> jobs = new ArrayList<>();
         for (int i = 0; i < CANCELLED_JOBS; i++) {
             jobs.add(JobRequests.service(JobRequests.id(700 + i), "green", 1, 2).put("pull_gb", 0.0));
--- a/src/test/java/io/quartzgw/simulation/ProtocolInvariants.java
+++ b/src/test/java/io/quartzgw/simulation/ProtocolInvariants.java
@@ -83,6 +83,11 @@
         return placement.runningTasks();
     }
 
+    /** The machine on which a task runs at present; empty while it runs nowhere. */
+    public Optional<String> machineOf(String task) {
+        return placement.agentOf(task).map(agent -> agent.id);
+    }
+
     /** The final phase of a job as users were told it; empty while it is open. */
     public Optional<String> finalPhase(String job) {
         return Optional.ofNullable(accepted.get(job)).flatMap(JobRecord::finalPhase);
--- a/src/test/java/io/quartzgw/simulation/SimulatedNetwork.java
+++ b/src/test/java/io/quartzgw/simulation/SimulatedNetwork.java
@@ -1,5 +1,6 @@
 package io.quartzgw.simulation;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import io.quartzgw.http.Call;
 import io.quartzgw.http.Json;
 import io.quartzgw.http.Reply;
@@ -10,6 +11,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.function.Consumer;
 
 /**
@@ -37,7 +40,7 @@
     private final Set<String> inboundBlocked = new HashSet<>();
     private final Set<String> heartbeatsBlocked = new HashSet<>();
     /** By machine whose direct calls are held back, those calls in the order in which they were sent. */
-    private final Map<String, List<Runnable>> heldCommands = new HashMap<>();
+    private final Map<String, List<HeldCommand>> heldCommands = new HashMap<>();
 
     private double delayedTransactionShare;
     private double lostTransactionResponseShare;
@@ -50,6 +53,9 @@
         void handle(String from, String to, Call call, Consumer<Reply> onReply);
     }
 
+    /** A direct call that is held back, and what delivers it. */
+    private record HeldCommand(Call call, Runnable arrival) {}
+
     /** What was drawn for one request: its delays, and whether its response gets lost. */
     private record Transit(boolean transactionDelayed, boolean responseLost, long requestMs, long responseMs) {}
 
@@ -144,7 +150,33 @@
 
     /** Delivers the direct calls to a machine that were held back, in their order, and holds none from now on. */
     public void deliverHeldCommands(String machine) {
-        heldCommands.remove(machine).forEach(Runnable::run);
+        heldCommands.remove(machine).forEach(command -> command.arrival.run());
+    }
+
+    /** The tasks of a job whose start is in a direct call that is held back, by the machine that it is sent to. */
+    public Map<String, Set<String>> heldStarts(String job) {
+        Map<String, Set<String>> starts = new TreeMap<>();
+        heldCommands.forEach((machine, commands) -> {
+            Set<String> tasks = new TreeSet<>();
+            commands.forEach(command -> tasks.addAll(startedTasks(command.call, job)));
+            if (!tasks.isEmpty()) {
+                starts.put(machine, tasks);
+            }
+        });
+        return starts;
+    }
+
+    private static List<String> startedTasks(Call call, String job) {
+        List<String> tasks = new ArrayList<>();
+        if (call.path().equals(COMMANDS_PATH)) {
+            for (JsonNode order : Json.readOrNull(call.body()).path("orders")) {
+                String task = order.path("shard").asText();
+                if (order.path("verb").asText().equals("run") && task.startsWith(job + "/")) {
+                    tasks.add(task);
+                }
+            }
+        }
+        return tasks;
     }
 
     // ---- messages
@@ -166,7 +198,7 @@
         if (transit.transactionDelayed) {
             events.scheduleAfter(MIN_TRANSACTION_DELAY_MS + random.nextInt(TRANSACTION_DELAY_SPREAD_MS), arrival);
         } else if (heldCommands.containsKey(to)) {
-            heldCommands.get(to).add(arrival);
+            heldCommands.get(to).add(new HeldCommand(call, arrival));
         } else if (isPartitioned(from, to) || isInboundBlocked(to)) {
             hold(from, to, arrival);
         } else {
