--- a/src/test/java/io/quartzgw/agent/InheritedStartsTest.java
+++ b/src/test/java/io/quartzgw/agent/InheritedStartsTest.java
@@ -44,6 +44,8 @@
 import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** What a leader does with the starts of former leaders, and when its own may leave in direct calls. */
 class InheritedStartsTest {
@@ -118,6 +120,10 @@
     }
 
     private Heartbeat heartbeat(String id, String zone, long attempt) {
+        return heartbeat(id, zone, attempt, "running", "");
+    }
+
+    private Heartbeat heartbeat(String id, String zone, long attempt, String phase, String exitCause) {
         ObjectNode body = Json.object()
                 .put("host", id)
                 .put("address", "10.1.0.2:9000")
@@ -129,7 +135,11 @@
                 .put("baton", FencingTokens.lowestOf(term.number()));
         var tasks = body.putArray("shards");
         if (attempt > 0) {
-            tasks.addObject().put("shard", JOB + "/0").put("try_no", attempt).put("phase", "running");
+            tasks.addObject()
+                    .put("shard", JOB + "/0")
+                    .put("try_no", attempt)
+                    .put("phase", phase)
+                    .put("exit_cause", exitCause);
         }
         return HeartbeatCodec.decode(Json.write(body)).orElseThrow();
     }
@@ -287,4 +297,53 @@
         acknowledgeUpdate();
         assertEquals(1, directCalls.size());
     }
+
+    private void addSilentMachine() {
+        Machine silent = new Machine(OTHER_MACHINE, TYPE, "a", false, now, now);
+        silent.markHasRunTasks();
+        cluster.add(silent);
+    }
+
+    // Guards against ran_twice: a later attempt of the task may run on a machine that is silent.
+    @ParameterizedTest
+    @ValueSource(strings = {"stopped", "error", "no_room", "busy", "unknown"})
+    void taskWhoseFormerAttemptHasEndedStaysUnaccountedWhileAMachineIsSilent(String exitCause) {
+        addSilentMachine();
+        agents.inheritStarts(List.of());
+        agents.receive(heartbeat(MACHINE, "a", FORMER_ATTEMPT, "ended", exitCause));
+        assertNull(job.allocation(0));
+        assertEquals("{0, 1}", job.unaccounted().toString());
+        assertEquals("{2}", job.pending().toString());
+        agents.receive(heartbeat(MACHINE, "a", 0));
+        agents.allTasksLost(machine);
+        assertEquals("{0, 1}", job.unaccounted().toString());
+        assertEquals("{2}", job.pending().toString());
+    }
+
+    // The same where the start of the former attempt was inherited: it binds nothing before the job is accounted for.
+    @ParameterizedTest
+    @ValueSource(strings = {"stopped", "no_room"})
+    void taskWithAnInheritedStartStaysUnaccountedWhileAMachineIsSilent(String exitCause) {
+        addSilentMachine();
+        inherit(MACHINE, 0, FORMER_ATTEMPT);
+        agents.receive(heartbeat(MACHINE, "a", FORMER_ATTEMPT, "ended", exitCause));
+        agents.receive(heartbeat(MACHINE, "a", 0));
+        agents.allTasksLost(machine);
+        assertEquals("{0, 1}", job.unaccounted().toString());
+        assertEquals("{2}", job.pending().toString());
+    }
+
+    // The one release before the job is accounted for: a current heartbeat has shown the task on this machine, so that
+    // no other one has it. Its siblings stay unaccounted.
+    @Test
+    void taskThatACurrentHeartbeatHasShownIsPendingOnceItHasEndedThere() {
+        addSilentMachine();
+        agents.inheritStarts(List.of());
+        agents.receive(heartbeat(MACHINE, "a", FORMER_ATTEMPT));
+        assertEquals(machine, job.allocation(0).machine());
+        assertEquals("{1}", job.unaccounted().toString());
+        agents.receive(heartbeat(MACHINE, "a", FORMER_ATTEMPT, "ended", "stopped"));
+        assertEquals("{1}", job.unaccounted().toString());
+        assertEquals("{0, 2}", job.pending().toString());
+    }
 }
