--- a/src/test/java/io/quartzgw/app/StartsThatOutliveControllersTest.java
+++ b/src/test/java/io/quartzgw/app/StartsThatOutliveControllersTest.java
@@ -28,6 +28,7 @@
 class StartsThatOutliveControllersTest {
     private static final int CONTROLLERS = 3;
     private static final long BACK_MS = 1_000;
+    private static final long BACK_LATE_MS = 4_000;
     private static final long CANCEL_MS = new AgentTiming(2_500, LEASE_MS, 36_000).cancelMs();
     private static final long RECOVERY_MS = 120_000;
     private static final long LEFT_OUT_MS = 5_000;
@@ -61,8 +62,12 @@
     }
 
     private void crash(int controller) {
+        crash(controller, BACK_MS);
+    }
+
+    private void crash(int controller, long backMs) {
         starts.log("crash of controller " + controller);
-        simulation.crash(controller, BACK_MS);
+        simulation.crash(controller, backMs);
     }
 
     private void crashAll() {
@@ -81,10 +86,8 @@
 
     // ---- nobody is left who knows: ran_twice
 
-    // The follower that lives was left out of the record of those in sync; what it holds is of no use.
-    @ParameterizedTest
-    @MethodSource("seeds")
-    void startRunsNowhereElseIfOnlyAControllerOutOfSyncOutlivesIt(long seed) {
+    /** The leader is cut off from a follower, and the others end; the one that lives was left out of the record. */
+    private int sendStartsThatOnlyAControllerOutOfSyncOutlives(long seed, long backMs) {
         beginCluster(seed, CONTROLLERS);
         int leader = simulation.leader();
         int outOfSync = (leader + 1 + (int) (seed % 2)) % CONTROLLERS;
@@ -96,8 +99,26 @@
         starts.cutOffMachines();
         IntStream.range(0, CONTROLLERS)
                 .filter(controller -> controller != outOfSync)
-                .forEach(this::crash);
+                .forEach(controller -> crash(controller, backMs));
         simulation.network().heal(Hosts.controller(leader), Hosts.controller(outOfSync));
+        return outOfSync;
+    }
+
+    // The controllers that are back have no replica, and that of the third is of no use.
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void startRunsNowhereElseIfOnlyAControllerOutOfSyncOutlivesIt(long seed) {
+        sendStartsThatOnlyAControllerOutOfSyncOutlives(seed, BACK_MS);
+        assertTasksRunOnceAndEnd();
+    }
+
+    // The controller out of sync leads before the others are back.
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void startRunsNowhereElseIfAControllerOutOfSyncSucceedsItsLeader(long seed) {
+        int outOfSync = sendStartsThatOnlyAControllerOutOfSyncOutlives(seed, BACK_LATE_MS);
+        starts.runUntil(() -> simulation.leader() == outOfSync, BACK_LATE_MS);
+        assertEquals(outOfSync, simulation.leader(), "the controller out of sync leads");
         assertTasksRunOnceAndEnd();
     }
 
@@ -257,13 +278,14 @@
         assertCancelledTasksNeverRun();
     }
 
-    // As above, with every machine heard: the cancellation comes within the first moments of the new term.
+    // As above, with every machine heard: the cancellation comes before or just after the successor has read the jobs.
     @ParameterizedTest
     @MethodSource("seeds")
     void startOfAJobThatIsCancelledAsANewLeaderBeginsRunsNot(long seed) {
         sendStartsThatAreHeldUp(seed);
         crash(simulation.leader());
         starts.awaitLeader();
+        simulation.runChecked(50 * (seed - 1));
         starts.cancel();
         assertCancelledTasksNeverRun();
     }
