--- a/src/test/java/io/quartzgw/app/ClusterFixtures.java
+++ b/src/test/java/io/quartzgw/app/ClusterFixtures.java
@@ -12,6 +12,9 @@
     /** The lease of agents in a simulation that does not set another. */
     static final long LEASE_MS = 16_000;
 
+    /** How long tasks of a cancelled job may stay in a simulation that sets no other limit. */
+    static final long CANCEL_MS = 36_000;
+
     /** How many services {@link #clusterWithServices} has. */
     static final int SERVICES = 5;
 
--- a/src/test/java/io/quartzgw/app/CrashesWithHeldUpStarts.java
+++ b/src/test/java/io/quartzgw/app/CrashesWithHeldUpStarts.java
@@ -49,11 +49,9 @@
     }
 
     private static void schedule(ClusterSimulation simulation, SplittableRandom random, long at, int firstJob) {
-        simulation.schedule(at, () -> simulation.network().holdUpCommandShare(HELD_UP_SHARE, LONGEST_HOLD_UP_MS));
+        simulation.schedule(at, () -> holdUpCalls(simulation));
         for (int i = 0; i < JOBS_PER_CRASH; i++) {
-            ObjectNode job = JobRequests.array(
-                            JobRequests.id(firstJob + i), "blue", 1 + random.nextInt(MAX_TASKS), 1, 10)
-                    .put("pull_gb", 0.0);
+            ObjectNode job = job(firstJob + i, 1 + random.nextInt(MAX_TASKS));
             simulation.schedule(
                     at + random.nextInt(LONGEST_BURST_MS),
                     () -> simulation.users().submitUntilAccepted(job));
@@ -70,6 +68,16 @@
         }
     }
 
+    /** Holds most direct calls up from now on. */
+    static void holdUpCalls(ClusterSimulation simulation) {
+        simulation.network().holdUpCommandShare(HELD_UP_SHARE, LONGEST_HOLD_UP_MS);
+    }
+
+    /** A job whose tasks run as soon as their starts arrive. */
+    static ObjectNode job(int number, int tasks) {
+        return JobRequests.array(JobRequests.id(number), "blue", tasks, 1, 10).put("pull_gb", 0.0);
+    }
+
     /** @param other how far from the leader the other controller is that crashes with it; 0 for none */
     private static void crash(ClusterSimulation simulation, long downMs, int other) {
         int leader = simulation.leaderOrFirst();
--- a/src/test/java/io/quartzgw/app/DelayedCommandsTest.java
+++ b/src/test/java/io/quartzgw/app/DelayedCommandsTest.java
@@ -81,6 +81,19 @@
         run(simulation, seed, true);
     }
 
+    static LongStream seedsWithTotalLoss() {
+        return SeedRanges.range("lateTotalLoss", 1, 15);
+    }
+
+    /** Guards against ran_twice and ran_cancelled: starts outlive the controllers that know of them. */
+    @ParameterizedTest
+    @MethodSource("seedsWithTotalLoss")
+    void invariantsHoldWhileAllControllersCrashWithStartsHeldUp(long seed) {
+        ClusterSimulation simulation = newSimulation(seed);
+        CrashesOfAllControllers.scheduleAll(simulation, seed, TIMING.cancelMs(), FAULTS_END);
+        run(simulation, seed, true);
+    }
+
     /** Commands may reach an agent that has replaced the one they were sent to. */
     @ParameterizedTest
     @MethodSource("seeds")
--- a/src/test/java/io/quartzgw/app/FailureTest.java
+++ b/src/test/java/io/quartzgw/app/FailureTest.java
@@ -145,6 +145,21 @@
         assertAllEnded(simulation, arrays);
     }
 
+    static LongStream concurrentSeedsWithTotalLoss() {
+        return SeedRanges.range("concurrentTotalLoss", 1, 10);
+    }
+
+    /** Guards against ran_twice and ran_cancelled: starts outlive the controllers that know of them. */
+    @ParameterizedTest
+    @MethodSource("concurrentSeedsWithTotalLoss")
+    void invariantsHoldUnderConcurrentFaultsWhileAllControllersCrashWithStartsHeldUp(long seed) {
+        ClusterSimulation simulation = new ClusterSimulation(seed, 3);
+        CrashesOfAllControllers.scheduleAll(simulation, seed, ClusterFixtures.CANCEL_MS, FAULTS_END);
+        List<String> arrays = runConcurrentFaults(simulation, seed);
+        assertHealthy(simulation);
+        assertAllEnded(simulation, arrays);
+    }
+
     /** Runs random faults over each other, and returns the arrays that were submitted. */
     static List<String> runConcurrentFaults(ClusterSimulation simulation, long seed) {
         setMessageFaults(simulation);
--- a/src/test/java/io/quartzgw/app/HeldUpStartsTest.java
+++ b/src/test/java/io/quartzgw/app/HeldUpStartsTest.java
@@ -108,6 +108,22 @@
         assertRecovers(simulation, arrays, END);
     }
 
+    static LongStream seedsOfTotalLoss() {
+        return SeedRanges.range("heldUpTotalLoss", 1, 15);
+    }
+
+    /** Guards against ran_twice and ran_cancelled: starts outlive the controllers that know of them. */
+    @ParameterizedTest
+    @MethodSource("seedsOfTotalLoss")
+    void invariantsHoldWhileAllControllersCrashWithStartsHeldUp(long seed) {
+        // With fewer machines, small ones that are kept by services leave no room for the others.
+        ClusterSimulation simulation = newSimulation(seed, MIN_MACHINES + MORE_MACHINES);
+        List<String> arrays = load(simulation, new SplittableRandom(seed));
+        CrashesOfAllControllers.scheduleAll(simulation, seed, TIMING.cancelMs(), FAULTS_END);
+        simulation.runChecked(FAULTS_END);
+        assertRecovers(simulation, arrays, END);
+    }
+
     /** Services and arrays, of which half are cancelled soon after they were submitted. */
     private static List<String> load(ClusterSimulation simulation, SplittableRandom random) {
         for (int i = 0; i < LASTING_SERVICES; i++) {
--- a/src/test/java/io/quartzgw/app/UnfencedStartsTest.java
+++ b/src/test/java/io/quartzgw/app/UnfencedStartsTest.java
@@ -82,6 +82,19 @@
         run(simulation, seed, Fault.REBOOT);
     }
 
+    static LongStream seedsWithTotalLoss() {
+        return SeedRanges.range("unfencedTotalLoss", 1, 15);
+    }
+
+    /** Guards against ran_twice and ran_cancelled: starts outlive the controllers that know of them. */
+    @ParameterizedTest
+    @MethodSource("seedsWithTotalLoss")
+    void invariantsHoldWhileAllControllersCrashWithStartsHeldUp(long seed) {
+        ClusterSimulation simulation = newSimulation(seed, CONTROLLERS);
+        CrashesOfAllControllers.scheduleAll(simulation, seed, ClusterFixtures.CANCEL_MS, FAULTS_END);
+        run(simulation, seed, Fault.REBOOT);
+    }
+
     /**
      * The leader resigns, since it does not reach a deaf machine; its start, "direct call ended outcome=unknown
      * term_current=false" in the log, reaches that machine after a reboot. The new leader, which knows nothing of the
--- a/src/test/java/io/quartzgw/simulation/SimulatedNetwork.java
+++ b/src/test/java/io/quartzgw/simulation/SimulatedNetwork.java
@@ -148,6 +148,11 @@
         heldCommands.putIfAbsent(machine, new ArrayList<>());
     }
 
+    /** Whether direct calls to a machine are held back. */
+    public boolean holdsCommands(String machine) {
+        return heldCommands.containsKey(machine);
+    }
+
     /** Delivers the direct calls to a machine that were held back, in their order, and holds none from now on. */
     public void deliverHeldCommands(String machine) {
         heldCommands.remove(machine).forEach(command -> command.arrival.run());
