A start leaves in a direct call only when the state service has it

Cause: the fence of such a start was in the memory of controllers. What outlives all of them is the state service alone.

Fix: package startlog. The leader stores the starts that its direct calls may carry, all that wait in one transaction, and sends them once the write is answered; until then they leave in responses to heartbeats, which are never late. A new leader reads the log with the stored state. A page that can't be read may name any start.

--- a/src/main/java/io/quartzgw/agent/AgentManager.java
+++ b/src/main/java/io/quartzgw/agent/AgentManager.java
@@ -2,12 +2,12 @@
 
 import io.quartzgw.liveness.AgentLiveness.Freshness;
 import io.quartzgw.liveness.AgentTiming;
-import io.quartzgw.replication.MachineStarts;
-import io.quartzgw.replication.StartReplicator;
 import io.quartzgw.scheduling.Allocation;
 import io.quartzgw.scheduling.Job;
 import io.quartzgw.scheduling.Machine;
 import io.quartzgw.scheduling.StopReason;
+import io.quartzgw.startlog.MachineStarts;
+import io.quartzgw.startlog.StartLog;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
@@ -61,17 +61,17 @@
      *
      * @param maxDirectCalls how many direct calls to agents may be in flight at once
      * @param isCancelled whether a job is known to be cancelled, also before the open jobs have been read
-     * @param replicator tells the other controllers of starts before they leave in direct calls
+     * @param startLog stores starts before they leave in direct calls
      */
     public AgentManager(
             LeaderContext leader,
             AgentTiming timing,
             int maxDirectCalls,
             Predicate<String> isCancelled,
-            StartReplicator replicator,
+            StartLog startLog,
             Listener listener) {
         this.leader = leader;
-        this.announcer = new StartAnnouncer(replicator);
+        this.announcer = new StartAnnouncer(startLog);
         PendingCommands pendingCommands = new PendingCommands(leader, announcer, listener);
         this.registry = new AgentRegistry(leader);
         this.release = new AllocationRelease(leader, registry);
@@ -82,26 +82,10 @@
                 leader, registry, pendingCommands, announcer, timing, maxDirectCalls, this::onReply);
         this.unfencedAttempts = new UnfencedAttemptsMonitor(leader, registry, timing);
         this.inheritedStarts = new InheritedStarts(leader, registry, announcer);
-        replicator.onReplicated(this::startsReplicated);
+        startLog.onStored(this::startsStored);
     }
 
-    /** As the other constructor, for a controller without others. */
-    AgentManager(
-            LeaderContext leader,
-            AgentTiming timing,
-            int maxDirectCalls,
-            Predicate<String> isCancelled,
-            Listener listener) {
-        this(
-                leader,
-                timing,
-                maxDirectCalls,
-                isCancelled,
-                StartReplicator.withoutFollowers(leader.eventLoop(), leader.term()),
-                listener);
-    }
-
-    private void startsReplicated(String machine) {
+    private void startsStored(String machine) {
         leader.cluster().findMachine(machine).ifPresent(registry::requestStarts);
     }
 
@@ -169,18 +153,12 @@
         announcer.machineRemoved(machine.id());
     }
 
-    /** Handles that the starts of former leaders are still to be taken over: until then any may be on its way. */
-    public void awaitFormerStarts() {
-        release.awaitFormerStarts(true);
-    }
-
     /**
      * Takes over the starts of former leaders that may still be on their way.
      *
      * @return how many were taken over: the others went to machines that are gone, or are of tasks that have ended
      */
     public int inheritStarts(Collection<MachineStarts> formerStarts) {
-        release.awaitFormerStarts(false);
         return inheritedStarts.inherit(formerStarts);
     }
 
--- a/src/main/java/io/quartzgw/agent/AgentRegistry.java
+++ b/src/main/java/io/quartzgw/agent/AgentRegistry.java
@@ -96,7 +96,7 @@
                 && !agent.outstandingStarts().isOutstanding(Attempts.of(allocation));
         if (neverSent) {
             cluster.release(allocation);
-            // The other controllers have to hear that its start is not sent.
+            // The log has to drop its start.
             withPendingCommands.add(agent);
             return;
         }
--- a/src/main/java/io/quartzgw/agent/AllocationRelease.java
+++ b/src/main/java/io/quartzgw/agent/AllocationRelease.java
@@ -20,7 +20,6 @@
     private final EventLoop eventLoop;
     private final ClusterState cluster;
     private final AgentRegistry registry;
-    private boolean awaitingFormerStarts;
 
     /** How an attempt came to run no more. */
     private enum End {
@@ -38,15 +37,11 @@
         this.registry = registry;
     }
 
-    /** Sets whether the starts of former leaders are not known yet: until then any of them may be outstanding. */
-    void awaitFormerStarts(boolean awaiting) {
-        awaitingFormerStarts = awaiting;
-    }
-
     /** Returns whether a direct call may still start an allocation's attempt. */
     boolean isStartOutstanding(Allocation allocation) {
-        boolean mayBeInherited = awaitingFormerStarts && cluster.isOfFormerLeader(allocation.attempt());
-        return mayBeInherited
+        boolean mayBeUnknown =
+                allocation.machine().fencing().hasUnknownStarts() && cluster.isOfFormerLeader(allocation.attempt());
+        return mayBeUnknown
                 || registry.agentOf(allocation.machine())
                         .outstandingStarts()
                         .isOutstandingDirectly(Attempts.of(allocation));
--- a/src/main/java/io/quartzgw/agent/InheritedStarts.java
+++ b/src/main/java/io/quartzgw/agent/InheritedStarts.java
@@ -2,11 +2,11 @@
 
 import io.quartzgw.eventloop.EventLoop;
 import io.quartzgw.model.Attempt;
-import io.quartzgw.replication.MachineStarts;
 import io.quartzgw.scheduling.Allocation;
 import io.quartzgw.scheduling.ClusterState;
 import io.quartzgw.scheduling.Job;
 import io.quartzgw.scheduling.Machine;
+import io.quartzgw.startlog.MachineStarts;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -53,6 +53,7 @@
                     .ifPresent(machine -> machineStarts.starts().forEach(start -> add(machine, start)));
         }
         newestByTask.values().forEach(this::markOutstanding);
+        formerStarts.forEach(machineStarts -> announceRest(machineStarts.machine()));
         return newestByTask.size();
     }
 
@@ -76,7 +77,14 @@
     private void markOutstanding(InheritedStart start) {
         AgentState agent = registry.agentOf(start.machine);
         agent.outstandingStarts().inherited(start.attempt, CommandFence.ofFormerLeader(leader.term()));
-        announcer.announce(agent);
+    }
+
+    // The others are void, and leave the log.
+    private void announceRest(String machineId) {
+        cluster.findMachine(machineId)
+                .ifPresentOrElse(
+                        machine -> announcer.announce(registry.agentOf(machine)),
+                        () -> announcer.machineRemoved(machineId));
     }
 
     /**
--- a/src/main/java/io/quartzgw/agent/PendingCommands.java
+++ b/src/main/java/io/quartzgw/agent/PendingCommands.java
@@ -36,10 +36,10 @@
         commands.addAll(stops(agent));
         commands.addAll(stopsOfUnfenced(agent));
         List<AgentCommand> starts = starts(agent, attempt -> true);
-        long notReplicated = starts.stream()
+        long notStored = starts.stream()
                 .filter(start -> !announcer.mayLeaveDirectly(agent, start.attempt()))
                 .count();
-        leader.eventLoop().increment("replication.starts_by_response_only", notReplicated);
+        leader.eventLoop().increment("startlog.starts_by_response_only", notStored);
         commands.addAll(starts);
         return commands;
     }
--- a/src/main/java/io/quartzgw/agent/StartAnnouncer.java
+++ b/src/main/java/io/quartzgw/agent/StartAnnouncer.java
@@ -1,21 +1,21 @@
 package io.quartzgw.agent;
 
 import io.quartzgw.model.Attempt;
-import io.quartzgw.replication.StartReplicator;
+import io.quartzgw.startlog.StartLog;
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 /**
- * Announces the starts that direct calls may carry to the other controllers, before a call leaves and until none may be
- * executed any more. So a successor of this leader knows them, and places their tasks nowhere else.
+ * Announces the starts that direct calls may carry to the log, before a call leaves and until none may be executed any
+ * more. So a successor of this leader knows them, and places their tasks nowhere else.
  */
 final class StartAnnouncer {
-    private final StartReplicator replicator;
+    private final StartLog log;
 
-    StartAnnouncer(StartReplicator replicator) {
-        this.replicator = replicator;
+    StartAnnouncer(StartLog log) {
+        this.log = log;
     }
 
     /** Announces all starts that direct calls may carry to an agent's machine from now on, or may still carry. */
@@ -26,16 +26,16 @@
         Stream<Attempt> outstanding = agent.outstandingStarts().outstandingDirectly().stream();
         Set<Attempt> starts = Stream.concat(pending, outstanding).collect(Collectors.toCollection(LinkedHashSet::new));
 
-        replicator.announce(agent.machine().id(), starts);
+        log.announce(agent.machine().id(), starts);
     }
 
     /** Announces that no direct call can carry a start to a machine, since the machine is gone. */
     void machineRemoved(String machine) {
-        replicator.announce(machine, Set.of());
+        log.announce(machine, Set.of());
     }
 
-    /** Returns whether a direct call may carry a start: its announcement has arrived. */
+    /** Returns whether a direct call may carry a start: the log has stored it. */
     boolean mayLeaveDirectly(AgentState agent, Attempt attempt) {
-        return replicator.isReplicated(agent.machine().id(), attempt);
+        return log.isStored(agent.machine().id(), attempt);
     }
 }
--- a/src/main/java/io/quartzgw/app/Controller.java
+++ b/src/main/java/io/quartzgw/app/Controller.java
@@ -16,7 +16,6 @@
 import io.quartzgw.leadership.PeerExchange;
 import io.quartzgw.leadership.PeerPayloads;
 import io.quartzgw.leadership.WriteBudgetExchange;
-import io.quartzgw.replication.ReplicaHolder;
 import io.quartzgw.store.StoreClient;
 import io.quartzgw.submission.Admission;
 import io.quartzgw.submission.JobCountsCodec;
@@ -45,7 +44,6 @@
     private final MachineCatalog catalog;
     private final JobStore jobs;
     private final SubmissionHandler submissions;
-    private final ReplicaHolder replicas;
     private final Supplier<JsonNode> processMetrics;
     private Optional<LeaderRuntime> leader = Optional.empty();
 
@@ -71,8 +69,6 @@
         ControllerIdentity identity = new ControllerIdentity(settings.member(), process);
         this.leadership = new Leadership(eventLoop, store, timing, identity, watermark);
         this.peers = new PeerExchange(eventLoop, timing, identity, settings.peers(), peerParticipants(settings));
-        this.replicas = new ReplicaHolder(
-                eventLoop, leadership, identity, settings.peers().keySet());
         this.catalog = new MachineCatalog(eventLoop, store, cloud, leadership::leading);
         this.jobs = new JobStore(store);
         this.submissions = new SubmissionHandler(
@@ -119,8 +115,7 @@
                 submissions::serve,
                 heartbeats::serve,
                 this::serveReadiness,
-                new RequestRouter.PeerHandlers(
-                        peers::serve, replicas::serveUpdate, replicas::serveRead, this::serveMetrics));
+                new RequestRouter.PeerHandlers(peers::serve, this::serveMetrics));
     }
 
     // A controller that has sent the state service nothing for a while is ready all the same: only failures count.
@@ -150,18 +145,7 @@
 
     private ControllerServices services() {
         return new ControllerServices(
-                eventLoop,
-                settings,
-                leadership,
-                timing,
-                peers,
-                store,
-                jobs,
-                cancellations,
-                watermark,
-                catalog,
-                cloud,
-                replicas);
+                eventLoop, settings, leadership, timing, peers, store, jobs, cancellations, watermark, catalog, cloud);
     }
 
     private final class LeadershipChanges implements Leadership.Listener {
@@ -178,7 +162,6 @@
 
         @Override
         public void leadershipLost() {
-            leader.flatMap(LeaderRuntime::startReplica).ifPresent(replicas::adopt);
             leader = Optional.empty();
         }
     }
--- a/src/main/java/io/quartzgw/app/ControllerServices.java
+++ b/src/main/java/io/quartzgw/app/ControllerServices.java
@@ -8,7 +8,6 @@
 import io.quartzgw.leadership.Leadership;
 import io.quartzgw.leadership.LeadershipTiming;
 import io.quartzgw.leadership.PeerExchange;
-import io.quartzgw.replication.ReplicaHolder;
 import io.quartzgw.store.StoreClient;
 import io.quartzgw.submission.JobStore;
 
@@ -24,5 +23,4 @@
         CancellationRegistry cancellations,
         CancellationWatermark watermark,
         MachineCatalog catalog,
-        CloudClient cloud,
-        ReplicaHolder replicas) {}
+        CloudClient cloud) {}
--- a/src/main/java/io/quartzgw/app/LeaderRuntime.java
+++ b/src/main/java/io/quartzgw/app/LeaderRuntime.java
@@ -17,8 +17,6 @@
 import io.quartzgw.progress.ProgressRecorder;
 import io.quartzgw.recovery.FailoverRecovery;
 import io.quartzgw.recovery.RecoveryTiming;
-import io.quartzgw.replication.StartReplica;
-import io.quartzgw.replication.StartReplicator;
 import io.quartzgw.scheduling.Allocation;
 import io.quartzgw.scheduling.ClusterState;
 import io.quartzgw.scheduling.Consolidation;
@@ -27,11 +25,11 @@
 import io.quartzgw.scheduling.Scheduler;
 import io.quartzgw.scheduling.SchedulingPolicy;
 import io.quartzgw.scheduling.StopReason;
+import io.quartzgw.startlog.StartLog;
 import io.quartzgw.submission.JobCounts;
 import io.quartzgw.submission.JobStore;
 import io.quartzgw.submission.OpenJob;
 import io.quartzgw.submission.TerminalState;
-import java.util.Optional;
 
 /**
  * Everything that this controller does as the leader of one term; a later term starts with a new one. It builds the
@@ -49,7 +47,7 @@
     private final CancellationRegistry cancellations;
     private final LeaderTerm term;
     private final ClusterState cluster;
-    private final StartReplicator replicator;
+    private final StartLog startLog;
     private final AgentManager agents;
     private final ProgressRecorder progress;
     private final FailoverRecovery recovery;
@@ -73,14 +71,13 @@
         AgentTiming agentTiming = settings.agentTiming();
         RecoveryTiming recoveryTiming = RecoveryTiming.of(agentTiming);
         LeaderContext context = new LeaderContext(eventLoop, term, cluster, services.catalog());
-        StartReplication replication = StartReplication.of(services, term, recoveryTiming);
-        this.replicator = replication.replicator();
+        this.startLog = new StartLog(eventLoop, services.store(), term, agentTiming.heartbeatMs());
         this.agents = new AgentManager(
                 context,
                 agentTiming,
                 SocketBudget.of(settings.sockets()).agentCalls(),
                 cancellations::contains,
-                replicator,
+                startLog,
                 new AgentEvents());
         this.progress = new ProgressRecorder(
                 eventLoop, services.store(), term, agentTiming.heartbeatMs(), new ProgressEvents());
@@ -97,22 +94,13 @@
         this.openJobs = newOpenJobWatcher(services);
         this.countPages = new JobCountPager(cluster);
         this.reachability = new AgentReachability(eventLoop, cluster, services.peers(), agentTiming.heartbeatMs());
-        this.recovery = newRecovery(services, context, replication, previousLeaderActiveUntilMs);
+        this.recovery = newRecovery(services, context, previousLeaderActiveUntilMs);
     }
 
     private FailoverRecovery newRecovery(
-            ControllerServices services,
-            LeaderContext context,
-            StartReplication replication,
-            long previousLeaderActiveUntilMs) {
+            ControllerServices services, LeaderContext context, long previousLeaderActiveUntilMs) {
         FailoverRecovery.Collaborators collaborators = new FailoverRecovery.Collaborators(
-                services.store(),
-                services.peers(),
-                agents,
-                progress,
-                records,
-                replication.formerStartsReader(),
-                replicator);
+                services.store(), services.peers(), agents, progress, records, startLog);
         RecoveryTiming timing = RecoveryTiming.of(settings.agentTiming());
         return new FailoverRecovery(
                 context, collaborators, timing, previousLeaderActiveUntilMs, this::knownTerminal, openJobs);
@@ -169,6 +157,7 @@
             cluster.markChanged();
         }
         agents.reportUnfencedAttempts();
+        startLog.report();
     }
 
     /** Processes an agent's heartbeat. */
@@ -199,18 +188,13 @@
             }
         }
         agents.sendPendingCommands();
-        replicator.flush();
+        startLog.flush();
         if (recovery.isStateLoaded()) {
             records.flush();
             progress.flush();
         }
     }
 
-    /** The starts that direct calls of this term may still carry, unless those of former leaders are not known. */
-    Optional<StartReplica> startReplica() {
-        return replicator.replica();
-    }
-
     // ---- jobs
 
     void jobAccepted(OpenJob job) {
--- a/src/main/java/io/quartzgw/app/RequestRouter.java
+++ b/src/main/java/io/quartzgw/app/RequestRouter.java
@@ -5,7 +5,6 @@
 import io.quartzgw.http.Request;
 import io.quartzgw.http.Response;
 import io.quartzgw.leadership.PeerExchange;
-import io.quartzgw.replication.ReplicaHolder;
 import io.quartzgw.submission.SubmissionHandler;
 import java.util.function.Consumer;
 
@@ -41,15 +40,9 @@
      * What serves the requests of each path of the peer listener.
      *
      * @param message serves the messages of other controllers
-     * @param startsUpdate serves a leader's updates of the starts in its direct calls
-     * @param startsRead serves a new leader's requests for the starts of former ones
      * @param metrics serves operators' requests for counters
      */
-    record PeerHandlers(
-            Consumer<Request> message,
-            Consumer<Request> startsUpdate,
-            Consumer<Request> startsRead,
-            Consumer<Request> metrics) {}
+    record PeerHandlers(Consumer<Request> message, Consumer<Request> metrics) {}
 
     RequestRouter(EventLoop eventLoop, Handlers handlers) {
         this.eventLoop = eventLoop;
@@ -82,10 +75,6 @@
         switch (request.path()) {
             case PeerExchange.PATH ->
                 requireMethod("POST", request, handlers.peer().message());
-            case ReplicaHolder.UPDATE_PATH ->
-                requireMethod("POST", request, handlers.peer().startsUpdate());
-            case ReplicaHolder.READ_PATH ->
-                requireMethod("POST", request, handlers.peer().startsRead());
             case METRICS_PATH -> requireMethod("GET", request, handlers.peer().metrics());
             default -> answerNotFound(request);
         }
--- a/src/main/java/io/quartzgw/fleet/FencingPolicy.java
+++ b/src/main/java/io/quartzgw/fleet/FencingPolicy.java
@@ -57,7 +57,9 @@
     }
 
     private boolean isFencingNeeded(Machine machine) {
-        return hasLongUnfenced(machine) || hasUnreachableLost(machine);
+        return hasLongUnfenced(machine)
+                || hasUnreachableLost(machine)
+                || machine.fencing().hasUnknownStarts();
     }
 
     private boolean hasLongUnfenced(Machine machine) {
--- a/src/main/java/io/quartzgw/recovery/FailoverRecovery.java
+++ b/src/main/java/io/quartzgw/recovery/FailoverRecovery.java
@@ -6,13 +6,11 @@
 import io.quartzgw.fleet.MachineRecords;
 import io.quartzgw.leadership.PeerExchange;
 import io.quartzgw.progress.ProgressRecorder;
-import io.quartzgw.replication.FormerStarts;
-import io.quartzgw.replication.FormerStartsReader;
-import io.quartzgw.replication.MachineStarts;
-import io.quartzgw.replication.StartReplicator;
 import io.quartzgw.scheduling.ClusterState;
 import io.quartzgw.scheduling.Job;
 import io.quartzgw.scheduling.Machine;
+import io.quartzgw.startlog.FormerStarts;
+import io.quartzgw.startlog.StartLog;
 import io.quartzgw.store.KeyValue;
 import io.quartzgw.store.StoreClient;
 import io.quartzgw.submission.JobKeys;
@@ -22,7 +20,6 @@
 import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.slf4j.event.Level;
 
 /**
  * Rebuilds the cluster state of a new leader: reads the stored state, gathers heartbeats for a limited time, and then
@@ -48,8 +45,7 @@
     private final UnverifiedMachines unverifiedMachines;
     private final ReservationExpiry reservationExpiry;
     private final long electedAtMs;
-    private boolean startsInherited;
-    private boolean resolutionDue;
+    private boolean resolutionDue = true;
     private Phase phase = Phase.LOADING_STATE;
 
     /**
@@ -60,8 +56,7 @@
      * @param agents takes heartbeats and contacts agents
      * @param progress loads which tasks have finished or may have been started
      * @param machineRecords loads the rented machines
-     * @param formerStartsReader reads the starts of former leaders that may still be on their way
-     * @param replicator replicates the starts of this leader, and those of former ones
+     * @param startLog has the starts that direct calls of former leaders may still carry
      */
     public record Collaborators(
             StoreClient store,
@@ -69,8 +64,7 @@
             AgentManager agents,
             ProgressRecorder progress,
             MachineRecords machineRecords,
-            FormerStartsReader formerStartsReader,
-            StartReplicator replicator) {}
+            StartLog startLog) {}
 
     /**
      * Creates the recovery of the current term.
@@ -126,13 +120,7 @@
                 .addKeyValue("machines", cluster.machines().size())
                 .log("stored state loaded");
         unverifiedMachines.markUnaccounted();
-        collaborators.agents().awaitFormerStarts();
-        collaborators
-                .formerStartsReader()
-                .read(
-                        state.inSync().record(),
-                        formerStarts ->
-                                onFormerStarts(formerStarts, state.inSync().revision()));
+        inherit(collaborators.startLog().load(state.startLog()));
         collaborators.agents().beginReconciling();
         collaborators
                 .store()
@@ -167,49 +155,23 @@
 
     // ---- starts of former leaders
 
-    private void onFormerStarts(FormerStarts formerStarts, long inSyncRevision) {
-        if (formerStarts instanceof FormerStarts.Known known) {
-            inherit(known);
-        } else if (formerStarts instanceof FormerStarts.Unknown unknown) {
-            logUnknown(unknown);
-            collaborators.agents().inheritStarts(List.of());
+    private void inherit(FormerStarts formerStarts) {
+        if (formerStarts.unreadablePages() > 0) {
+            eventLoop.increment("takeover.starts_unknown", 1);
+            unverifiedMachines.expectUnknownStarts();
         }
-        startsInherited = true;
-        resolutionDue = true;
-        collaborators.replicator().begin(collaborators.store(), inSyncRevision);
-    }
-
-    private void inherit(FormerStarts.Known known) {
-        List<MachineStarts> machines = known.replica().machines();
-        int inherited = collaborators.agents().inheritStarts(machines);
+        int inherited = collaborators.agents().inheritStarts(formerStarts.machines());
         eventLoop.increment("takeover.starts_inherited", inherited);
         LOG.atInfo()
                 .addKeyValue("term", leader.term().number())
-                .addKeyValue("source", known.source())
-                .addKeyValue("former_term", known.replica().term())
                 .addKeyValue("after_ms", eventLoop.nowMs() - electedAtMs)
-                .addKeyValue("machines", machines.size())
-                .addKeyValue(
-                        "starts",
-                        machines.stream()
-                                .mapToInt(machine -> machine.starts().size())
-                                .sum())
+                .addKeyValue("machines", formerStarts.machines().size())
+                .addKeyValue("starts", formerStarts.count())
                 .addKeyValue("inherited", inherited)
+                .addKeyValue("unreadable_pages", formerStarts.unreadablePages())
                 .log("former starts inherited");
     }
 
-    private void logUnknown(FormerStarts.Unknown unknown) {
-        eventLoop.increment("takeover.starts_unknown", 1);
-        // The first leader of a cluster has no machines, and none before it has sent a start.
-        Level level = cluster.machines().isEmpty() ? Level.INFO : Level.WARN;
-        LOG.atLevel(level)
-                .addKeyValue("term", leader.term().number())
-                .addKeyValue("after_ms", eventLoop.nowMs() - electedAtMs)
-                .addKeyValue("controllers_without_replica", unknown.controllersWithoutReplica())
-                .addKeyValue("machines", cluster.machines().size())
-                .log("former starts unknown");
-    }
-
     // ---- heartbeats
 
     private void contactUnverified() {
@@ -231,7 +193,8 @@
             verified.forEach(collaborators.agents()::updateUnaccountedCapacity);
             resolutionDue = true;
         }
-        if (resolutionDue && startsInherited) {
+        checkUnknownStarts();
+        if (resolutionDue) {
             resolutionDue = false;
             unverifiedMachines.resolveUnaccounted(collaborators.agents()::allocateInheritedStarts);
         }
@@ -240,6 +203,15 @@
         }
     }
 
+    private void checkUnknownStarts() {
+        if (unverifiedMachines.removeGone()) {
+            resolutionDue = true;
+            if (!unverifiedMachines.hasUnknownStarts()) {
+                collaborators.startLog().dropUnreadablePages();
+            }
+        }
+    }
+
     private boolean isWindowElapsed() {
         return eventLoop.nowMs() - electedAtMs >= timing.gatherWindowMs();
     }
--- a/src/main/java/io/quartzgw/recovery/StateLoader.java
+++ b/src/main/java/io/quartzgw/recovery/StateLoader.java
@@ -3,7 +3,7 @@
 import io.quartzgw.agent.LeaderContext;
 import io.quartzgw.fleet.MachineRecords;
 import io.quartzgw.progress.ProgressBitmaps;
-import io.quartzgw.replication.StoredInSyncRecord;
+import io.quartzgw.startlog.StartLog;
 import io.quartzgw.store.ListResult;
 import io.quartzgw.store.StoreClient;
 import io.quartzgw.submission.JobKeys;
@@ -14,11 +14,7 @@
 /** Reads the stored state, one listing after the other, and begins anew when one of them fails. */
 final class StateLoader {
     private static final List<String> PREFIXES = List.of(
-            JobKeys.OPEN,
-            ProgressBitmaps.PREFIX,
-            MachineRecords.PREFIX,
-            MachineRecords.MARK_PREFIX,
-            StoredInSyncRecord.PREFIX);
+            JobKeys.OPEN, ProgressBitmaps.PREFIX, MachineRecords.PREFIX, MachineRecords.MARK_PREFIX, StartLog.PREFIX);
 
     private final LeaderContext leader;
     private final StoreClient store;
@@ -55,7 +51,7 @@
                     listings.get(1).entries(),
                     listings.get(2).entries(),
                     listings.get(3).entries(),
-                    StoredInSyncRecord.of(listings.get(4).entries())));
+                    listings.get(4).entries()));
             return;
         }
         store.listPrefix(PREFIXES.get(listings.size()), result -> onListed(result, listings));
--- a/src/main/java/io/quartzgw/recovery/StoredState.java
+++ b/src/main/java/io/quartzgw/recovery/StoredState.java
@@ -1,6 +1,5 @@
 package io.quartzgw.recovery;
 
-import io.quartzgw.replication.StoredInSyncRecord;
 import io.quartzgw.store.KeyValue;
 import io.quartzgw.store.StoreClient;
 import java.util.List;
@@ -12,11 +11,11 @@
  * @param progress the finished tasks of open jobs, and how many tasks may have been started
  * @param machines the descriptions of the rented machines
  * @param usedMachines the machines that may run tasks
- * @param inSync which controllers the last leader has told of every start in its direct calls
+ * @param startLog the starts that direct calls of former leaders may still carry
  */
 record StoredState(
         StoreClient.Listing openJobs,
         List<KeyValue> progress,
         List<KeyValue> machines,
         List<KeyValue> usedMachines,
-        StoredInSyncRecord inSync) {}
+        List<KeyValue> startLog) {}
--- a/src/main/java/io/quartzgw/recovery/UnverifiedMachines.java
+++ b/src/main/java/io/quartzgw/recovery/UnverifiedMachines.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 
 /**
  * The machines that may run tasks of former leaders and whose agents have not sent a current heartbeat to this leader.
@@ -21,6 +22,9 @@
     private final ClusterState cluster;
     private final PeerExchange peers;
     private final Set<Machine> machines = new LinkedHashSet<>();
+    /** The machines that any start of a former leader may be on its way to. */
+    private final Set<Machine> withUnknownStarts = new LinkedHashSet<>();
+
     private long previousLeaderActiveUntilMs;
     private boolean previousLeadersStopped;
 
@@ -60,6 +64,27 @@
         List.copyOf(cluster.pendingJobs()).stream().filter(this::mayRunOnAny).forEach(cluster::markUnaccounted);
     }
 
+    /**
+     * Handles that the starts of former leaders are not known: each may be on its way to any machine that may run
+     * tasks, whether its agent is heard or not.
+     */
+    void expectUnknownStarts() {
+        cluster.machines().stream().filter(Machine::hasRunTasks).forEach(machine -> {
+            machine.fencing().expectUnknownStarts();
+            withUnknownStarts.add(machine);
+        });
+    }
+
+    /** Returns whether starts that are not known may be on their way to any machine. */
+    boolean hasUnknownStarts() {
+        return !withUnknownStarts.isEmpty();
+    }
+
+    /** Removes the machines that unknown starts can't reach any more, and returns whether there were any. */
+    boolean removeGone() {
+        return withUnknownStarts.removeIf(machine -> !cluster.contains(machine));
+    }
+
     /** Performs an action for each machine that is still unverified. */
     void forEachUnverified(Consumer<Machine> action) {
         machines.stream().filter(this::isUnverified).forEach(action);
@@ -101,7 +126,7 @@
     }
 
     private boolean mayRunOnAny(Job job) {
-        return machines.stream().anyMatch(machine -> mayRunOn(job, machine));
+        return Stream.concat(machines.stream(), withUnknownStarts.stream()).anyMatch(machine -> mayRunOn(job, machine));
     }
 
     /** A job that was accepted after the term had been raised was never started by a former leader. */
--- a/src/main/java/io/quartzgw/scheduling/MachineFencing.java
+++ b/src/main/java/io/quartzgw/scheduling/MachineFencing.java
@@ -20,6 +20,7 @@
     private final Map<String, Allocation> unfenced = new LinkedHashMap<>();
 
     private long deadline = NOT_FENCED;
+    private boolean unknownStarts;
 
     void add(Allocation allocation) {
         unfenced.put(allocation.task(), allocation);
@@ -49,6 +50,16 @@
         return !unfenced.isEmpty();
     }
 
+    /** Records that calls of former leaders may carry starts to the machine which this leader can't know. */
+    public void expectUnknownStarts() {
+        unknownStarts = true;
+    }
+
+    /** Whether calls of former leaders may carry any start to the machine. */
+    public boolean hasUnknownStarts() {
+        return unknownStarts;
+    }
+
     /**
      * Begins to fence the machine.
      *
--- a/src/main/java/io/quartzgw/replication/MachineStarts.java
+++ b/src/main/java/io/quartzgw/startlog/MachineStarts.java
@@ -1,12 +1,12 @@
-package io.quartzgw.replication;
+package io.quartzgw.startlog;
 
 import io.quartzgw.model.Attempt;
 import java.util.Set;
 
 /**
- * All starts that direct calls may carry to one machine.
+ * The starts that direct calls of former leaders may still carry to one machine.
  *
  * @param machine the machine's ID
- * @param starts the starts; empty if there are none any more
+ * @param starts the starts
  */
 public record MachineStarts(String machine, Set<Attempt> starts) {}
--- a/src/main/java/io/quartzgw/store/PackedRecords.java
+++ b/src/main/java/io/quartzgw/store/PackedRecords.java
@@ -11,6 +11,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import java.util.regex.Pattern;
 
 /**
  * Many small records packed into few values under one prefix, so that a write costs the same whether one record has
@@ -25,6 +26,8 @@
     /** All pages of a transaction together; the store takes 64 KiB with everything around them. */
     private static final int MAX_TRANSACTION_BYTES = 48 * 1024;
 
+    private static final Pattern PAGE_NUMBER = Pattern.compile("\\d{1,9}");
+
     private final StoreClient store;
     private final String prefix;
     private final Supplier<Transaction> guardedTransactions;
@@ -49,15 +52,59 @@
     /** Takes over the stored pages, and passes each record to a consumer, which may remove it. */
     public void load(List<KeyValue> entries, BiConsumer<String, JsonNode> consumer) {
         for (KeyValue entry : entries) {
-            int number = Integer.parseInt(entry.key().substring(prefix.length()));
-            RecordPage page = RecordPage.decode(number, entry);
-            pages.put(number, page);
-            page.keys().forEach(key -> pageByKey.put(key, page));
+            RecordPage page = RecordPage.decode(numberOf(entry), entry);
+            pages.put(page.number(), page);
+            List.copyOf(page.keys()).forEach(key -> takeOver(key, page));
         }
         List.copyOf(pageByKey.keySet())
                 .forEach(key -> consumer.accept(key, pageByKey.get(key).record(key)));
     }
 
+    private int numberOf(KeyValue entry) {
+        return Integer.parseInt(entry.key().substring(prefix.length()));
+    }
+
+    // A record that was removed lazily and put on another page may stand on both.
+    private void takeOver(String key, RecordPage page) {
+        RecordPage other = pageByKey.put(key, page);
+        if (other != null) {
+            other.remove(key);
+            other.setOutdated(true);
+        }
+    }
+
+    /** Whether a key is that of a page. */
+    public boolean isPageKey(String key) {
+        return key.startsWith(prefix)
+                && PAGE_NUMBER.matcher(key.substring(prefix.length())).matches();
+    }
+
+    /** Keeps a stored page that can't be read as it is: it is neither filled nor written. */
+    public void keepUnreadable(KeyValue entry) {
+        RecordPage page = RecordPage.empty(numberOf(entry));
+        page.setRevision(entry.revision());
+        page.setUnreadable(true);
+        pages.put(page.number(), page);
+    }
+
+    /** Makes the pages that can't be read empty ones, with the next {@link #write}. */
+    public void dropUnreadable() {
+        pages.values().stream().filter(RecordPage::unreadable).forEach(page -> {
+            page.setUnreadable(false);
+            page.setDirty(true);
+        });
+    }
+
+    /** How many pages there are. */
+    public int pageCount() {
+        return pages.size();
+    }
+
+    /** Has the pages that still store removed records written with the next {@link #write}. */
+    public void rewriteOutdatedPages() {
+        pages.values().stream().filter(RecordPage::outdated).forEach(page -> page.setDirty(true));
+    }
+
     /**
      * Puts a record, to be written with the next {@link #write}.
      *
@@ -79,13 +126,14 @@
 
     private Optional<RecordPage> pageWithRoomFor(String key, int size) {
         return pages.values().stream()
-                .filter(page -> page.bytesWith(key, size) <= pageBytes)
+                .filter(page -> !page.unreadable() && page.bytesWith(key, size) <= pageBytes)
                 .findFirst();
     }
 
     private RecordPage addPage() {
-        RecordPage page = RecordPage.empty(pages.size());
-        pages.put(page.number(), page);
+        int number = pages.keySet().stream().mapToInt(taken -> taken + 1).max().orElse(0);
+        RecordPage page = RecordPage.empty(number);
+        pages.put(number, page);
         return page;
     }
 
@@ -115,7 +163,10 @@
 
     private Optional<RecordPage> removeFromPage(String key) {
         Optional<RecordPage> page = Optional.ofNullable(pageByKey.remove(key));
-        page.ifPresent(found -> found.remove(key));
+        page.ifPresent(found -> {
+            found.remove(key);
+            found.setOutdated(true);
+        });
         return page;
     }
 
@@ -147,6 +198,7 @@
         for (RecordPage page : batch) {
             transaction.require(key(page), page.revision()).put(key(page), page.encode());
             page.setDirty(false);
+            page.setOutdated(false);
         }
         return transaction;
     }
--- a/src/main/java/io/quartzgw/store/RecordPage.java
+++ b/src/main/java/io/quartzgw/store/RecordPage.java
@@ -18,6 +18,8 @@
     private long revision;
     private int bytes;
     private boolean dirty;
+    private boolean outdated;
+    private boolean unreadable;
 
     private RecordPage(int number, long revision) {
         this.number = number;
@@ -75,6 +77,24 @@
         dirty = toBeWritten;
     }
 
+    /** Whether records were removed since the page was last written. */
+    boolean outdated() {
+        return outdated;
+    }
+
+    void setOutdated(boolean hasRemovedRecords) {
+        outdated = hasRemovedRecords;
+    }
+
+    /** Whether the stored page can't be read, and is left as it is. */
+    boolean unreadable() {
+        return unreadable;
+    }
+
+    void setUnreadable(boolean leftAsItIs) {
+        unreadable = leftAsItIs;
+    }
+
     Set<String> keys() {
         return records.keySet();
     }
--- a/src/test/java/io/quartzgw/simulation/ClusterSimulation.java
+++ b/src/test/java/io/quartzgw/simulation/ClusterSimulation.java
@@ -231,6 +231,11 @@
         controllers.pauseWithinBatch(index, durationMs);
     }
 
+    /** As {@link #pauseControllerWithinBatch}, but in the next batch that sends a call to a path. */
+    public void pauseControllerBeforeCall(int index, String path, long durationMs) {
+        controllers.pauseBeforeCall(index, path, durationMs);
+    }
+
     /** Makes controllers process what they receive in batches, collected for up to a time. */
     public void batchCommandsUpTo(long maxMs) {
         controllers.setMaxBatchDelay(maxMs);
--- a/src/test/java/io/quartzgw/simulation/SimulatedControllers.java
+++ b/src/test/java/io/quartzgw/simulation/SimulatedControllers.java
@@ -66,6 +66,11 @@
         controllers.get(index).pauseWithinBatch(durationMs);
     }
 
+    /** As {@link #pauseWithinBatch}, but in the next batch that sends a call to a path. */
+    void pauseBeforeCall(int index, String path, long durationMs) {
+        controllers.get(index).pauseBeforeCall(path, durationMs);
+    }
+
     void setMaxBatchDelay(long delayMs) {
         controllers.forEach(controller -> controller.setMaxBatchDelay(delayMs));
     }
--- a/src/test/java/io/quartzgw/simulation/SimulatedStore.java
+++ b/src/test/java/io/quartzgw/simulation/SimulatedStore.java
@@ -104,6 +104,14 @@
         return entries.value(key).orElse(null);
     }
 
+    /** Sets the value of a key, as another client might. */
+    public void setValue(String key, JsonNode value) {
+        watches.nextRevision();
+        ObjectNode write = Json.object().put("write", key);
+        write.set("data", value);
+        entries.apply(write);
+    }
+
     /** How many keys have a prefix. */
     public int count(String prefix) {
         return entries.count(prefix);
--- /dev/null
+++ b/src/test/java/io/quartzgw/startlog/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the log of starts. */
+package io.quartzgw.startlog;
