A new leader keeps the starts of cancelled jobs, and fences their machines

Symptom: ran_cancelled (is started, starts) when a job is cancelled while its start is on its way, then one leader or all controllers end, and the machine is started again later than cancel_s. The same when the job is cancelled just after the election.

Cause: what a successor inherited was dropped with the job that it was about: InheritedStarts took starts of open jobs only, and forgot those of a job that ended without an allocation of the task.

Fix: such a start stays outstanding and in the log. How the job ended is read from the state service (agent.EndedJobStarts): of a cancelled one the machine is fenced, of one that is done the start is void. A machine that may run tasks which the new leader has not heard of counts as in use, so it is evacuated before it is deleted.

--- a/src/main/java/io/quartzgw/agent/AgentManager.java
+++ b/src/main/java/io/quartzgw/agent/AgentManager.java
@@ -62,6 +62,7 @@
      * @param maxDirectCalls how many direct calls to agents may be in flight at once
      * @param isCancelled whether a job is known to be cancelled, also before the open jobs have been read
      * @param startLog stores starts before they leave in direct calls
+     * @param endedJobs tells whether a job that is not open was cancelled
      */
     public AgentManager(
             LeaderContext leader,
@@ -69,6 +70,7 @@
             int maxDirectCalls,
             Predicate<String> isCancelled,
             StartLog startLog,
+            EndedJobs endedJobs,
             Listener listener) {
         this.leader = leader;
         this.announcer = new StartAnnouncer(startLog);
@@ -81,7 +83,7 @@
         this.dispatcher = new CommandDispatcher(
                 leader, registry, pendingCommands, announcer, timing, maxDirectCalls, this::onReply);
         this.unfencedAttempts = new UnfencedAttemptsMonitor(leader, registry, timing);
-        this.inheritedStarts = new InheritedStarts(leader, registry, announcer);
+        this.inheritedStarts = new InheritedStarts(leader, registry, announcer, endedJobs, timing.cancelMs());
         startLog.onStored(this::startsStored);
     }
 
--- a/src/main/java/io/quartzgw/agent/InheritedStarts.java
+++ b/src/main/java/io/quartzgw/agent/InheritedStarts.java
@@ -26,30 +26,37 @@
     private final ClusterState cluster;
     private final AgentRegistry registry;
     private final StartAnnouncer announcer;
-    /** By task; the newest start of a task proves that the earlier ones are void. */
+    private final EndedJobStarts endedJobStarts;
+    /** By task of an open job; the newest start of a task proves that the earlier ones are void. */
     private final Map<String, InheritedStart> newestByTask = new HashMap<>();
 
     /** Allocations of inherited starts that must not be sent again yet. */
     private final Set<Allocation> withheld = new LinkedHashSet<>();
 
-    private record InheritedStart(Machine machine, Attempt attempt) {}
-
-    InheritedStarts(LeaderContext leader, AgentRegistry registry, StartAnnouncer announcer) {
+    InheritedStarts(
+            LeaderContext leader,
+            AgentRegistry registry,
+            StartAnnouncer announcer,
+            EndedJobs endedJobs,
+            long cancelMs) {
         this.leader = leader;
         this.eventLoop = leader.eventLoop();
         this.cluster = leader.cluster();
         this.registry = registry;
         this.announcer = announcer;
+        this.endedJobStarts = new EndedJobStarts(leader, endedJobs, cancelMs, this::forget);
     }
 
     /**
      * Takes over the starts that may have been sent to machines that exist, of tasks that are not done.
      *
-     * @return how many were taken over
+     * @return how many tasks of open jobs they are for
      */
     int inherit(Collection<MachineStarts> formerStarts) {
         for (MachineStarts machineStarts : formerStarts) {
+            // A machine is marked as used before a start is sent to it.
             cluster.findMachine(machineStarts.machine())
+                    .filter(Machine::hasRunTasks)
                     .ifPresent(machine -> machineStarts.starts().forEach(start -> add(machine, start)));
         }
         newestByTask.values().forEach(this::markOutstanding);
@@ -58,25 +65,24 @@
     }
 
     private void add(Machine machine, Attempt attempt) {
-        if (mayHaveBeenSent(attempt)) {
-            newestByTask.merge(attempt.task(), new InheritedStart(machine, attempt), InheritedStarts::newer);
+        InheritedStart start = new InheritedStart(machine, attempt);
+        Optional<Job> openJob = Attempts.openJob(attempt, cluster);
+        if (openJob.isEmpty()) {
+            markOutstanding(start);
+            endedJobStarts.add(start);
+        } else if (mayHaveBeenSent(attempt, openJob.get())) {
+            newestByTask.merge(attempt.task(), start, InheritedStart::newer);
         }
     }
 
     /** A start is announced before it is recorded, and recorded before it is sent. */
-    private boolean mayHaveBeenSent(Attempt attempt) {
-        return Attempts.openJob(attempt, cluster)
-                .filter(job -> attempt.index() < job.recordedStartLimit() && !job.isDone(attempt.index()))
-                .isPresent();
-    }
-
-    private static InheritedStart newer(InheritedStart one, InheritedStart other) {
-        return one.attempt.number() > other.attempt.number() ? one : other;
+    private static boolean mayHaveBeenSent(Attempt attempt, Job job) {
+        return attempt.index() < job.recordedStartLimit() && !job.isDone(attempt.index());
     }
 
     private void markOutstanding(InheritedStart start) {
-        AgentState agent = registry.agentOf(start.machine);
-        agent.outstandingStarts().inherited(start.attempt, CommandFence.ofFormerLeader(leader.term()));
+        AgentState agent = registry.agentOf(start.machine());
+        agent.outstandingStarts().inherited(start.attempt(), CommandFence.ofFormerLeader(leader.term()));
     }
 
     // The others are void, and leave the log.
@@ -97,12 +103,13 @@
 
     private void allocateIfInherited(Job job, int index) {
         InheritedStart start = newestByTask.get(job.task(index));
-        if (start == null || !cluster.contains(start.machine)) {
+        if (start == null || !cluster.contains(start.machine())) {
             return;
         }
-        Allocation allocation = cluster.allocate(job, index, start.machine, start.attempt.number());
+        Allocation allocation =
+                cluster.allocate(job, index, start.machine(), start.attempt().number());
         allocation.markStartSent();
-        if (job.zonesAllowed(start.machine.zone())) {
+        if (job.zonesAllowed(start.machine().zone())) {
             allocation.markLost(eventLoop.nowMs());
             allocation.withholdStart(true);
             withheld.add(allocation);
@@ -136,25 +143,30 @@
      * a later attempt, which no leader begins before. Called regularly.
      */
     void forgetVoid() {
-        List<InheritedStart> voidStarts =
-                newestByTask.values().stream().filter(this::isVoid).toList();
-        for (InheritedStart start : voidStarts) {
-            newestByTask.remove(start.attempt.task());
-            if (cluster.contains(start.machine)) {
-                AgentState agent = registry.agentOf(start.machine);
-                agent.outstandingStarts().inheritedIsVoid(start.attempt);
-                announcer.announce(agent);
+        for (InheritedStart start : List.copyOf(newestByTask.values())) {
+            Optional<Job> job = cluster.findJob(start.attempt().job());
+            if (!cluster.contains(start.machine())) {
+                newestByTask.remove(start.attempt().task());
+            } else if (job.isEmpty()) {
+                newestByTask.remove(start.attempt().task());
+                endedJobStarts.add(start);
+            } else if (isVoid(start, job.get())) {
+                newestByTask.remove(start.attempt().task());
+                forget(start);
             }
         }
+        eventLoop.setGauge("inherited.open", newestByTask.size());
     }
 
-    private boolean isVoid(InheritedStart start) {
-        Optional<Job> job = cluster.findJob(start.attempt.job());
-        if (job.isEmpty() || !cluster.contains(start.machine)) {
-            return true;
-        }
-        Allocation allocation = job.get().allocation(start.attempt.index());
-        return job.get().isDone(start.attempt.index())
-                || (allocation != null && allocation.attempt() > start.attempt.number());
+    private static boolean isVoid(InheritedStart start, Job job) {
+        Allocation allocation = job.allocation(start.attempt().index());
+        return job.isDone(start.attempt().index())
+                || (allocation != null && allocation.attempt() > start.attempt().number());
+    }
+
+    private void forget(InheritedStart start) {
+        AgentState agent = registry.agentOf(start.machine());
+        agent.outstandingStarts().inheritedIsVoid(start.attempt());
+        announcer.announce(agent);
     }
 }
--- a/src/main/java/io/quartzgw/app/LeaderRuntime.java
+++ b/src/main/java/io/quartzgw/app/LeaderRuntime.java
@@ -78,6 +78,7 @@
                 SocketBudget.of(settings.sockets()).agentCalls(),
                 cancellations::contains,
                 startLog,
+                new EndedJobLookup(eventLoop, jobs, term, recoveryTiming.retryMs()),
                 new AgentEvents());
         this.progress = new ProgressRecorder(
                 eventLoop, services.store(), term, agentTiming.heartbeatMs(), new ProgressEvents());
--- a/src/main/java/io/quartzgw/fleet/FencingPolicy.java
+++ b/src/main/java/io/quartzgw/fleet/FencingPolicy.java
@@ -14,7 +14,9 @@
  * there no more.
  *
  * <p>A machine on which nothing else runs is fenced at once. One that is in use is first evacuated, for a limited time,
- * and only a few of them at a time: neither a partition nor a burst of lost calls may cost the fleet.
+ * and only a few of them at a time: neither a partition nor a burst of lost calls may cost the fleet. But a machine
+ * that may start a task of a cancelled job is deleted within the time limit of the cancellation, however many there
+ * are.
  */
 final class FencingPolicy {
     private static final Logger LOG = LoggerFactory.getLogger(FencingPolicy.class);
@@ -59,6 +61,7 @@
     private boolean isFencingNeeded(Machine machine) {
         return hasLongUnfenced(machine)
                 || hasUnreachableLost(machine)
+                || machine.fencing().cancelledStarts() > 0
                 || machine.fencing().hasUnknownStarts();
     }
 
@@ -99,13 +102,26 @@
     }
 
     private void fence(Machine machine) {
+        fence(machine, eventLoop.nowMs() + evacuationMs);
+    }
+
+    private void fence(Machine machine, long deadline) {
+        if (!machine.fencing().isBegun()) {
+            report(machine, deadline);
+        }
+        machine.fence(deadline);
+    }
+
+    private void report(Machine machine, long deadline) {
         eventLoop.increment("fencing.machines", 1);
         LOG.atInfo()
                 .addKeyValue("machine", machine.id())
                 .addKeyValue("reason", "fenced")
                 .addKeyValue("unfenced_attempts", machine.fencing().unfenced().size())
+                .addKeyValue("holds_back_open_job", holdsBackOpenJob(machine))
+                .addKeyValue("cancelled_starts", machine.fencing().cancelledStarts())
                 .addKeyValue("in_use", machine.isInUse())
+                .addKeyValue("evacuation_ms", Math.max(0, deadline - eventLoop.nowMs()))
                 .log("machine drained");
-        machine.fence(eventLoop.nowMs() + evacuationMs);
     }
 }
--- a/src/main/java/io/quartzgw/fleet/ScaleInRequests.java
+++ b/src/main/java/io/quartzgw/fleet/ScaleInRequests.java
@@ -54,7 +54,9 @@
 
     // No task may run on a machine that is deleted, unless the machine is being fenced and its time is over.
     private boolean isDeletable(Machine machine) {
-        return machine.empty() || machine.reservationExpired() || machine.isFencingDue(eventLoop.nowMs());
+        return (machine.empty() && !machine.isUnverified())
+                || machine.reservationExpired()
+                || machine.isFencingDue(eventLoop.nowMs());
     }
 
     private void onDeleted(List<String> ids, boolean success) {
--- a/src/main/java/io/quartzgw/recovery/UnverifiedMachines.java
+++ b/src/main/java/io/quartzgw/recovery/UnverifiedMachines.java
@@ -38,10 +38,7 @@
 
     /** Returns whether a machine may run tasks and is not verified, and its reservation has not expired. */
     static boolean isUnverified(Machine machine, ClusterState cluster) {
-        return machine.hasRunTasks()
-                && !machine.liveness().verified()
-                && !machine.reservationExpired()
-                && cluster.contains(machine);
+        return machine.isUnverified() && cluster.contains(machine);
     }
 
     private boolean isUnverified(Machine machine) {
--- a/src/main/java/io/quartzgw/scheduling/Machine.java
+++ b/src/main/java/io/quartzgw/scheduling/Machine.java
@@ -123,9 +123,14 @@
         return exclusions;
     }
 
-    /** Whether it runs, or has just been given, a task that is not lost with its agent. */
+    /** Whether it runs, may run, or has just been given a task that is not lost with its agent. */
     public boolean isInUse() {
-        return allocations.values().stream().anyMatch(allocation -> !allocation.isLost());
+        return isUnverified() || allocations.values().stream().anyMatch(allocation -> !allocation.isLost());
+    }
+
+    /** Whether it may run tasks of former leaders that no current heartbeat has shown. */
+    public boolean isUnverified() {
+        return hasRunTasks && !liveness.verified() && !reservationExpired;
     }
 
     /** Whether it is being fenced and can be deleted now. */
--- a/src/main/java/io/quartzgw/scheduling/MachineFencing.java
+++ b/src/main/java/io/quartzgw/scheduling/MachineFencing.java
@@ -1,6 +1,8 @@
 package io.quartzgw.scheduling;
 
+import io.quartzgw.model.Attempt;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -19,6 +21,9 @@
     /** By task, in the order in which the attempts ended. */
     private final Map<String, Allocation> unfenced = new LinkedHashMap<>();
 
+    /** By start of a cancelled job that a former leader's call may carry: when the job was cancelled. */
+    private final Map<Attempt, Long> cancelledStarts = new HashMap<>();
+
     private long deadline = NOT_FENCED;
     private boolean unknownStarts;
 
@@ -50,6 +55,20 @@
         return !unfenced.isEmpty();
     }
 
+    /**
+     * Adds the start of a cancelled job that a direct call of a former leader may still carry to the machine.
+     *
+     * @param cancelledAtMs when the job was cancelled
+     */
+    public void addCancelledStart(Attempt start, long cancelledAtMs) {
+        cancelledStarts.put(start, cancelledAtMs);
+    }
+
+    /** How many starts of cancelled jobs the calls of former leaders may carry. */
+    public int cancelledStarts() {
+        return cancelledStarts.size();
+    }
+
     /** Records that calls of former leaders may carry starts to the machine which this leader can't know. */
     public void expectUnknownStarts() {
         unknownStarts = true;
--- a/src/test/java/io/quartzgw/agent/AgentManagerTest.java
+++ b/src/test/java/io/quartzgw/agent/AgentManagerTest.java
@@ -80,6 +80,7 @@
                 10,
                 id -> false,
                 startLog,
+                (ended, isCancelled) -> isCancelled.accept(true),
                 new IgnoringListener());
         startLog.load(List.of());
         eventLoop.onBatchEnd(startLog::flush);
--- a/src/test/java/io/quartzgw/agent/InheritedStartsTest.java
+++ b/src/test/java/io/quartzgw/agent/InheritedStartsTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.quartzgw.eventloop.ClockReading;
 import io.quartzgw.eventloop.Command;
@@ -33,12 +34,17 @@
 import io.quartzgw.simulation.SimulatedStore;
 import io.quartzgw.startlog.MachineStarts;
 import io.quartzgw.startlog.StartLog;
+import io.quartzgw.store.KeyValue;
+import io.quartzgw.store.ListResult;
 import io.quartzgw.store.StoreClient;
 import io.quartzgw.store.StoreLimits;
 import io.quartzgw.submission.OpenJob;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -53,7 +59,9 @@
     private static final int RECORDED_STARTS = 2;
     private static final long FORMER_ATTEMPT = 7;
     private static final long HEARTBEAT_MS = 2_500;
+    private static final long STEP_MS = 500;
     private static final long TERM_IN_ATTEMPTS = 5;
+    private static final Attempt ENDED = new Attempt("j-000009", 0, FORMER_ATTEMPT);
     private static final MachineType TYPE =
             new MachineType("t", new Resources(8, 0, 32), 40, 1, 1, 0.3, 10, List.of("a", "b"));
 
@@ -61,6 +69,9 @@
     private final SimulatedStore stateService = new SimulatedStore();
     private final StoreClient store = new StoreClient(eventLoop, STATE, new StoreLimits(100_000, 100_000, 8192, 16));
     private final Leadership leadership = Elections.candidate(eventLoop, store);
+    /** The look-ups of ended jobs, with what takes their result. */
+    private final Map<String, Consumer<Boolean>> endedJobs = new HashMap<>();
+
     private final List<Effect.Send> directCalls = new ArrayList<>();
     private long now;
     private long sequence;
@@ -87,10 +98,11 @@
                 10,
                 id -> false,
                 startLog,
+                endedJobs::put,
                 new IgnoringListener());
         agents.beginReconciling();
         machine = addMachine(MACHINE, "a");
-        job = addJob();
+        job = addJob(JOB, 2);
         cluster.markUnaccounted(job);
     }
 
@@ -102,13 +114,13 @@
         return added;
     }
 
-    private Job addJob() {
+    private Job addJob(String id, double cpus) {
         Job added = cluster.add(new OpenJob(
-                JobSpecs.named(JOB)
+                JobSpecs.named(id)
                         .team("team")
                         .shape(JobShape.ARRAY)
                         .tasks(3)
-                        .demand(2, 0, 4)
+                        .demand(cpus, 0, 4)
                         .spec(),
                 1,
                 0));
@@ -329,4 +341,62 @@
         assertEquals("{1}", job.unaccounted().toString());
         assertEquals("{0, 2}", job.pending().toString());
     }
+
+    /** Takes over a log of a former leader that has the start of a job which is not open. */
+    private void inheritStartOfEndedJob() {
+        stateService.setValue("sent/0", Json.object().put(ENDED.task() + "/" + ENDED.number(), MACHINE));
+        store.listPrefix(StartLog.PREFIX, result -> {
+            List<KeyValue> pages = ((ListResult.Listed) result).listing().entries();
+            agents.inheritStarts(startLog.load(pages).machines());
+        });
+        advance(0);
+    }
+
+    /** Returns whether the log keeps a start when the void ones have left it. */
+    private boolean isInLog(Attempt start) {
+        for (long passed = 0; passed < 4 * HEARTBEAT_MS; passed += STEP_MS) {
+            advance(STEP_MS);
+        }
+        JsonNode page = stateService.value("sent/0");
+        return page != null && page.has(start.task() + "/" + start.number());
+    }
+
+    // Guards against ran_cancelled: the start of a cancelled job was dropped by the next leader.
+    @Test
+    void machineOfAStartOfACancelledJobIsFencedAndItsStartStaysKnown() {
+        inheritStartOfEndedJob();
+        assertTrue(isInLog(ENDED), "while it is not known how the job has ended");
+        assertEquals(0, machine.fencing().cancelledStarts());
+        endedJobs.remove(ENDED.job()).accept(true);
+        assertEquals(1, machine.fencing().cancelledStarts());
+        assertTrue(isInLog(ENDED), "the next leader has to know it too");
+    }
+
+    // Each start is released in the end: a task that is done is not started elsewhere.
+    @Test
+    void startOfADoneJobIsVoid() {
+        inheritStartOfEndedJob();
+        endedJobs.remove(ENDED.job()).accept(false);
+        assertEquals(0, machine.fencing().cancelledStarts());
+        assertFalse(isInLog(ENDED));
+    }
+
+    // Guards against ran_cancelled: the job was cancelled between the failover and the end of the recovery.
+    @Test
+    void machineIsFencedIfTheJobIsCancelledBeforeItsTasksAreAccountedFor() {
+        inherit(MACHINE, 0, FORMER_ATTEMPT);
+        cluster.terminate(job);
+        agents.reportUnfencedAttempts();
+        endedJobs.remove(JOB).accept(true);
+        assertEquals(1, machine.fencing().cancelledStarts());
+    }
+
+    @Test
+    void startOfACancelledJobToAMachineThatIsGoneLeavesTheLog() {
+        inheritStartOfEndedJob();
+        cluster.remove(machine);
+        agents.forget(machine);
+        endedJobs.remove(ENDED.job()).accept(true);
+        assertFalse(isInLog(ENDED));
+    }
 }
--- a/src/test/java/io/quartzgw/fleet/FencingPolicyTest.java
+++ b/src/test/java/io/quartzgw/fleet/FencingPolicyTest.java
@@ -7,6 +7,7 @@
 import io.quartzgw.eventloop.ClockReading;
 import io.quartzgw.eventloop.EventLoop;
 import io.quartzgw.liveness.HeartbeatId;
+import io.quartzgw.model.Attempt;
 import io.quartzgw.model.MachineType;
 import io.quartzgw.model.Resources;
 import io.quartzgw.scheduling.Allocation;
@@ -168,4 +169,24 @@
         assertEquals(pending, job.pending().cardinality());
         assertEquals(0, cluster.usageByTeam("team").cpus());
     }
+
+    // Guards against ran_cancelled by a former leader's start.
+    @Test
+    void machineThatAFormerLeadersCallMayStartACancelledTaskOnIsDeleted() {
+        machine(0).fencing().addCancelledStart(new Attempt("j-3", 0, 1), 0);
+        fencingPolicy.fenceMachines();
+        assertTrue(isDeletable(machine(0)), "nothing runs there");
+        assertEquals(1, fenced());
+    }
+
+    // Guards against a log that can't be read and is taken for empty.
+    @Test
+    void machinesThatUnknownStartsMayReachAreDeletedFewAtATime() {
+        cluster.machines().forEach(machine -> {
+            run(machine);
+            machine.fencing().expectUnknownStarts();
+        });
+        fencingPolicy.fenceMachines();
+        assertEquals(5, fenced());
+    }
 }
