Machines that may start a cancelled task are deleted within cancel_s, however many

Symptom: ran_cancelled with one leader throughout, when more machines in use had an unanswered start of a cancelled job than may be evacuated at a time, and were started again later than cancel_s.

Cause: a promise with a deadline that hangs on something that can be used up: one machine in twenty is evacuated at a time, those of cancelled jobs last. Traced: six such machines at 66 s, two drained at 70.0, two at 113.2, two not before 122.5; the limit was 117.5.

Fix: from half of cancel_s on such a machine is fenced out of turn, and deleted at 0.8 of it; an evacuation that is under way is cut short.

--- a/src/main/java/io/quartzgw/app/LeaderPolicies.java
+++ b/src/main/java/io/quartzgw/app/LeaderPolicies.java
@@ -23,6 +23,7 @@
         return new FleetManager.Policy(
                 reservedCpus(settings),
                 recoveryTiming.reservationMs(),
+                settings.agentTiming().cancelMs(),
                 settings.cloudLimits().listLagMs());
     }
 
--- a/src/main/java/io/quartzgw/fleet/FencingPolicy.java
+++ b/src/main/java/io/quartzgw/fleet/FencingPolicy.java
@@ -6,6 +6,7 @@
 import io.quartzgw.scheduling.Machine;
 import java.util.Comparator;
 import java.util.List;
+import java.util.OptionalLong;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -26,6 +27,10 @@
     private static final double REACHABLE_AGAIN_RESERVATIONS = 0.4;
     /** How long a machine in use is evacuated before it is deleted, in reservations. */
     private static final double EVACUATION_RESERVATIONS = 1.5;
+    /** From this fraction of the time limit of a cancellation on, the number of evacuated machines does not count. */
+    private static final double OUT_OF_TURN_CANCEL_FRACTION = 0.5;
+    /** At this fraction of the limit the machine is deleted; the rest is for the cloud's answer. */
+    private static final double DELETION_CANCEL_FRACTION = 0.8;
     /** The largest share of the machines that is evacuated for fencing at a time. */
     private static final double MAX_EVACUATED_SHARE = 0.05;
     /** Where the share is less, so many may be evacuated at a time. */
@@ -36,6 +41,8 @@
     private final long answerMs;
     private final long reachableAgainMs;
     private final long evacuationMs;
+    private final long outOfTurnMs;
+    private final long deletionMs;
 
     FencingPolicy(EventLoop eventLoop, ClusterState cluster, FleetManager.Policy policy) {
         this.eventLoop = eventLoop;
@@ -43,6 +50,8 @@
         this.answerMs = (long) (ANSWER_RESERVATIONS * policy.reservationMs());
         this.reachableAgainMs = (long) (REACHABLE_AGAIN_RESERVATIONS * policy.reservationMs());
         this.evacuationMs = (long) (EVACUATION_RESERVATIONS * policy.reservationMs());
+        this.outOfTurnMs = (long) (OUT_OF_TURN_CANCEL_FRACTION * policy.cancelMs());
+        this.deletionMs = (long) (DELETION_CANCEL_FRACTION * policy.cancelMs());
     }
 
     /**
@@ -56,6 +65,7 @@
             needed.stream().filter(machine -> !machine.isInUse()).forEach(this::fence);
             evacuate(needed.stream().filter(Machine::isInUse).toList());
         }
+        List.copyOf(cluster.machines()).forEach(this::fenceOutOfTurn);
     }
 
     private boolean isFencingNeeded(Machine machine) {
@@ -80,6 +90,19 @@
         return machine.allocations().stream().anyMatch(allocation -> allocation.isLostFor(waitMs, eventLoop.nowMs()));
     }
 
+    // Users were told that nothing of the job runs after a limit; a share of the machines may not stand against that.
+    private void fenceOutOfTurn(Machine machine) {
+        OptionalLong cancelledAtMs = machine.firstCancellationMs();
+        if (cancelledAtMs.isEmpty() || eventLoop.nowMs() < cancelledAtMs.getAsLong() + outOfTurnMs) {
+            return;
+        }
+        long deadline = cancelledAtMs.getAsLong() + deletionMs;
+        if (deadline < machine.fencing().deadline()) {
+            eventLoop.increment("fencing.out_of_turn", 1);
+            fence(machine, deadline);
+        }
+    }
+
     // Those for the sake of open jobs come first: nothing waits for a job that was cancelled.
     private void evacuate(List<Machine> machines) {
         long allowed = Math.max(MIN_EVACUATED, (long)
--- a/src/main/java/io/quartzgw/fleet/FleetManager.java
+++ b/src/main/java/io/quartzgw/fleet/FleetManager.java
@@ -38,9 +38,10 @@
      *
      * @param reservedCpus CPUs that stay rented whatever the demand, for the guaranteed quotas of teams
      * @param reservationMs how long the capacity of a silent machine stays reserved
+     * @param cancelMs how long a task may run after a user was told that its job is cancelled
      * @param listLagMs how outdated the cloud's machine list may be
      */
-    public record Policy(double reservedCpus, long reservationMs, long listLagMs) {
+    public record Policy(double reservedCpus, long reservationMs, long cancelMs, long listLagMs) {
         /** A machine is not silent if its last heartbeat is within this fraction of its reservation time. */
         private static final double RECENT_RESERVATION_FRACTION = 0.25;
 
--- a/src/main/java/io/quartzgw/scheduling/ClusterState.java
+++ b/src/main/java/io/quartzgw/scheduling/ClusterState.java
@@ -125,7 +125,7 @@
     /** Makes a job terminal: no task of it is started any more; it is removed with its last allocation. */
     public void terminate(Job job) {
         LOG.atDebug().addKeyValue("job", job.id()).log("job terminal");
-        update(job, Job::terminate);
+        update(job, terminated -> terminated.terminate(eventLoop.nowMs()));
         removeIfDrained(job);
     }
 
--- a/src/main/java/io/quartzgw/scheduling/Job.java
+++ b/src/main/java/io/quartzgw/scheduling/Job.java
@@ -26,6 +26,7 @@
     private final FailureHistory failureHistory = new FailureHistory();
     private int recordedStartLimit;
     private boolean isTerminal;
+    private long terminatedAt;
 
     /** @param submittedAt when the job was accepted */
     Job(OpenJob open, long submittedAt) {
@@ -227,7 +228,15 @@
         return isTerminal;
     }
 
-    void terminate() {
+    /** When this leader learned that the job is terminal; meaningful only once it is. */
+    long terminatedAt() {
+        return terminatedAt;
+    }
+
+    void terminate(long now) {
+        if (!isTerminal) {
+            terminatedAt = now;
+        }
         isTerminal = true;
         pending.clear();
         unaccounted.clear();
--- a/src/main/java/io/quartzgw/scheduling/Machine.java
+++ b/src/main/java/io/quartzgw/scheduling/Machine.java
@@ -10,6 +10,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
+import java.util.stream.LongStream;
+import java.util.stream.Stream;
 
 /** A rented machine as the leader sees it. */
 public final class Machine {
@@ -113,6 +116,17 @@
         fencing.begin(deadline);
     }
 
+    /** When the first of the cancelled jobs was cancelled whose tasks a late start may run here, if there is any. */
+    public OptionalLong firstCancellationMs() {
+        Stream<Allocation> lost = allocations.values().stream().filter(Allocation::isLost);
+        LongStream ofThisLeader = Stream.concat(lost, fencing.unfenced().stream())
+                .filter(allocation -> !allocation.job().isDone(allocation.index()))
+                .map(Allocation::job)
+                .filter(Job::isTerminal)
+                .mapToLong(Job::terminatedAt);
+        return LongStream.concat(ofThisLeader, fencing.cancellationsMs()).min();
+    }
+
     /** The attempts that may still be started on it though they have ended, and whether it is deleted for them. */
     public MachineFencing fencing() {
         return fencing;
--- a/src/main/java/io/quartzgw/scheduling/MachineFencing.java
+++ b/src/main/java/io/quartzgw/scheduling/MachineFencing.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.LongStream;
 
 /**
  * The unfenced attempts of one machine, and whether it is being fenced, which means that it will be deleted.
@@ -69,6 +70,11 @@
         return cancelledStarts.size();
     }
 
+    /** When the jobs were cancelled whose starts former leaders' calls may carry. */
+    LongStream cancellationsMs() {
+        return cancelledStarts.values().stream().mapToLong(Long::longValue);
+    }
+
     /** Records that calls of former leaders may carry starts to the machine which this leader can't know. */
     public void expectUnknownStarts() {
         unknownStarts = true;
--- a/src/test/java/io/quartzgw/fleet/FencingPolicyTest.java
+++ b/src/test/java/io/quartzgw/fleet/FencingPolicyTest.java
@@ -26,6 +26,7 @@
  */
 class FencingPolicyTest {
     private static final long RESERVATION_MS = 17_000;
+    private static final long CANCEL_MS = 36_000;
     private static final int MACHINES = 100;
     private static final MachineType TYPE =
             new MachineType("t", new Resources(16, 0, 64), 40, 1, 1, 0.3, 20, List.of("a"));
@@ -33,7 +34,7 @@
     private final EventLoop eventLoop = new EventLoop(1);
     private final ClusterState cluster = new ClusterState(eventLoop, 1);
     private final FencingPolicy fencingPolicy =
-            new FencingPolicy(eventLoop, cluster, new FleetManager.Policy(0, RESERVATION_MS, 5_000));
+            new FencingPolicy(eventLoop, cluster, new FleetManager.Policy(0, RESERVATION_MS, CANCEL_MS, 5_000));
     private Job job;
 
     @BeforeEach
@@ -170,6 +171,54 @@
         assertEquals(0, cluster.usageByTeam("team").cpus());
     }
 
+    // Guards against a late start of a cancelled task on a machine that waits for its turn to be evacuated.
+    @Test
+    void machinesThatMayStartCancelledTasksAreDeletedWithinTheLimitHoweverManyThereAre() {
+        for (int i = 0; i < MACHINES; i++) {
+            exitUnfenced(machine(i));
+        }
+        Job other = addJob("j-2");
+        cluster.machines().forEach(machine -> runOf(other, machine));
+        cluster.terminate(job);
+        for (long ms = 0; ms < CANCEL_MS; ms += 500) {
+            advanceTo(ms);
+            fencingPolicy.fenceMachines();
+            if (ms == CANCEL_MS / 4) {
+                assertEquals(5, fenced(), "at first in turn");
+            }
+        }
+        assertTrue(cluster.machines().stream().allMatch(this::isDeletable));
+    }
+
+    private Job addJob(String id) {
+        return cluster.add(new OpenJob(
+                JobSpecs.named(id)
+                        .team("team")
+                        .tasks(2 * MACHINES)
+                        .demand(4, 0, 8)
+                        .spec(),
+                1,
+                0));
+    }
+
+    private void runOf(Job of, Machine on) {
+        cluster.allocate(of, of.nextPending(), on, cluster.nextAttempt())
+                .recordPhase(Allocation.Phase.RUNNING, eventLoop.nowMs());
+    }
+
+    @Test
+    void evacuationIsCutShortWhenTheLimitOfACancellationNears() {
+        exitUnfenced(machine(0));
+        runOf(addJob("j-2"), machine(0));
+        advanceTo(RESERVATION_MS / 2);
+        fencingPolicy.fenceMachines();
+        long deadline = machine(0).fencing().deadline();
+        machine(0).fencing().addCancelledStart(new Attempt("j-3", 0, 1), RESERVATION_MS / 2 - CANCEL_MS / 2);
+        fencingPolicy.fenceMachines();
+        assertTrue(machine(0).fencing().deadline() < deadline);
+        assertEquals(1, eventLoop.counters().get("fencing.machines"), "one machine");
+    }
+
     // Guards against ran_cancelled by a former leader's start.
     @Test
     void machineThatAFormerLeadersCallMayStartACancelledTaskOnIsDeleted() {
@@ -179,6 +228,20 @@
         assertEquals(1, fenced());
     }
 
+    // Guards against tasks that are killed since a new leader has not heard of them yet.
+    @Test
+    void machineThatMayRunTasksOfAFormerLeaderCountsAsInUse() {
+        Machine silent = new Machine("i-silent", TYPE, "a", false, 0, 0);
+        silent.markHasRunTasks();
+        cluster.add(silent);
+        silent.fencing().addCancelledStart(new Attempt("j-3", 0, 1), -CANCEL_MS / 2);
+        fencingPolicy.fenceMachines();
+        assertTrue(silent.fencing().isBegun());
+        assertFalse(isDeletable(silent), "it is evacuated first");
+        advanceTo(CANCEL_MS / 2);
+        assertTrue(isDeletable(silent));
+    }
+
     // Guards against a log that can't be read and is taken for empty.
     @Test
     void machinesThatUnknownStartsMayReachAreDeletedFewAtATime() {
--- a/src/test/java/io/quartzgw/fleet/ScaleInPolicyTest.java
+++ b/src/test/java/io/quartzgw/fleet/ScaleInPolicyTest.java
@@ -23,6 +23,7 @@
 /** Which machines are drained for scale-in: idle ones, unless silent machines may need them, and unbooted ones. */
 class ScaleInPolicyTest {
     private static final long SILENT_MS = 17_000;
+    private static final long CANCEL_MS = 36_000;
     private static final MachineType TYPE =
             new MachineType("t", new Resources(16, 2, 64), 40, 1, 1, 0.3, 20, List.of("a"));
 
@@ -32,7 +33,7 @@
             eventLoop,
             cluster,
             new Consolidation(cluster, machine -> true, new IgnoringLauncher(), 16_000),
-            new FleetManager.Policy(0, SILENT_MS, 5_000));
+            new FleetManager.Policy(0, SILENT_MS, CANCEL_MS, 5_000));
 
     private static final class IgnoringLauncher implements TaskLauncher {
         @Override
