A lost attempt is started again only when its machine has room

Symptom: a new leader allocates an inherited start's task to its machine when its capacity is given away; the agent refuses the start, and the machine was fenced for that alone.

A lost attempt that a reachable agent does not run again within a reservation has its machine fenced.

--- a/src/main/java/io/quartzgw/agent/AgentState.java
+++ b/src/main/java/io/quartzgw/agent/AgentState.java
@@ -141,6 +141,7 @@
         return !allocation.observed()
                 && !allocation.stopping()
                 && !allocation.startWithheld()
+                && !(allocation.isLost() && machine.isOverbooked())
                 && !allocation.job().isTerminal()
                 && !outstandingStarts.isInFlight(Attempts.of(allocation));
     }
--- a/src/main/java/io/quartzgw/fleet/FencingPolicy.java
+++ b/src/main/java/io/quartzgw/fleet/FencingPolicy.java
@@ -25,6 +25,8 @@
     private static final double ANSWER_RESERVATIONS = 0.2;
     /** An unreachable agent that has lost attempts gets this fraction of a reservation to answer a call again. */
     private static final double REACHABLE_AGAIN_RESERVATIONS = 0.4;
+    /** A lost attempt that its reachable agent does not run again is waited for this long, in reservations. */
+    private static final double LOST_RESERVATIONS = 1;
     /** How long a machine in use is evacuated before it is deleted, in reservations. */
     private static final double EVACUATION_RESERVATIONS = 1.5;
     /** From this fraction of the time limit of a cancellation on, the number of evacuated machines does not count. */
@@ -41,6 +43,7 @@
     private final long answerMs;
     private final long reachableAgainMs;
     private final long evacuationMs;
+    private final long lostMs;
     private final long outOfTurnMs;
     private final long deletionMs;
 
@@ -50,6 +53,7 @@
         this.answerMs = (long) (ANSWER_RESERVATIONS * policy.reservationMs());
         this.reachableAgainMs = (long) (REACHABLE_AGAIN_RESERVATIONS * policy.reservationMs());
         this.evacuationMs = (long) (EVACUATION_RESERVATIONS * policy.reservationMs());
+        this.lostMs = (long) (LOST_RESERVATIONS * policy.reservationMs());
         this.outOfTurnMs = (long) (OUT_OF_TURN_CANCEL_FRACTION * policy.cancelMs());
         this.deletionMs = (long) (DELETION_CANCEL_FRACTION * policy.cancelMs());
     }
@@ -71,6 +75,7 @@
     private boolean isFencingNeeded(Machine machine) {
         return hasLongUnfenced(machine)
                 || hasUnreachableLost(machine)
+                || hasLongLost(machine)
                 || machine.fencing().cancelledStarts() > 0
                 || machine.fencing().hasUnknownStarts();
     }
@@ -90,6 +95,12 @@
         return machine.allocations().stream().anyMatch(allocation -> allocation.isLostFor(waitMs, eventLoop.nowMs()));
     }
 
+    // A start is not sent again while its machine lacks room, nor while the inherited starts of a team exceed its quota
+    // together: they would wait for each other.
+    private boolean hasLongLost(Machine machine) {
+        return machine.allocations().stream().anyMatch(allocation -> allocation.isLostFor(lostMs, eventLoop.nowMs()));
+    }
+
     // Users were told that nothing of the job runs after a limit; a share of the machines may not stand against that.
     private void fenceOutOfTurn(Machine machine) {
         OptionalLong cancelledAtMs = machine.firstCancellationMs();
--- a/src/main/java/io/quartzgw/scheduling/Machine.java
+++ b/src/main/java/io/quartzgw/scheduling/Machine.java
@@ -215,6 +215,14 @@
         return freeCapacity;
     }
 
+    /**
+     * Whether more is allocated than it has: a lost attempt has got its allocation back after others were placed there.
+     * The agent would refuse its start until some of them have ended.
+     */
+    public boolean isOverbooked() {
+        return !Resources.NONE.fitsIn(freeCapacity);
+    }
+
     /** Whether no task is allocated to it. */
     public boolean empty() {
         return allocations.isEmpty();
--- a/src/test/java/io/quartzgw/agent/InheritedStartsTest.java
+++ b/src/test/java/io/quartzgw/agent/InheritedStartsTest.java
@@ -251,6 +251,20 @@
         return HeartbeatResponseCodec.encode(agents.respond(received)).toString();
     }
 
+    // Guards against a machine that is fenced only since its agent refuses the start for lack of room.
+    @Test
+    void inheritedStartIsSentAgainOnlyWhenItsMachineHasRoom() {
+        inherit(MACHINE, 0, FORMER_ATTEMPT);
+        Job other = addJob("j-000002", 8);
+        Allocation inTheWay = cluster.allocate(other, 0, machine, cluster.nextAttempt());
+        resolve();
+        String response = respondTo(0);
+        assertTrue(response.contains("j-000002"));
+        assertFalse(response.contains(JOB), "the agent would refuse it");
+        cluster.release(inTheWay);
+        assertTrue(respondTo(0).contains(JOB));
+    }
+
     // A later attempt is begun only when the earlier ones can't be started any more.
     @Test
     void startOfATaskThatHasALaterAttemptIsVoid() {
--- a/src/test/java/io/quartzgw/fleet/FencingPolicyTest.java
+++ b/src/test/java/io/quartzgw/fleet/FencingPolicyTest.java
@@ -228,6 +228,20 @@
         assertEquals(1, fenced());
     }
 
+    // Guards against a task that waits for ever for room on its machine, and against inherited starts that wait for
+    // each
+    // other, since they exceed the quota together.
+    @Test
+    void machineIsDeletedIfItsReachableAgentDoesNotRunALostAttemptAgainForAReservation() {
+        run(machine(0)).markLost(0);
+        advanceTo(RESERVATION_MS - 1);
+        fencingPolicy.fenceMachines();
+        assertEquals(0, fenced());
+        advanceTo(RESERVATION_MS);
+        fencingPolicy.fenceMachines();
+        assertEquals(1, fenced());
+    }
+
     // Guards against tasks that are killed since a new leader has not heard of them yet.
     @Test
     void machineThatMayRunTasksOfAFormerLeaderCountsAsInUse() {
