--- /dev/null
+++ b/src/test/java/io/quartzgw/app/CancelledStartsAndOutagesTest.java
@@ -0,0 +1,116 @@
+package io.quartzgw.app;
+
+import static io.quartzgw.app.ClusterFixtures.LEASE_MS;
+import static io.quartzgw.app.ClusterFixtures.clusterWithServices;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.quartzgw.http.Json;
+import io.quartzgw.liveness.AgentTiming;
+import io.quartzgw.simulation.ClusterSimulation;
+import io.quartzgw.simulation.SeedRanges;
+import java.util.stream.LongStream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * A start of a cancelled job is on its way in a direct call while the state service is out. The machine is started
+ * again just after {@code cancel_s}, and the call reaches its new agent. Guards against {@code ran_cancelled}, where
+ * the machine is not deleted by then although the cloud deletes machines all the time.
+ */
+class CancelledStartsAndOutagesTest {
+    private static final int CONTROLLERS = 3;
+    private static final long CANCEL_MS = new AgentTiming(2_500, LEASE_MS, 36_000).cancelMs();
+    private static final long AFTER_LIMIT_MS = 1_000;
+    private static final String FILLER = "j-000699";
+    private static final long FILLER_RUNS_MS = 30_000;
+    private static final long TASKS_RUN_MS = 45_000;
+    private static final long RECOVERY_MS = 60_000;
+
+    private ClusterSimulation simulation;
+    private StartsOnTheirWay starts;
+
+    static LongStream seeds() {
+        return SeedRanges.range("outages", 1, 4);
+    }
+
+    private void cancelWithAStartOnItsWay(long seed) {
+        simulation = clusterWithServices(new ClusterSimulation(seed, CONTROLLERS));
+        starts = new StartsOnTheirWay(simulation);
+        fillMachinesForLong();
+        starts.send(StartsOnTheirWay.tasks());
+        starts.cancel();
+    }
+
+    private void fillMachinesForLong() {
+        simulation.users().submitUntilAccepted(JobRequests.array(FILLER, "blue", 4, 4, 600));
+        simulation.runChecked(FILLER_RUNS_MS);
+    }
+
+    private void beginOutage(long durationMs) {
+        simulation.store().setOutage(true);
+        starts.log("outage begins");
+        simulation.schedule(simulation.now() + durationMs, () -> {
+            starts.log("outage ends");
+            simulation.store().setOutage(false);
+        });
+    }
+
+    private void assertNothingStartsAfterTheLimit() {
+        simulation.runChecked(CANCEL_MS + AFTER_LIMIT_MS);
+        starts.rebootAndDeliver();
+        simulation.runChecked(RECOVERY_MS);
+        assertEquals(
+                0,
+                simulation.invariants().violations().size(),
+                () -> simulation.invariants().violations().toString());
+    }
+
+    // The leader is not confirmed during the outage, and deletes no machine.
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void leaderDeletesTheMachineWithinTheLimitThoughTheStateServiceIsOut(long seed) {
+        cancelWithAStartOnItsWay(seed);
+        beginOutage(CANCEL_MS + 4_000);
+        assertNothingStartsAfterTheLimit();
+    }
+
+    // A task that is done is not started elsewhere, but its late start is one of a cancelled job.
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void unansweredStartOfADoneTaskOfACancelledJobRunsNot(long seed) {
+        simulation = clusterWithServices(new ClusterSimulation(seed, CONTROLLERS));
+        starts = new StartsOnTheirWay(simulation);
+        fillMachinesForLong();
+        // Without more machines, most tasks wait.
+        simulation.cloud().setOutage(true);
+        starts.send(StartsOnTheirWay.tasks(60, 20));
+        simulation.runChecked(TASKS_RUN_MS);
+        for (String machine : starts.machines()) {
+            assertTrue(
+                    simulation.invariants().runningTasks().stream().noneMatch(task -> simulation
+                            .network()
+                            .heldStarts(StartsOnTheirWay.JOB)
+                            .get(machine)
+                            .contains(task)),
+                    "the tasks are done");
+        }
+        simulation.cloud().setOutage(false);
+        starts.cancel();
+        assertNothingStartsAfterTheLimit();
+    }
+
+    // No machine has run a task, so the page names none that exists: it must not cost the fleet at a later failover.
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void pageThatCannotBeReadIsDroppedThoughNoMachineHasRunATask(long seed) {
+        ClusterSimulation empty = new ClusterSimulation(seed, CONTROLLERS);
+        empty.store().setValue("sent/0", Json.object().put("no attempt", "i-000001"));
+        clusterWithServices(empty);
+        empty.runChecked(RECOVERY_MS);
+        JsonNode page = empty.store().value("sent/0");
+        assertFalse(page != null && page.has("no attempt"), "the next leader would delete every machine in use");
+    }
+}
