Fenced machines are deleted before machines are rented

Symptom: while machines are wanted, no deletion is sent, so that tasks wait for a fenced machine for ever, and a cancelled task may be started on it after cancel_s.

Cause: with a limit of 4 requests a second a run of the fleet manager has less than one request, and rentals took it first.

--- a/src/main/java/io/quartzgw/fleet/FleetManager.java
+++ b/src/main/java/io/quartzgw/fleet/FleetManager.java
@@ -119,6 +119,12 @@
         if (!term.isConfirmed() || !inventory.isInventoryKnown()) {
             return false;
         }
+        // Rentals may take all that the cloud's request limit allows: tasks wait for these deletions, and
+        // cancellations.
+        if (inventory.isCloudResponding()) {
+            fencingPolicy.fenceMachines();
+        }
+        scaleInRequests.deleteFenced();
         List<Machine> booting =
                 cluster.machines().stream().filter(this::isBooting).toList();
         List<MachineOffer> requested = scaleOutRequests.requested();
@@ -126,9 +132,6 @@
         // Guards the leader's processor time while the cloud is exhausted: planning is useless, and most tasks are
         // pending.
         boolean more = !isExhausted() && scaleOut(unplaced, booting, requested, rentedCpus);
-        if (inventory.isCloudResponding()) {
-            fencingPolicy.fenceMachines();
-        }
         if (allocationsKnown) {
             scaleInPolicy.drainUnneeded(rentedCpus);
             if (booting.isEmpty() && requested.isEmpty()) {
--- a/src/main/java/io/quartzgw/fleet/ScaleInRequests.java
+++ b/src/main/java/io/quartzgw/fleet/ScaleInRequests.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 /** Deletes drained machines at the cloud, once no task runs on them. */
 final class ScaleInRequests {
@@ -31,17 +32,26 @@
         this.removed = removed;
     }
 
+    /** Deletes the machines that are fenced and may be deleted now, as far as the cloud's request limit allows. */
+    void deleteFenced() {
+        if (cloud.isIdle()) {
+            delete(machine -> machine.isFencingDue(eventLoop.nowMs()));
+        }
+    }
+
     /** Deletes drained machines; returns whether some have to wait for the cloud's request limit. */
     boolean deleteDrained() {
         if (!cloud.isIdle()) {
             return cluster.machines().stream().anyMatch(machine -> machine.status() == Machine.Status.DRAINING);
         }
+        delete(machine -> machine.status() == Machine.Status.DRAINING && isDeletable(machine));
+        return false;
+    }
+
+    private void delete(Predicate<Machine> due) {
         List<String> ids = new ArrayList<>();
         for (Machine machine : cluster.machines()) {
-            if (machine.status() == Machine.Status.DRAINING
-                    && isDeletable(machine)
-                    && ids.size() < CloudClient.MAX_DELETE
-                    && deleting.add(machine.id())) {
+            if (due.test(machine) && ids.size() < CloudClient.MAX_DELETE && deleting.add(machine.id())) {
                 ids.add(machine.id());
             }
         }
@@ -49,7 +59,6 @@
             // A successor may have started tasks there by the time a paused process goes on.
             cloud.delete(ids, term.confirmedUntilMs(), success -> onDeleted(ids, success));
         }
-        return false;
     }
 
     // No task may run on a machine that is deleted, unless the machine is being fenced and its time is over.
