Outstanding starts of jobs that have ended are found whatever else the job has

Cause: a start was handed over at the moments at which it lost its task or job, and these moments were not all there are.

Fix: at each tick the unanswered starts themselves are looked through (EndedJobStarts): one without an open job and without an allocation is void or fenced, by how the job ended. The limit counts from when a user was told; where nobody knows, the machine is deleted at once. Look-ups go on beside each other, in a loop.

--- a/src/main/java/io/quartzgw/agent/AgentManager.java
+++ b/src/main/java/io/quartzgw/agent/AgentManager.java
@@ -39,6 +39,7 @@
     private final UnfencedAttemptsMonitor unfencedAttempts;
     private final StartAnnouncer announcer;
     private final InheritedStarts inheritedStarts;
+    private final EndedJobStarts endedJobStarts;
     /** The newest heartbeat of each machine that came before the stored state was read. */
     private final Map<String, Heartbeat> buffered = new HashMap<>();
 
@@ -83,7 +84,8 @@
         this.dispatcher = new CommandDispatcher(
                 leader, registry, pendingCommands, announcer, timing, maxDirectCalls, this::onReply);
         this.unfencedAttempts = new UnfencedAttemptsMonitor(leader, registry, timing);
-        this.inheritedStarts = new InheritedStarts(leader, registry, announcer, endedJobs, timing.cancelMs());
+        this.inheritedStarts = new InheritedStarts(leader, registry, announcer);
+        this.endedJobStarts = new EndedJobStarts(leader, registry, endedJobs, inheritedStarts::forget);
         startLog.onStored(this::startsStored);
     }
 
@@ -161,7 +163,9 @@
      * @return how many were taken over: the others went to machines that are gone, or are of tasks that have ended
      */
     public int inheritStarts(Collection<MachineStarts> formerStarts) {
-        return inheritedStarts.inherit(formerStarts);
+        int inherited = inheritedStarts.inherit(formerStarts);
+        endedJobStarts.update();
+        return inherited;
     }
 
     /**
@@ -206,6 +210,7 @@
     /** Reports the attempts that are unfenced, and warns of starts that may come too late; called regularly. */
     public void reportUnfencedAttempts() {
         inheritedStarts.forgetVoid();
+        endedJobStarts.update();
         unfencedAttempts.check();
     }
 
--- a/src/main/java/io/quartzgw/agent/AgentRegistry.java
+++ b/src/main/java/io/quartzgw/agent/AgentRegistry.java
@@ -6,6 +6,7 @@
 import io.quartzgw.scheduling.Machine;
 import io.quartzgw.scheduling.StopReason;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -57,6 +58,11 @@
         withPendingCommands.remove(agent);
     }
 
+    /** Returns all agents; not to be modified. */
+    Collection<AgentState> agents() {
+        return Collections.unmodifiableCollection(agents.values());
+    }
+
     /** Returns a snapshot of the agents with pending commands. */
     Collection<AgentState> withPendingCommands() {
         return List.copyOf(withPendingCommands);
--- a/src/main/java/io/quartzgw/agent/EndedJobStarts.java
+++ b/src/main/java/io/quartzgw/agent/EndedJobStarts.java
@@ -1,86 +1,127 @@
 package io.quartzgw.agent;
 
 import io.quartzgw.eventloop.EventLoop;
+import io.quartzgw.model.Attempt;
+import io.quartzgw.scheduling.Allocation;
 import io.quartzgw.scheduling.ClusterState;
-import java.util.ArrayList;
-import java.util.LinkedHashMap;
-import java.util.List;
+import io.quartzgw.scheduling.Machine;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * The inherited starts of jobs that have ended. The start of a cancelled job must never be executed, so its machine is
- * fenced; that of a job which is done is void. Which of the two it is has to be read, one job after the other.
+ * The outstanding starts of jobs that have ended, of this leader and of former ones. The start of a cancelled job must
+ * not be executed, so its machine is fenced; that of a job which is done is void. Which of the two it is has to be
+ * looked up.
  */
 final class EndedJobStarts {
     private static final Logger LOG = LoggerFactory.getLogger(EndedJobStarts.class);
-    /** When a job was cancelled is not known: this fraction of the time limit of a cancellation counts as over. */
-    private static final double ELAPSED_CANCEL_FRACTION = 0.5;
+    private static final int MAX_LOOK_UPS = 8;
+    /** Stands for a cancellation whose time is not known: its limit may be over. */
+    private static final long LONG_AGO_MS = Long.MIN_VALUE / 2;
 
     private final EventLoop eventLoop;
     private final ClusterState cluster;
+    private final AgentRegistry registry;
     private final EndedJobs endedJobs;
-    private final Consumer<InheritedStart> onVoid;
-    private final long elapsedMs;
-    private final Map<String, List<InheritedStart>> unresolvedByJob = new LinkedHashMap<>();
-    private boolean lookingUp;
+    private final Consumer<OutstandingStart> onVoid;
+    /** By job whose end is not known yet. */
+    private final Map<String, Set<OutstandingStart>> unresolvedByJob = new HashMap<>();
 
-    /**
-     * @param cancelMs the time limit of a cancellation
-     * @param onVoid notified of each start that may be forgotten
-     */
-    EndedJobStarts(LeaderContext leader, EndedJobs endedJobs, long cancelMs, Consumer<InheritedStart> onVoid) {
+    private final Deque<String> waitingJobs = new ArrayDeque<>();
+    private int lookUps;
+    private boolean beginningLookUps;
+
+    /** @param onVoid notified of each start that may be forgotten */
+    EndedJobStarts(
+            LeaderContext leader, AgentRegistry registry, EndedJobs endedJobs, Consumer<OutstandingStart> onVoid) {
         this.eventLoop = leader.eventLoop();
         this.cluster = leader.cluster();
+        this.registry = registry;
         this.endedJobs = endedJobs;
         this.onVoid = onVoid;
-        this.elapsedMs = (long) (ELAPSED_CANCEL_FRACTION * cancelMs);
     }
 
-    /** Adds a start of a job that is not open. */
-    void add(InheritedStart start) {
-        unresolvedByJob
-                .computeIfAbsent(start.attempt().job(), job -> new ArrayList<>())
-                .add(start);
-        lookUpNext();
+    /** Finds the starts whose jobs have ended since the last call, and has their machines fenced or forgets them. */
+    void update() {
+        for (AgentState agent : registry.agents()) {
+            for (Attempt start : agent.outstandingStarts().unanswered()) {
+                if (isOfEndedJob(agent.machine(), start)) {
+                    add(new OutstandingStart(agent.machine(), start));
+                }
+            }
+        }
+        lookUp();
+    }
+
+    /** While an attempt has an allocation, that is retained until the machine is gone ({@link AllocationRelease}). */
+    private boolean isOfEndedJob(Machine machine, Attempt start) {
+        Allocation allocation = machine.allocation(start.task());
+        boolean allocated = allocation != null && allocation.attempt() == start.number();
+        return !allocated
+                && machine.fencing().find(start.task(), start.number()).isEmpty()
+                && Attempts.openJob(start, cluster).isEmpty();
     }
 
-    private void lookUpNext() {
-        if (lookingUp || unresolvedByJob.isEmpty()) {
+    private void add(OutstandingStart start) {
+        if (start.machine().fencing().isCancelledStart(start.attempt())) {
             return;
         }
-        lookingUp = true;
-        String job = unresolvedByJob.keySet().iterator().next();
-        endedJobs.lookUp(job, isCancelled -> {
-            lookingUp = false;
-            resolve(unresolvedByJob.remove(job), isCancelled);
-            lookUpNext();
-        });
+        String job = start.attempt().job();
+        if (!unresolvedByJob.containsKey(job)) {
+            unresolvedByJob.put(job, new LinkedHashSet<>());
+            waitingJobs.addLast(job);
+        }
+        unresolvedByJob.get(job).add(start);
     }
 
-    private void resolve(List<InheritedStart> starts, boolean isCancelled) {
-        for (InheritedStart start : starts) {
-            if (!cluster.contains(start.machine())) {
-                continue;
-            }
-            if (isCancelled) {
-                fence(start);
-            } else {
-                onVoid.accept(start);
-            }
+    private void lookUp() {
+        if (beginningLookUps) {
+            // A look-up has been answered at once: the loop below goes on with the next one.
+            return;
+        }
+        beginningLookUps = true;
+        while (lookUps < MAX_LOOK_UPS && !waitingJobs.isEmpty()) {
+            String job = waitingJobs.pollFirst();
+            lookUps++;
+            endedJobs.lookUp(job, end -> onEnd(job, end));
+        }
+        beginningLookUps = false;
+    }
+
+    private void onEnd(String job, EndedJobs.End end) {
+        lookUps--;
+        unresolvedByJob.remove(job).stream()
+                .filter(start -> cluster.contains(start.machine()))
+                .forEach(start -> resolve(start, end));
+        lookUp();
+    }
+
+    private void resolve(OutstandingStart start, EndedJobs.End end) {
+        if (end instanceof EndedJobs.End.Cancelled cancelled) {
+            fence(start, cancelled.atMs().orElse(LONG_AGO_MS));
+        } else {
+            onVoid.accept(start);
         }
     }
 
-    private void fence(InheritedStart start) {
-        eventLoop.increment("fencing.cancelled_inherited", 1);
+    private void fence(OutstandingStart start, long cancelledAtMs) {
+        eventLoop.increment("fencing.cancelled_starts", 1);
         LOG.atInfo()
                 .addKeyValue("task", start.attempt().task())
                 .addKeyValue("attempt", start.attempt().number())
                 .addKeyValue("machine", start.machine().id())
-                .log("inherited start of a cancelled job");
-        start.machine().fencing().addCancelledStart(start.attempt(), eventLoop.nowMs() - elapsedMs);
+                .addKeyValue(
+                        "former_leader",
+                        cluster.isOfFormerLeader(start.attempt().number()))
+                .log("start of a cancelled job outstanding");
+        start.machine().fencing().addCancelledStart(start.attempt(), cancelledAtMs);
         cluster.markChanged();
     }
 }
--- a/src/main/java/io/quartzgw/agent/EndedJobs.java
+++ b/src/main/java/io/quartzgw/agent/EndedJobs.java
@@ -1,9 +1,24 @@
 package io.quartzgw.agent;
 
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 
 /** Tells how jobs have ended that are not open any more. */
 public interface EndedJobs {
-    /** Answers, once that is known, whether a job was cancelled; otherwise it is done. */
-    void lookUp(String job, Consumer<Boolean> isCancelled);
+
+    /** How a job has ended. */
+    sealed interface End {
+        /** All its tasks are done. */
+        record Done() implements End {}
+
+        /**
+         * It was cancelled.
+         *
+         * @param atMs when a user was told so, as far as this controller knows
+         */
+        record Cancelled(OptionalLong atMs) implements End {}
+    }
+
+    /** Answers, at once or later, how a job that is not open has ended. */
+    void lookUp(String job, Consumer<End> onEnd);
 }
--- a/src/main/java/io/quartzgw/agent/InheritedStarts.java
+++ b/src/main/java/io/quartzgw/agent/InheritedStarts.java
@@ -12,7 +12,6 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
 
@@ -26,61 +25,66 @@
     private final ClusterState cluster;
     private final AgentRegistry registry;
     private final StartAnnouncer announcer;
-    private final EndedJobStarts endedJobStarts;
     /** By task of an open job; the newest start of a task proves that the earlier ones are void. */
-    private final Map<String, InheritedStart> newestByTask = new HashMap<>();
+    private final Map<String, OutstandingStart> newestByTask = new HashMap<>();
 
     /** Allocations of inherited starts that must not be sent again yet. */
     private final Set<Allocation> withheld = new LinkedHashSet<>();
 
-    InheritedStarts(
-            LeaderContext leader,
-            AgentRegistry registry,
-            StartAnnouncer announcer,
-            EndedJobs endedJobs,
-            long cancelMs) {
+    InheritedStarts(LeaderContext leader, AgentRegistry registry, StartAnnouncer announcer) {
         this.leader = leader;
         this.eventLoop = leader.eventLoop();
         this.cluster = leader.cluster();
         this.registry = registry;
         this.announcer = announcer;
-        this.endedJobStarts = new EndedJobStarts(leader, endedJobs, cancelMs, this::forget);
     }
 
     /**
-     * Takes over the starts that may have been sent to machines that exist, of tasks that are not done.
+     * Takes over the starts that may have been sent to machines that exist. They are outstanding, also those of jobs
+     * that have ended.
      *
-     * @return how many tasks of open jobs they are for
+     * @return how many tasks of open jobs, which are not done, they are for
      */
     int inherit(Collection<MachineStarts> formerStarts) {
+        Map<String, OutstandingStart> newest = new HashMap<>();
         for (MachineStarts machineStarts : formerStarts) {
             // A machine is marked as used before a start is sent to it.
             cluster.findMachine(machineStarts.machine())
                     .filter(Machine::hasRunTasks)
-                    .ifPresent(machine -> machineStarts.starts().forEach(start -> add(machine, start)));
+                    .ifPresent(machine -> addNewest(machine, machineStarts.starts(), newest));
         }
-        newestByTask.values().forEach(this::markOutstanding);
+        newest.values().forEach(this::markOutstanding);
+        newest.values().stream()
+                .filter(this::isOfUnfinishedTask)
+                .forEach(start -> newestByTask.put(start.attempt().task(), start));
         formerStarts.forEach(machineStarts -> announceRest(machineStarts.machine()));
         return newestByTask.size();
     }
 
-    private void add(Machine machine, Attempt attempt) {
-        InheritedStart start = new InheritedStart(machine, attempt);
-        Optional<Job> openJob = Attempts.openJob(attempt, cluster);
-        if (openJob.isEmpty()) {
-            markOutstanding(start);
-            endedJobStarts.add(start);
-        } else if (mayHaveBeenSent(attempt, openJob.get())) {
-            newestByTask.merge(attempt.task(), start, InheritedStart::newer);
+    private void addNewest(Machine machine, Collection<Attempt> starts, Map<String, OutstandingStart> newest) {
+        for (Attempt start : starts) {
+            if (mayHaveBeenSent(start)) {
+                newest.merge(start.task(), new OutstandingStart(machine, start), OutstandingStart::newer);
+            }
         }
     }
 
     /** A start is announced before it is recorded, and recorded before it is sent. */
-    private static boolean mayHaveBeenSent(Attempt attempt, Job job) {
-        return attempt.index() < job.recordedStartLimit() && !job.isDone(attempt.index());
+    private boolean mayHaveBeenSent(Attempt start) {
+        return cluster.findJob(start.job())
+                .filter(job -> !job.isTerminal())
+                .map(job -> start.index() < job.recordedStartLimit())
+                .orElse(true);
+    }
+
+    private boolean isOfUnfinishedTask(OutstandingStart start) {
+        Attempt attempt = start.attempt();
+        return Attempts.openJob(attempt, cluster)
+                .filter(job -> !job.isDone(attempt.index()))
+                .isPresent();
     }
 
-    private void markOutstanding(InheritedStart start) {
+    private void markOutstanding(OutstandingStart start) {
         AgentState agent = registry.agentOf(start.machine());
         agent.outstandingStarts().inherited(start.attempt(), CommandFence.ofFormerLeader(leader.term()));
     }
@@ -102,7 +106,7 @@
     }
 
     private void allocateIfInherited(Job job, int index) {
-        InheritedStart start = newestByTask.get(job.task(index));
+        OutstandingStart start = newestByTask.get(job.task(index));
         if (start == null || !cluster.contains(start.machine())) {
             return;
         }
@@ -139,34 +143,35 @@
     }
 
     /**
-     * Forgets the starts that are void: those to machines that are gone, of tasks that are done, and of tasks that have
-     * a later attempt, which no leader begins before. Called regularly.
+     * Forgets the starts that bind no task any more: those to machines that are gone, of tasks that are done, and of
+     * tasks that have a later attempt, which no leader begins before an earlier one is void. Called regularly.
      */
     void forgetVoid() {
-        for (InheritedStart start : List.copyOf(newestByTask.values())) {
-            Optional<Job> job = cluster.findJob(start.attempt().job());
-            if (!cluster.contains(start.machine())) {
-                newestByTask.remove(start.attempt().task());
-            } else if (job.isEmpty()) {
-                newestByTask.remove(start.attempt().task());
-                endedJobStarts.add(start);
-            } else if (isVoid(start, job.get())) {
-                newestByTask.remove(start.attempt().task());
+        for (OutstandingStart start : List.copyOf(newestByTask.values())) {
+            boolean superseded = hasLaterAttempt(start);
+            if (superseded) {
                 forget(start);
             }
+            if (superseded || !cluster.contains(start.machine()) || !isOfUnfinishedTask(start)) {
+                newestByTask.remove(start.attempt().task());
+            }
         }
         eventLoop.setGauge("inherited.open", newestByTask.size());
     }
 
-    private static boolean isVoid(InheritedStart start, Job job) {
-        Allocation allocation = job.allocation(start.attempt().index());
-        return job.isDone(start.attempt().index())
-                || (allocation != null && allocation.attempt() > start.attempt().number());
+    private boolean hasLaterAttempt(OutstandingStart start) {
+        return Attempts.openJob(start.attempt(), cluster)
+                .map(job -> job.allocation(start.attempt().index()))
+                .filter(allocation -> allocation.attempt() > start.attempt().number())
+                .isPresent();
     }
 
-    private void forget(InheritedStart start) {
-        AgentState agent = registry.agentOf(start.machine());
-        agent.outstandingStarts().inheritedIsVoid(start.attempt());
-        announcer.announce(agent);
+    /** Forgets a start that can't be executed any more, or harms nobody if it is. */
+    void forget(OutstandingStart start) {
+        if (cluster.contains(start.machine())) {
+            AgentState agent = registry.agentOf(start.machine());
+            agent.outstandingStarts().forget(start.attempt());
+            announcer.announce(agent);
+        }
     }
 }
--- a/src/main/java/io/quartzgw/agent/InheritedStart.java
+++ b/src/main/java/io/quartzgw/agent/OutstandingStart.java
@@ -3,11 +3,11 @@
 import io.quartzgw.model.Attempt;
 import io.quartzgw.scheduling.Machine;
 
-/** A start that a direct call of a former leader may still carry to a machine. */
-record InheritedStart(Machine machine, Attempt attempt) {
+/** A start that a direct call, of this leader or of a former one, may still carry to a machine. */
+record OutstandingStart(Machine machine, Attempt attempt) {
 
     /** Returns the newer of two starts of one task. */
-    static InheritedStart newer(InheritedStart one, InheritedStart other) {
+    static OutstandingStart newer(OutstandingStart one, OutstandingStart other) {
         return one.attempt.number() > other.attempt.number() ? one : other;
     }
 }
--- a/src/main/java/io/quartzgw/agent/OutstandingStarts.java
+++ b/src/main/java/io/quartzgw/agent/OutstandingStarts.java
@@ -2,6 +2,7 @@
 
 import io.quartzgw.model.Attempt;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -62,11 +63,16 @@
         unanswered.computeIfAbsent(start, attempt -> new HashSet<>()).add(fence);
     }
 
-    /** Handles that no direct call carries an inherited start any more. */
-    void inheritedIsVoid(Attempt start) {
+    /** Handles that direct calls without an answer carry a start no more, or that it harms nobody if they do. */
+    void forget(Attempt start) {
         unanswered.remove(start);
     }
 
+    /** Returns the starts in direct calls without an answer. */
+    Set<Attempt> unanswered() {
+        return Collections.unmodifiableSet(unanswered.keySet());
+    }
+
     /** Returns the starts that direct calls may still carry. */
     Set<Attempt> outstandingDirectly() {
         Set<Attempt> starts = new HashSet<>(unanswered.keySet());
--- a/src/main/java/io/quartzgw/app/EndedJobLookup.java
+++ b/src/main/java/io/quartzgw/app/EndedJobLookup.java
@@ -1,6 +1,7 @@
 package io.quartzgw.app;
 
 import io.quartzgw.agent.EndedJobs;
+import io.quartzgw.cancellation.CancellationRegistry;
 import io.quartzgw.eventloop.EventLoop;
 import io.quartzgw.leadership.LeaderTerm;
 import io.quartzgw.submission.JobStore;
@@ -10,31 +11,40 @@
 final class EndedJobLookup implements EndedJobs {
     private final EventLoop eventLoop;
     private final JobStore jobs;
+    private final CancellationRegistry cancellations;
     private final LeaderTerm term;
     private final long retryMs;
 
-    EndedJobLookup(EventLoop eventLoop, JobStore jobs, LeaderTerm term, long retryMs) {
+    EndedJobLookup(
+            EventLoop eventLoop, JobStore jobs, CancellationRegistry cancellations, LeaderTerm term, long retryMs) {
         this.eventLoop = eventLoop;
         this.jobs = jobs;
+        this.cancellations = cancellations;
         this.term = term;
         this.retryMs = retryMs;
     }
 
     @Override
-    public void lookUp(String job, Consumer<Boolean> isCancelled) {
-        if (term.isCurrent()) {
-            jobs.lookUp(job, result -> onResult(job, result, isCancelled));
+    public void lookUp(String job, Consumer<End> onEnd) {
+        if (cancellations.contains(job)) {
+            onEnd.accept(cancelled(job));
+        } else if (term.isCurrent()) {
+            jobs.lookUp(job, result -> onResult(job, result, onEnd));
         }
     }
 
-    private void onResult(String job, JobStore.LookupResult result, Consumer<Boolean> isCancelled) {
+    private End cancelled(String job) {
+        return new End.Cancelled(cancellations.cancelledAtMs(job));
+    }
+
+    private void onResult(String job, JobStore.LookupResult result, Consumer<End> onEnd) {
         if (result instanceof JobStore.LookupResult.Terminal terminal) {
-            isCancelled.accept(terminal.state().cancelled());
+            onEnd.accept(terminal.state().cancelled() ? cancelled(job) : new End.Done());
         } else if (result instanceof JobStore.LookupResult.NotFound) {
             // Nothing tells that it is done, so it must not be started.
-            isCancelled.accept(true);
+            onEnd.accept(cancelled(job));
         } else {
-            eventLoop.after(retryMs, () -> lookUp(job, isCancelled));
+            eventLoop.after(retryMs, () -> lookUp(job, onEnd));
         }
     }
 }
--- a/src/main/java/io/quartzgw/app/LeaderRuntime.java
+++ b/src/main/java/io/quartzgw/app/LeaderRuntime.java
@@ -78,7 +78,7 @@
                 SocketBudget.of(settings.sockets()).agentCalls(),
                 cancellations::contains,
                 startLog,
-                new EndedJobLookup(eventLoop, jobs, term, recoveryTiming.retryMs()),
+                new EndedJobLookup(eventLoop, jobs, cancellations, term, recoveryTiming.retryMs()),
                 new AgentEvents());
         this.progress = new ProgressRecorder(
                 eventLoop, services.store(), term, agentTiming.heartbeatMs(), new ProgressEvents());
@@ -215,7 +215,7 @@
     }
 
     private void terminate(Job job) {
-        cluster.terminate(job);
+        cluster.terminate(job, cancellations.cancelledAtMs(job.id()).orElse(eventLoop.nowMs()));
         for (Allocation allocation : job.allocationsSnapshot()) {
             agents.requestStop(allocation, 0, StopReason.JOB_OVER);
         }
--- a/src/main/java/io/quartzgw/cancellation/CancellationRegistry.java
+++ b/src/main/java/io/quartzgw/cancellation/CancellationRegistry.java
@@ -4,6 +4,7 @@
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 
 /**
@@ -44,6 +45,12 @@
         return cancelledAtMs.containsKey(job);
     }
 
+    /** When a job was cancelled that is recorded as such. */
+    public OptionalLong cancelledAtMs(String job) {
+        Long atMs = cancelledAtMs.get(job);
+        return atMs == null ? OptionalLong.empty() : OptionalLong.of(atMs);
+    }
+
     /** Whether no job is recorded as cancelled. */
     public boolean isEmpty() {
         return cancelledAtMs.isEmpty();
--- a/src/main/java/io/quartzgw/scheduling/Allocation.java
+++ b/src/main/java/io/quartzgw/scheduling/Allocation.java
@@ -115,6 +115,11 @@
         return isLost() ? now - lostAt : 0;
     }
 
+    /** Whether its job has ended though the task is not done. */
+    boolean isOfCancelledTask() {
+        return job.isTerminal() && !job.isDone(index);
+    }
+
     /** When the task was allocated, on the steady clock. */
     public long allocatedAt() {
         return allocatedAt;
--- a/src/main/java/io/quartzgw/scheduling/ClusterState.java
+++ b/src/main/java/io/quartzgw/scheduling/ClusterState.java
@@ -124,8 +124,13 @@
 
     /** Makes a job terminal: no task of it is started any more; it is removed with its last allocation. */
     public void terminate(Job job) {
+        terminate(job, eventLoop.nowMs());
+    }
+
+    /** As {@link #terminate(Job)}, for a job that was cancelled or done at a moment before. */
+    public void terminate(Job job, long endedAtMs) {
         LOG.atDebug().addKeyValue("job", job.id()).log("job terminal");
-        update(job, terminated -> terminated.terminate(eventLoop.nowMs()));
+        update(job, terminated -> terminated.terminate(endedAtMs));
         removeIfDrained(job);
     }
 
--- a/src/main/java/io/quartzgw/scheduling/Job.java
+++ b/src/main/java/io/quartzgw/scheduling/Job.java
@@ -228,14 +228,14 @@
         return isTerminal;
     }
 
-    /** When this leader learned that the job is terminal; meaningful only once it is. */
+    /** When the job was cancelled or done, as far as this leader knows; meaningful only once it is terminal. */
     long terminatedAt() {
         return terminatedAt;
     }
 
-    void terminate(long now) {
+    void terminate(long endedAtMs) {
         if (!isTerminal) {
-            terminatedAt = now;
+            terminatedAt = endedAtMs;
         }
         isTerminal = true;
         pending.clear();
--- a/src/main/java/io/quartzgw/scheduling/Machine.java
+++ b/src/main/java/io/quartzgw/scheduling/Machine.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.function.Predicate;
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
 
@@ -118,13 +119,24 @@
 
     /** When the first of the cancelled jobs was cancelled whose tasks a late start may run here, if there is any. */
     public OptionalLong firstCancellationMs() {
-        Stream<Allocation> lost = allocations.values().stream().filter(Allocation::isLost);
-        LongStream ofThisLeader = Stream.concat(lost, fencing.unfenced().stream())
-                .filter(allocation -> !allocation.job().isDone(allocation.index()))
-                .map(Allocation::job)
-                .filter(Job::isTerminal)
-                .mapToLong(Job::terminatedAt);
-        return LongStream.concat(ofThisLeader, fencing.cancellationsMs()).min();
+        return firstCancellationMs(Allocation::isLost);
+    }
+
+    /** As {@link #firstCancellationMs()}, if the starts that were not answered yet are never answered. */
+    public OptionalLong firstPossibleCancellationMs() {
+        return firstCancellationMs(allocation -> allocation.startSent() && !allocation.observed());
+    }
+
+    private OptionalLong firstCancellationMs(Predicate<Allocation> mayBeStartedLate) {
+        if (allocations.isEmpty() && !fencing.hasUnfenced()) {
+            return fencing.firstCancellationMs();
+        }
+        Stream<Allocation> startedLate = allocations.values().stream().filter(mayBeStartedLate);
+        LongStream withAllocation = Stream.concat(startedLate, fencing.unfenced().stream())
+                .filter(Allocation::isOfCancelledTask)
+                .mapToLong(allocation -> allocation.job().terminatedAt());
+        LongStream withoutAllocation = fencing.firstCancellationMs().stream();
+        return LongStream.concat(withAllocation, withoutAllocation).min();
     }
 
     /** The attempts that may still be started on it though they have ended, and whether it is deleted for them. */
--- a/src/main/java/io/quartzgw/scheduling/MachineFencing.java
+++ b/src/main/java/io/quartzgw/scheduling/MachineFencing.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.stream.LongStream;
+import java.util.OptionalLong;
 
 /**
  * The unfenced attempts of one machine, and whether it is being fenced, which means that it will be deleted.
@@ -22,7 +22,7 @@
     /** By task, in the order in which the attempts ended. */
     private final Map<String, Allocation> unfenced = new LinkedHashMap<>();
 
-    /** By start of a cancelled job that a former leader's call may carry: when the job was cancelled. */
+    /** By start of a cancelled job that a direct call may carry, and that has no allocation: when it was cancelled. */
     private final Map<Attempt, Long> cancelledStarts = new HashMap<>();
 
     private long deadline = NOT_FENCED;
@@ -57,7 +57,7 @@
     }
 
     /**
-     * Adds the start of a cancelled job that a direct call of a former leader may still carry to the machine.
+     * Adds the start of a cancelled job that a direct call may still carry to the machine, and that has no allocation.
      *
      * @param cancelledAtMs when the job was cancelled
      */
@@ -65,14 +65,19 @@
         cancelledStarts.put(start, cancelledAtMs);
     }
 
-    /** How many starts of cancelled jobs the calls of former leaders may carry. */
+    /** Whether a start was added as one of a cancelled job. */
+    public boolean isCancelledStart(Attempt start) {
+        return cancelledStarts.containsKey(start);
+    }
+
+    /** How many starts of cancelled jobs, of which no attempt is unfenced, direct calls may carry. */
     public int cancelledStarts() {
         return cancelledStarts.size();
     }
 
-    /** When the jobs were cancelled whose starts former leaders' calls may carry. */
-    LongStream cancellationsMs() {
-        return cancelledStarts.values().stream().mapToLong(Long::longValue);
+    /** When the first of the jobs was cancelled whose starts without an allocation direct calls may carry. */
+    OptionalLong firstCancellationMs() {
+        return cancelledStarts.values().stream().mapToLong(Long::longValue).min();
     }
 
     /** Records that calls of former leaders may carry starts to the machine which this leader can't know. */
--- a/src/test/java/io/quartzgw/agent/AgentManagerTest.java
+++ b/src/test/java/io/quartzgw/agent/AgentManagerTest.java
@@ -80,7 +80,7 @@
                 10,
                 id -> false,
                 startLog,
-                (ended, isCancelled) -> isCancelled.accept(true),
+                (ended, onEnd) -> onEnd.accept(new EndedJobs.End.Done()),
                 new IgnoringListener());
         startLog.load(List.of());
         eventLoop.onBatchEnd(startLog::flush);
--- a/src/test/java/io/quartzgw/agent/InheritedStartsTest.java
+++ b/src/test/java/io/quartzgw/agent/InheritedStartsTest.java
@@ -17,6 +17,7 @@
 import io.quartzgw.fleet.MachineCatalog;
 import io.quartzgw.http.Endpoint;
 import io.quartzgw.http.Json;
+import io.quartzgw.http.Reply;
 import io.quartzgw.leadership.FencingTokens;
 import io.quartzgw.leadership.LeaderTerm;
 import io.quartzgw.leadership.Leadership;
@@ -41,9 +42,12 @@
 import io.quartzgw.submission.OpenJob;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -61,6 +65,12 @@
     private static final long HEARTBEAT_MS = 2_500;
     private static final long STEP_MS = 500;
     private static final long TERM_IN_ATTEMPTS = 5;
+    /** When the job was cancelled is not known. */
+    private static final EndedJobs.End CANCELLED = new EndedJobs.End.Cancelled(OptionalLong.empty());
+    /** As in {@code ControllerProcess}. */
+    private static final long OWNER_STACK_BYTES = 256 * 1024;
+
+    private static final long LOOK_UP_MS = 25_000;
     private static final Attempt ENDED = new Attempt("j-000009", 0, FORMER_ATTEMPT);
     private static final MachineType TYPE =
             new MachineType("t", new Resources(8, 0, 32), 40, 1, 1, 0.3, 10, List.of("a", "b"));
@@ -70,7 +80,7 @@
     private final StoreClient store = new StoreClient(eventLoop, STATE, new StoreLimits(100_000, 100_000, 8192, 16));
     private final Leadership leadership = Elections.candidate(eventLoop, store);
     /** The look-ups of ended jobs, with what takes their result. */
-    private final Map<String, Consumer<Boolean>> endedJobs = new HashMap<>();
+    private final Map<String, Consumer<EndedJobs.End>> endedJobs = new HashMap<>();
 
     private final List<Effect.Send> directCalls = new ArrayList<>();
     private long now;
@@ -91,19 +101,24 @@
         startLog.load(List.of());
         eventLoop.onBatchEnd(() -> agents.sendPendingCommands());
         eventLoop.onBatchEnd(startLog::flush);
+        agents = newAgentManager(endedJobs::put);
+        machine = addMachine(MACHINE, "a");
+        job = addJob(JOB, 2);
+        cluster.markUnaccounted(job);
+    }
+
+    private AgentManager newAgentManager(EndedJobs lookUps) {
         CloudClient cloud = new CloudClient(eventLoop, STATE, new CloudLimits(4, 5_000));
-        agents = new AgentManager(
+        AgentManager manager = new AgentManager(
                 new LeaderContext(eventLoop, term, cluster, new MachineCatalog(eventLoop, store, cloud, () -> true)),
                 new AgentTiming(HEARTBEAT_MS, 16_000, 36_000),
                 10,
                 id -> false,
                 startLog,
-                endedJobs::put,
+                lookUps,
                 new IgnoringListener());
-        agents.beginReconciling();
-        machine = addMachine(MACHINE, "a");
-        job = addJob(JOB, 2);
-        cluster.markUnaccounted(job);
+        manager.beginReconciling();
+        return manager;
     }
 
     private Machine addMachine(String id, String zone) {
@@ -381,7 +396,7 @@
         inheritStartOfEndedJob();
         assertTrue(isInLog(ENDED), "while it is not known how the job has ended");
         assertEquals(0, machine.fencing().cancelledStarts());
-        endedJobs.remove(ENDED.job()).accept(true);
+        endedJobs.remove(ENDED.job()).accept(CANCELLED);
         assertEquals(1, machine.fencing().cancelledStarts());
         assertTrue(isInLog(ENDED), "the next leader has to know it too");
     }
@@ -390,7 +405,7 @@
     @Test
     void startOfADoneJobIsVoid() {
         inheritStartOfEndedJob();
-        endedJobs.remove(ENDED.job()).accept(false);
+        endedJobs.remove(ENDED.job()).accept(new EndedJobs.End.Done());
         assertEquals(0, machine.fencing().cancelledStarts());
         assertFalse(isInLog(ENDED));
     }
@@ -401,7 +416,7 @@
         inherit(MACHINE, 0, FORMER_ATTEMPT);
         cluster.terminate(job);
         agents.reportUnfencedAttempts();
-        endedJobs.remove(JOB).accept(true);
+        endedJobs.remove(JOB).accept(CANCELLED);
         assertEquals(1, machine.fencing().cancelledStarts());
     }
 
@@ -410,7 +425,87 @@
         inheritStartOfEndedJob();
         cluster.remove(machine);
         agents.forget(machine);
-        endedJobs.remove(ENDED.job()).accept(true);
+        endedJobs.remove(ENDED.job()).accept(CANCELLED);
         assertFalse(isInLog(ENDED));
     }
+
+    // Guards against ran_cancelled: another task of the job holds the job back, and the start's machine is not fenced.
+    @Test
+    void machineIsFencedIfTheJobIsCancelledWhileAnAllocationOfItWaits() {
+        Machine other = addMachine(OTHER_MACHINE, "a");
+        inherit(MACHINE, 0, FORMER_ATTEMPT);
+        cluster.allocate(job, 1, other, FORMER_ATTEMPT).recordPhase(Allocation.Phase.RUNNING, now);
+        cluster.terminate(job);
+        agents.reportUnfencedAttempts();
+        endedJobs.remove(JOB).accept(CANCELLED);
+        assertTrue(machine.firstCancellationMs().isPresent(), "the start may run the cancelled task at any time");
+    }
+
+    // Guards against ran_cancelled: the time that the look-up takes counts, too.
+    @Test
+    void limitOfACancellationCountsFromTheCancellation() {
+        inherit(MACHINE, 0, FORMER_ATTEMPT);
+        cluster.terminate(job);
+        long cancelledAt = now;
+        agents.reportUnfencedAttempts();
+        advance(LOOK_UP_MS);
+        endedJobs.remove(JOB).accept(new EndedJobs.End.Cancelled(OptionalLong.of(cancelledAt)));
+        assertEquals(cancelledAt, machine.firstCancellationMs().orElseThrow());
+    }
+
+    // Guards against the end of the event loop's thread: the look-ups of jobs that are cached answer at once.
+    @Test
+    void lookUpsThatAnswerAtOnceDoNotNest() throws InterruptedException {
+        int jobs = 5_000;
+        agents = newAgentManager((id, onEnd) -> {
+            if (id.equals(ENDED.job())) {
+                endedJobs.put(id, onEnd);
+            } else {
+                onEnd.accept(new EndedJobs.End.Done());
+            }
+        });
+        Set<Attempt> starts = new LinkedHashSet<>(Set.of(ENDED));
+        for (int i = 0; i < jobs; i++) {
+            starts.add(new Attempt("j-1" + i, 0, FORMER_ATTEMPT));
+        }
+        agents.inheritStarts(List.of(new MachineStarts(MACHINE, starts)));
+        AtomicReference<Throwable> thrown = new AtomicReference<>();
+        Thread owner = new Thread(
+                null, () -> endedJobs.remove(ENDED.job()).accept(new EndedJobs.End.Done()), "owner", OWNER_STACK_BYTES);
+        owner.setUncaughtExceptionHandler((thread, throwable) -> thrown.set(throwable));
+        owner.start();
+        owner.join();
+        assertNull(thrown.get());
+    }
+
+    // Each start is released in the end. While its job is open, that may be cancelled, and then a late start of a task
+    // that is done counts as well.
+    @Test
+    void unansweredStartOfADoneTaskLeavesTheLogOnceItsJobIsDone() {
+        advance(0);
+        cluster.resolveUnaccounted(job);
+        Allocation allocation = cluster.allocate(job, 0, machine, cluster.nextAttempt());
+        agents.requestStart(allocation);
+        advance(1);
+        advance(HEARTBEAT_MS);
+        assertEquals(1, directCalls.size());
+        endCall(directCalls.get(0), Reply.lost());
+        Attempt start = new Attempt(JOB, 0, allocation.attempt());
+        respondTo(allocation.attempt());
+        agents.receive(heartbeat(MACHINE, "a", allocation.attempt(), "ended", "done"));
+        assertTrue(job.isDone(0));
+        assertNull(job.allocation(0));
+        agents.reportUnfencedAttempts();
+        assertTrue(isInLog(start));
+        cluster.markDone(job, 1);
+        cluster.markDone(job, 2);
+        cluster.terminate(job);
+        agents.reportUnfencedAttempts();
+        endedJobs.remove(JOB).accept(new EndedJobs.End.Done());
+        assertFalse(isInLog(start));
+    }
+
+    private void endCall(Effect.Send call, Reply reply) {
+        deliver(eventLoop.processBatch(List.of(new Command.CallEnded(call.call(), reply)), new ClockReading(now, now)));
+    }
 }
