A machine that may start a cancelled task is deleted before the leader is unconfirmed

Cause: the deletion hangs on the term's confirmation, which an outage ends.

Fix: when two renewals of the lease in a row have not succeeded, the machines on which a task of a cancelled job may be started late are deleted at once.

--- a/src/main/java/io/quartzgw/fleet/FencingPolicy.java
+++ b/src/main/java/io/quartzgw/fleet/FencingPolicy.java
@@ -60,8 +60,10 @@
 
     /**
      * Begins to fence the machines that have to be; called only while the cloud responds, so that it can delete them.
+     *
+     * @param confirmationEnding whether this leader may soon be unable to delete machines, for a time that is not known
      */
-    void fenceMachines() {
+    void fenceMachines(boolean confirmationEnding) {
         List<Machine> needed = cluster.machines().stream()
                 .filter(machine -> !machine.fencing().isBegun() && isFencingNeeded(machine))
                 .toList();
@@ -69,7 +71,7 @@
             needed.stream().filter(machine -> !machine.isInUse()).forEach(this::fence);
             evacuate(needed.stream().filter(Machine::isInUse).toList());
         }
-        List.copyOf(cluster.machines()).forEach(this::fenceOutOfTurn);
+        cluster.machines().forEach(confirmationEnding ? this::fenceNow : this::fenceOutOfTurn);
     }
 
     private boolean isFencingNeeded(Machine machine) {
@@ -114,6 +116,13 @@
         }
     }
 
+    // The state service does not renew the leader's lease: it may be back only after the limit.
+    private void fenceNow(Machine machine) {
+        if (machine.firstPossibleCancellationMs().isPresent()) {
+            fence(machine, eventLoop.nowMs());
+        }
+    }
+
     // Those for the sake of open jobs come first: nothing waits for a job that was cancelled.
     private void evacuate(List<Machine> machines) {
         long allowed = Math.max(MIN_EVACUATED, (long)
--- a/src/main/java/io/quartzgw/fleet/FleetManager.java
+++ b/src/main/java/io/quartzgw/fleet/FleetManager.java
@@ -122,7 +122,7 @@
         // Rentals may take all that the cloud's request limit allows: tasks wait for these deletions, and
         // cancellations.
         if (inventory.isCloudResponding()) {
-            fencingPolicy.fenceMachines();
+            fencingPolicy.fenceMachines(term.isConfirmationEnding());
         }
         scaleInRequests.deleteFenced();
         List<Machine> booting =
--- a/src/main/java/io/quartzgw/leadership/LeaderLease.java
+++ b/src/main/java/io/quartzgw/leadership/LeaderLease.java
@@ -8,6 +8,8 @@
 final class LeaderLease {
     /** Steady clocks drift by 0.05%, so a lease is trusted for a little less than its time to live. */
     private static final double TRUSTED_FRACTION = 0.99;
+    /** The fraction of a lease that is left when two of its renewals have not been answered. */
+    private static final double ENDING_FRACTION = 0.35;
 
     private final EventLoop eventLoop;
     private final StoreClient store;
@@ -51,6 +53,11 @@
         return confirmedAtMs + trustedMs;
     }
 
+    /** Whether several renewals in a row have not succeeded, so that little time is left. */
+    boolean isConfirmationEnding() {
+        return confirmedUntilMs() - eventLoop.nowMs() < ENDING_FRACTION * trustedMs;
+    }
+
     /** When the last successful renewal was requested. */
     long confirmedAtMs() {
         return confirmedAtMs;
--- a/src/main/java/io/quartzgw/leadership/LeaderTerm.java
+++ b/src/main/java/io/quartzgw/leadership/LeaderTerm.java
@@ -46,6 +46,11 @@
         return isCurrent() ? leadership.confirmedUntilMs() : Long.MIN_VALUE;
     }
 
+    /** Whether the term is confirmed for a short time only, since the state store does not renew the leader's lease. */
+    public boolean isConfirmationEnding() {
+        return isConfirmed() && leadership.isConfirmationEnding();
+    }
+
     /** Whether this controller surely still leads with this term: no other controller can have been elected. */
     public boolean isConfirmed() {
         return isCurrent() && leadership.isConfirmed();
--- a/src/main/java/io/quartzgw/leadership/Leadership.java
+++ b/src/main/java/io/quartzgw/leadership/Leadership.java
@@ -91,6 +91,11 @@
         return lease.map(LeaderLease::isConfirmed).orElse(false);
     }
 
+    /** Whether this controller leads, and its lease is confirmed for a short time only since it was not renewed. */
+    boolean isConfirmationEnding() {
+        return lease.filter(LeaderLease::isConfirmationEnding).isPresent();
+    }
+
     /** Until when this controller surely leads, as of now; what only a confirmed leader may send leaves before. */
     public long confirmedUntilMs() {
         return lease.map(LeaderLease::confirmedUntilMs).orElse(Long.MIN_VALUE);
--- a/src/test/java/io/quartzgw/fleet/FencingPolicyTest.java
+++ b/src/test/java/io/quartzgw/fleet/FencingPolicyTest.java
@@ -86,10 +86,10 @@
     @Test
     void machineOnWhichNothingElseRunsIsDeletedAtOnceButNotBeforeItsCallHasEnded() {
         exitUnfenced(machine(0));
-        fencingPolicy.fenceMachines();
+        fencingPolicy.fenceMachines(false);
         assertEquals(0, fenced(), "the answer may still come");
         advanceTo(RESERVATION_MS / 4);
-        fencingPolicy.fenceMachines();
+        fencingPolicy.fenceMachines(false);
         assertEquals(1, fenced());
         assertTrue(isDeletable(machine(0)));
     }
@@ -99,7 +99,7 @@
         exitUnfenced(machine(0));
         Allocation other = run(machine(0));
         advanceTo(RESERVATION_MS / 4);
-        fencingPolicy.fenceMachines();
+        fencingPolicy.fenceMachines(false);
         assertEquals(Machine.Status.DRAINING, machine(0).status());
         assertFalse(isDeletable(machine(0)));
         cluster.release(other);
@@ -112,7 +112,7 @@
         exitUnfenced(machine(0));
         run(machine(0));
         advanceTo(RESERVATION_MS / 4);
-        fencingPolicy.fenceMachines();
+        fencingPolicy.fenceMachines(false);
         advanceTo(2 * RESERVATION_MS);
         assertTrue(isDeletable(machine(0)));
     }
@@ -138,10 +138,10 @@
         cluster.terminate(cancelled);
         exitUnfenced(machine(MACHINES - 1));
         advanceTo(RESERVATION_MS / 4);
-        fencingPolicy.fenceMachines();
+        fencingPolicy.fenceMachines(false);
         assertEquals(5, fenced(), "one in twenty");
         assertTrue(machine(MACHINES - 1).fencing().isBegun(), "a task of an open job waits for this one");
-        fencingPolicy.fenceMachines();
+        fencingPolicy.fenceMachines(false);
         assertEquals(5, fenced(), "the others wait");
     }
 
@@ -152,10 +152,10 @@
         run(machine(1)).markLost(0);
         machine(1).liveness().markUnreachable(0);
         advanceTo(RESERVATION_MS / 4);
-        fencingPolicy.fenceMachines();
+        fencingPolicy.fenceMachines(false);
         assertEquals(0, fenced(), "it may be reached again soon");
         advanceTo(RESERVATION_MS / 2);
-        fencingPolicy.fenceMachines();
+        fencingPolicy.fenceMachines(false);
         assertEquals(1, fenced());
         assertTrue(isDeletable(machine(1)), "nothing runs there");
     }
@@ -182,7 +182,7 @@
         cluster.terminate(job);
         for (long ms = 0; ms < CANCEL_MS; ms += 500) {
             advanceTo(ms);
-            fencingPolicy.fenceMachines();
+            fencingPolicy.fenceMachines(false);
             if (ms == CANCEL_MS / 4) {
                 assertEquals(5, fenced(), "at first in turn");
             }
@@ -211,10 +211,10 @@
         exitUnfenced(machine(0));
         runOf(addJob("j-2"), machine(0));
         advanceTo(RESERVATION_MS / 2);
-        fencingPolicy.fenceMachines();
+        fencingPolicy.fenceMachines(false);
         long deadline = machine(0).fencing().deadline();
         machine(0).fencing().addCancelledStart(new Attempt("j-3", 0, 1), RESERVATION_MS / 2 - CANCEL_MS / 2);
-        fencingPolicy.fenceMachines();
+        fencingPolicy.fenceMachines(false);
         assertTrue(machine(0).fencing().deadline() < deadline);
         assertEquals(1, eventLoop.counters().get("fencing.machines"), "one machine");
     }
@@ -223,7 +223,7 @@
     @Test
     void machineThatAFormerLeadersCallMayStartACancelledTaskOnIsDeleted() {
         machine(0).fencing().addCancelledStart(new Attempt("j-3", 0, 1), 0);
-        fencingPolicy.fenceMachines();
+        fencingPolicy.fenceMachines(false);
         assertTrue(isDeletable(machine(0)), "nothing runs there");
         assertEquals(1, fenced());
     }
@@ -235,10 +235,10 @@
     void machineIsDeletedIfItsReachableAgentDoesNotRunALostAttemptAgainForAReservation() {
         run(machine(0)).markLost(0);
         advanceTo(RESERVATION_MS - 1);
-        fencingPolicy.fenceMachines();
+        fencingPolicy.fenceMachines(false);
         assertEquals(0, fenced());
         advanceTo(RESERVATION_MS);
-        fencingPolicy.fenceMachines();
+        fencingPolicy.fenceMachines(false);
         assertEquals(1, fenced());
     }
 
@@ -249,7 +249,7 @@
         silent.markHasRunTasks();
         cluster.add(silent);
         silent.fencing().addCancelledStart(new Attempt("j-3", 0, 1), -CANCEL_MS / 2);
-        fencingPolicy.fenceMachines();
+        fencingPolicy.fenceMachines(false);
         assertTrue(silent.fencing().isBegun());
         assertFalse(isDeletable(silent), "it is evacuated first");
         advanceTo(CANCEL_MS / 2);
@@ -263,7 +263,38 @@
             run(machine);
             machine.fencing().expectUnknownStarts();
         });
-        fencingPolicy.fenceMachines();
+        fencingPolicy.fenceMachines(false);
         assertEquals(5, fenced());
     }
+
+    // Guards against the loss of the fleet: a new leader has heard of no machine yet, and what runs there is not known.
+    @Test
+    void machinesThatWereNotHeardYetAreNotTakenForUnused() {
+        for (int i = 0; i < MACHINES; i++) {
+            Machine unheard = new Machine("u-" + i, TYPE, "a", false, 0, 0);
+            unheard.liveness().boundPreviousLeader(RESERVATION_MS);
+            unheard.markHasRunTasks();
+            unheard.fencing().expectUnknownStarts();
+            cluster.add(unheard);
+        }
+        fencingPolicy.fenceMachines(false);
+        assertTrue(fenced() <= MACHINES / 10, "of " + 2 * MACHINES + " machines, fenced at once: " + fenced());
+    }
+
+    // Guards against a late start of a cancelled task while the leader can't delete machines: it is not confirmed.
+    @Test
+    void machineThatMayStartACancelledTaskIsDeletedAtOnceWhenTheConfirmationEnds() {
+        run(machine(0));
+        Allocation unanswered = cluster.allocate(job, job.nextPending(), machine(0), cluster.nextAttempt());
+        unanswered.markStartSent();
+        run(machine(1));
+        fencingPolicy.fenceMachines(true);
+        assertEquals(0, fenced(), "its job is open");
+        cluster.terminate(job);
+        fencingPolicy.fenceMachines(false);
+        assertEquals(0, fenced(), "the answer may still come");
+        fencingPolicy.fenceMachines(true);
+        assertEquals(1, fenced());
+        assertTrue(isDeletable(machine(0)));
+    }
 }
