--- a/src/main/java/io/quartzgw/recovery/FailoverRecovery.java
+++ b/src/main/java/io/quartzgw/recovery/FailoverRecovery.java
@@ -159,6 +159,7 @@
         if (formerStarts.unreadablePages() > 0) {
             eventLoop.increment("takeover.starts_unknown", 1);
             unverifiedMachines.expectUnknownStarts();
+            dropUnreadablePagesIfVoid();
         }
         int inherited = collaborators.agents().inheritStarts(formerStarts.machines());
         eventLoop.increment("takeover.starts_inherited", inherited);
@@ -206,9 +207,13 @@
     private void checkUnknownStarts() {
         if (unverifiedMachines.removeGone()) {
             resolutionDue = true;
-            if (!unverifiedMachines.hasUnknownStarts()) {
-                collaborators.startLog().dropUnreadablePages();
-            }
+            dropUnreadablePagesIfVoid();
+        }
+    }
+
+    private void dropUnreadablePagesIfVoid() {
+        if (!unverifiedMachines.hasUnknownStarts()) {
+            collaborators.startLog().dropUnreadablePages();
         }
     }
 
--- a/src/main/java/io/quartzgw/startlog/StartLog.java
+++ b/src/main/java/io/quartzgw/startlog/StartLog.java
@@ -57,6 +57,9 @@
     private final CoalescedTask flushLater;
     private final long cleanupMs;
     private final long retryMs;
+    /** Keys with the prefix that are no pages. */
+    private final List<String> foreignKeys = new ArrayList<>();
+
     private final Map<String, Map<Attempt, Entry>> entriesByMachine = new HashMap<>();
     /** The starts that are not stored yet. */
     private final Set<Entry> waiting = new LinkedHashSet<>();
@@ -142,6 +145,8 @@
     private void reportUnreadable(KeyValue page) {
         if (records.isPageKey(page.key())) {
             records.keepUnreadable(page);
+        } else {
+            foreignKeys.add(page.key());
         }
         eventLoop.increment("startlog.unreadable_pages", 1);
         LOG.atWarn()
@@ -155,6 +160,10 @@
     public void dropUnreadablePages() {
         records.dropUnreadable();
         scheduleCleanup();
+        // Where that fails, the next leader finds them again.
+        foreignKeys.forEach(
+                key -> store.commit(fencedTransaction().delete(key), RequestUrgency.BACKGROUND, outcome -> {}));
+        foreignKeys.clear();
     }
 
     private void addStored(String machine, Attempt start) {
--- a/src/main/java/io/quartzgw/startlog/StartRecordCodec.java
+++ b/src/main/java/io/quartzgw/startlog/StartRecordCodec.java
@@ -9,7 +9,7 @@
 
 /** Encodes and decodes the records of the log: the name of a record is the attempt, its value the machine's ID. */
 final class StartRecordCodec {
-    private static final Pattern NAME = Pattern.compile("(.+)/(\\d{1,9})/(\\d{1,18})");
+    private static final Pattern NAME = Pattern.compile("(.+)/(\\d{1,9})/(\\d{1,19})");
 
     private StartRecordCodec() {}
 
@@ -23,10 +23,15 @@
 
     static Optional<Attempt> decodeName(String name) {
         Matcher matcher = NAME.matcher(name);
-        return matcher.matches()
-                ? Optional.of(new Attempt(
-                        matcher.group(1), Integer.parseInt(matcher.group(2)), Long.parseLong(matcher.group(3))))
-                : Optional.empty();
+        if (!matcher.matches()) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(new Attempt(
+                    matcher.group(1), Integer.parseInt(matcher.group(2)), Long.parseLong(matcher.group(3))));
+        } catch (NumberFormatException e) {
+            return Optional.empty();
+        }
     }
 
     static Optional<String> decodeMachine(JsonNode value) {
--- a/src/test/java/io/quartzgw/startlog/StartLogTest.java
+++ b/src/test/java/io/quartzgw/startlog/StartLogTest.java
@@ -222,9 +222,11 @@
     }
 
     @Test
-    void keyThatIsNoPageIsReported() {
+    void keyThatIsNoPageIsReportedAndDropped() {
         cluster.stateService.setValue(StartLog.PREFIX + "x", Json.object());
         assertEquals(1, cluster.replaceLeader().unreadablePages());
+        cluster.run(() -> cluster.log().dropUnreadablePages());
+        assertEquals(0, cluster.replaceLeader().unreadablePages());
     }
 
     // Guards against a controller of an earlier version that trusts a replica which lacks this leader's starts.
