--- a/src/test/java/io/quartzgw/agent/InheritedStartsTest.java
+++ b/src/test/java/io/quartzgw/agent/InheritedStartsTest.java
@@ -232,6 +232,13 @@
         assertEquals("{0, 1, 2}", job.pending().toString());
     }
 
+    // A machine is marked as used before a start is sent to it.
+    @Test
+    void startToAMachineThatWasNeverUsedBindsNothing() {
+        cluster.add(new Machine(OTHER_MACHINE, TYPE, "a", false, now, now));
+        assertEquals(0, inherit(OTHER_MACHINE, 0, FORMER_ATTEMPT));
+    }
+
     // Guards against tasks in the wrong place: such a start was announced, but never sent.
     @Test
     void startBeyondTheRecordedOnesBindsNothing() {
--- a/src/test/java/io/quartzgw/app/StartsThatOutliveControllersTest.java
+++ b/src/test/java/io/quartzgw/app/StartsThatOutliveControllersTest.java
@@ -8,6 +8,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.quartzgw.http.Json;
 import io.quartzgw.liveness.AgentTiming;
 import io.quartzgw.simulation.ClusterSimulation;
 import io.quartzgw.simulation.Hosts;
@@ -33,6 +34,8 @@
     private static final long RECOVERY_MS = 120_000;
     private static final long LEFT_OUT_MS = 5_000;
     private static final long OUTAGE_MS = 8_000;
+    /** Machines are evacuated two at a time, for 26 s each. */
+    private static final long EVACUATION_OF_ALL_MS = 300_000;
 
     private ClusterSimulation simulation;
     private StartsOnTheirWay starts;
@@ -222,6 +225,22 @@
         assertTasksRunOnceAndEnd();
     }
 
+    // A page that can't be read may name any start; it must not be taken for empty, nor hold tasks back for ever.
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void startRunsNowhereElseIfTheLogCannotBeRead(long seed) {
+        sendStartsToMachinesThatAreCutOff(seed, StartsOnTheirWay.tasks());
+        simulation.store().setValue("sent/0", Json.object().put("damaged", true));
+        crashAll();
+        starts.runElsewhere();
+        starts.rebootAndDeliver();
+        simulation.runChecked(EVACUATION_OF_ALL_MS);
+        starts.assertNoViolation();
+        assertAllDone(simulation, List.of(StartsOnTheirWay.JOB));
+        simulation.runChecked(RECOVERY_MS);
+        assertHealthy(simulation);
+    }
+
     // ---- the cancellation is not known with the start: ran_cancelled
 
     private void assertCancelledTasksNeverRun() {
