Before the confirmation ends only machines that lost a call are deleted for a cancelled task

A cancelled task whose start is just on its way, with no call lost, needs no deletion: with a slow state service each such moment would have cost a machine in use.

--- a/src/main/java/io/quartzgw/scheduling/Machine.java
+++ b/src/main/java/io/quartzgw/scheduling/Machine.java
@@ -122,9 +122,13 @@
         return firstCancellationMs(Allocation::isLost);
     }
 
-    /** As {@link #firstCancellationMs()}, if the starts that were not answered yet are never answered. */
+    /**
+     * As {@link #firstCancellationMs()}, where a call without an answer may have carried each start that was not seen.
+     */
     public OptionalLong firstPossibleCancellationMs() {
-        return firstCancellationMs(allocation -> allocation.startSent() && !allocation.observed());
+        return liveness.unreachable()
+                ? firstCancellationMs(allocation -> allocation.startSent() && !allocation.observed())
+                : firstCancellationMs();
     }
 
     private OptionalLong firstCancellationMs(Predicate<Allocation> mayBeStartedLate) {
