--- a/src/main/java/io/quartzgw/fleet/FencingPolicy.java
+++ b/src/main/java/io/quartzgw/fleet/FencingPolicy.java
@@ -2,6 +2,7 @@
 
 import io.quartzgw.eventloop.EventLoop;
 import io.quartzgw.scheduling.Allocation;
+import io.quartzgw.scheduling.CancelledTasks;
 import io.quartzgw.scheduling.ClusterState;
 import io.quartzgw.scheduling.Machine;
 import java.util.Comparator;
@@ -105,7 +106,7 @@
 
     // Users were told that nothing of the job runs after a limit; a share of the machines may not stand against that.
     private void fenceOutOfTurn(Machine machine) {
-        OptionalLong cancelledAtMs = machine.firstCancellationMs();
+        OptionalLong cancelledAtMs = CancelledTasks.firstCancellationMs(machine);
         if (cancelledAtMs.isEmpty() || eventLoop.nowMs() < cancelledAtMs.getAsLong() + outOfTurnMs) {
             return;
         }
@@ -118,7 +119,7 @@
 
     // The state service does not renew the leader's lease: it may be back only after the limit.
     private void fenceNow(Machine machine) {
-        if (machine.firstPossibleCancellationMs().isPresent()) {
+        if (CancelledTasks.firstPossibleCancellationMs(machine).isPresent()) {
             fence(machine, eventLoop.nowMs());
         }
     }
--- a/src/main/java/io/quartzgw/scheduling/Machine.java
+++ b/src/main/java/io/quartzgw/scheduling/Machine.java
@@ -10,10 +10,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
-import java.util.function.Predicate;
-import java.util.stream.LongStream;
-import java.util.stream.Stream;
 
 /** A rented machine as the leader sees it. */
 public final class Machine {
@@ -117,32 +113,6 @@
         fencing.begin(deadline);
     }
 
-    /** When the first of the cancelled jobs was cancelled whose tasks a late start may run here, if there is any. */
-    public OptionalLong firstCancellationMs() {
-        return firstCancellationMs(Allocation::isLost);
-    }
-
-    /**
-     * As {@link #firstCancellationMs()}, where a call without an answer may have carried each start that was not seen.
-     */
-    public OptionalLong firstPossibleCancellationMs() {
-        return liveness.unreachable()
-                ? firstCancellationMs(allocation -> allocation.startSent() && !allocation.observed())
-                : firstCancellationMs();
-    }
-
-    private OptionalLong firstCancellationMs(Predicate<Allocation> mayBeStartedLate) {
-        if (allocations.isEmpty() && !fencing.hasUnfenced()) {
-            return fencing.firstCancellationMs();
-        }
-        Stream<Allocation> startedLate = allocations.values().stream().filter(mayBeStartedLate);
-        LongStream withAllocation = Stream.concat(startedLate, fencing.unfenced().stream())
-                .filter(Allocation::isOfCancelledTask)
-                .mapToLong(allocation -> allocation.job().terminatedAt());
-        LongStream withoutAllocation = fencing.firstCancellationMs().stream();
-        return LongStream.concat(withAllocation, withoutAllocation).min();
-    }
-
     /** The attempts that may still be started on it though they have ended, and whether it is deleted for them. */
     public MachineFencing fencing() {
         return fencing;
--- a/src/main/java/io/quartzgw/startlog/StartLog.java
+++ b/src/main/java/io/quartzgw/startlog/StartLog.java
@@ -54,15 +54,16 @@
     private final LeaderTerm term;
     private final PackedRecords records;
     private final FormerReplicas formerReplicas;
+    private final LogWrites writes;
     private final CoalescedTask flushLater;
     private final long cleanupMs;
     private final long retryMs;
     /** Keys with the prefix that are no pages. */
     private final List<String> foreignKeys = new ArrayList<>();
 
-    private final Map<String, Map<Attempt, Entry>> entriesByMachine = new HashMap<>();
+    private final Map<String, Map<Attempt, LogEntry>> entriesByMachine = new HashMap<>();
     /** The starts that are not stored yet. */
-    private final Set<Entry> waiting = new LinkedHashSet<>();
+    private final Set<LogEntry> waiting = new LinkedHashSet<>();
 
     private Consumer<String> onStored = machine -> {};
     private int size;
@@ -71,22 +72,6 @@
     private long nextWriteAtMs;
     /** When pages that hold void starts are to be written, unless a start is written before. */
     private Optional<Long> cleanupAtMs = Optional.empty();
-    /** When the first of the writes that have failed was begun, unless the last one has succeeded. */
-    private Optional<Long> failingSinceMs = Optional.empty();
-
-    /** A start in the log. */
-    private static final class Entry {
-        private final String machine;
-        private final Attempt start;
-        private final long announcedAtMs;
-        private boolean stored;
-
-        Entry(String machine, Attempt start, long announcedAtMs) {
-            this.machine = machine;
-            this.start = start;
-            this.announcedAtMs = announcedAtMs;
-        }
-    }
 
     /**
      * Creates the log of the current term.
@@ -99,6 +84,7 @@
         this.term = term;
         this.records = new PackedRecords(store, PREFIX, this::fencedTransaction);
         this.formerReplicas = new FormerReplicas(eventLoop, store, term);
+        this.writes = new LogWrites(eventLoop, term);
         this.flushLater = new CoalescedTask(eventLoop, this::flush);
         this.cleanupMs = (long) (CLEANUP_HEARTBEATS * heartbeatMs);
         this.retryMs = (long) (RETRY_HEARTBEATS * heartbeatMs);
@@ -167,8 +153,8 @@
     }
 
     private void addStored(String machine, Attempt start) {
-        Entry entry = new Entry(machine, start, eventLoop.nowMs());
-        entry.stored = true;
+        LogEntry entry = new LogEntry(machine, start, eventLoop.nowMs());
+        entry.markStored();
         entriesOf(machine).put(start, entry);
         size++;
     }
@@ -177,38 +163,38 @@
 
     /** Sets all starts that direct calls may carry to a machine from now on, or may still carry. */
     public void announce(String machine, Set<Attempt> starts) {
-        Map<Attempt, Entry> known = entriesByMachine.getOrDefault(machine, Map.of());
+        Map<Attempt, LogEntry> known = entriesByMachine.getOrDefault(machine, Map.of());
         known.values().stream()
-                .filter(entry -> !starts.contains(entry.start))
+                .filter(entry -> !starts.contains(entry.start()))
                 .toList()
                 .forEach(this::drop);
         for (Attempt start : starts) {
             if (!known.containsKey(start) && size < MAX_STARTS) {
-                add(new Entry(machine, start, eventLoop.nowMs()));
+                add(new LogEntry(machine, start, eventLoop.nowMs()));
             }
         }
     }
 
-    private Map<Attempt, Entry> entriesOf(String machine) {
+    private Map<Attempt, LogEntry> entriesOf(String machine) {
         return entriesByMachine.computeIfAbsent(machine, id -> new LinkedHashMap<>());
     }
 
-    private void add(Entry entry) {
-        entriesOf(entry.machine).put(entry.start, entry);
+    private void add(LogEntry entry) {
+        entriesOf(entry.machine()).put(entry.start(), entry);
         size++;
         waiting.add(entry);
-        records.put(StartRecordCodec.encodeName(entry.start), StartRecordCodec.encodeMachine(entry.machine), 0);
+        records.put(StartRecordCodec.encodeName(entry.start()), StartRecordCodec.encodeMachine(entry.machine()), 0);
     }
 
-    private void drop(Entry entry) {
-        Map<Attempt, Entry> ofMachine = entriesByMachine.get(entry.machine);
-        ofMachine.remove(entry.start);
+    private void drop(LogEntry entry) {
+        Map<Attempt, LogEntry> ofMachine = entriesByMachine.get(entry.machine());
+        ofMachine.remove(entry.start());
         if (ofMachine.isEmpty()) {
-            entriesByMachine.remove(entry.machine);
+            entriesByMachine.remove(entry.machine());
         }
         size--;
         waiting.remove(entry);
-        records.removeLazily(StartRecordCodec.encodeName(entry.start));
+        records.removeLazily(StartRecordCodec.encodeName(entry.start()));
         scheduleCleanup();
     }
 
@@ -220,8 +206,8 @@
 
     /** Returns whether a start that was announced is stored, so that a direct call may carry it. */
     public boolean isStored(String machine, Attempt start) {
-        Entry entry = entriesByMachine.getOrDefault(machine, Map.of()).get(start);
-        return entry != null && entry.stored && formerReplicas.areOutdated();
+        LogEntry entry = entriesByMachine.getOrDefault(machine, Map.of()).get(start);
+        return entry != null && entry.isStored() && formerReplicas.areOutdated();
     }
 
     // ---- writes
@@ -250,7 +236,7 @@
             cleanupAtMs = Optional.empty();
             records.rewriteOutdatedPages();
         }
-        List<Entry> written = List.copyOf(waiting);
+        List<LogEntry> written = List.copyOf(waiting);
         RequestUrgency urgency = written.isEmpty() ? RequestUrgency.BACKGROUND : RequestUrgency.NORMAL;
         double fraction = written.isEmpty() ? CLEANUP_FRACTION : WRITE_FRACTION;
         long begunAtMs = eventLoop.nowMs();
@@ -260,28 +246,28 @@
         records.write(urgency, success -> onWritten(written, success, begunAtMs));
     }
 
-    private void onWritten(List<Entry> written, boolean success, long begunAtMs) {
+    private void onWritten(List<LogEntry> written, boolean success, long begunAtMs) {
         writing = false;
         if (!term.isCurrent()) {
             return;
         }
         if (success) {
-            reportResumed();
+            writes.succeeded();
             written.forEach(this::markStored);
         } else {
-            reportFailing(begunAtMs);
+            writes.failed(begunAtMs, waiting.size());
             nextWriteAtMs = eventLoop.nowMs() + retryMs;
             scheduleCleanup();
         }
     }
 
-    private void markStored(Entry entry) {
+    private void markStored(LogEntry entry) {
         // One that was dropped meanwhile may have been stored or not, and would be announced as another entry.
         if (waiting.remove(entry)) {
-            entry.stored = true;
+            entry.markStored();
             eventLoop.increment("startlog.starts", 1);
-            eventLoop.increment("startlog.wait_ms", eventLoop.nowMs() - entry.announcedAtMs);
-            onStored.accept(entry.machine);
+            eventLoop.increment("startlog.wait_ms", eventLoop.nowMs() - entry.announcedAtMs());
+            onStored.accept(entry.machine());
         }
     }
 
@@ -291,30 +277,11 @@
     public void report() {
         long oldestMs = waiting.stream()
                 .findFirst()
-                .map(entry -> eventLoop.nowMs() - entry.announcedAtMs)
+                .map(entry -> eventLoop.nowMs() - entry.announcedAtMs())
                 .orElse(0L);
         eventLoop.setGauge("startlog.size", size);
         eventLoop.setGauge("startlog.pages", records.pageCount());
         eventLoop.setGauge("startlog.waiting", waiting.size());
         eventLoop.setGauge("startlog.oldest_waiting_ms", oldestMs);
     }
-
-    private void reportFailing(long begunAtMs) {
-        if (failingSinceMs.isEmpty()) {
-            failingSinceMs = Optional.of(begunAtMs);
-            eventLoop.increment("startlog.stalls", 1);
-            LOG.atInfo()
-                    .addKeyValue("term", term.number())
-                    .addKeyValue("waiting", waiting.size())
-                    .log("start log stalled");
-        }
-    }
-
-    private void reportResumed() {
-        failingSinceMs.ifPresent(since -> LOG.atInfo()
-                .addKeyValue("term", term.number())
-                .addKeyValue("stalled_ms", eventLoop.nowMs() - since)
-                .log("start log resumed"));
-        failingSinceMs = Optional.empty();
-    }
 }
--- a/src/test/java/io/quartzgw/agent/InheritedStartsTest.java
+++ b/src/test/java/io/quartzgw/agent/InheritedStartsTest.java
@@ -27,6 +27,7 @@
 import io.quartzgw.model.MachineType;
 import io.quartzgw.model.Resources;
 import io.quartzgw.scheduling.Allocation;
+import io.quartzgw.scheduling.CancelledTasks;
 import io.quartzgw.scheduling.ClusterState;
 import io.quartzgw.scheduling.Job;
 import io.quartzgw.scheduling.Machine;
@@ -445,7 +446,9 @@
         cluster.terminate(job);
         agents.reportUnfencedAttempts();
         endedJobs.remove(JOB).accept(CANCELLED);
-        assertTrue(machine.firstCancellationMs().isPresent(), "the start may run the cancelled task at any time");
+        assertTrue(
+                CancelledTasks.firstCancellationMs(machine).isPresent(),
+                "the start may run the cancelled task at any time");
     }
 
     // Guards against ran_cancelled: the time that the look-up takes counts, too.
@@ -457,7 +460,7 @@
         agents.reportUnfencedAttempts();
         advance(LOOK_UP_MS);
         endedJobs.remove(JOB).accept(new EndedJobs.End.Cancelled(OptionalLong.of(cancelledAt)));
-        assertEquals(cancelledAt, machine.firstCancellationMs().orElseThrow());
+        assertEquals(cancelledAt, CancelledTasks.firstCancellationMs(machine).orElseThrow());
     }
 
     // Guards against the end of the event loop's thread: the look-ups of jobs that are cached answer at once.
--- a/src/test/java/io/quartzgw/startlog/StartLogFixture.java
+++ b/src/test/java/io/quartzgw/startlog/StartLogFixture.java
@@ -152,7 +152,7 @@
                 stateService.handle(call, now, reply -> {});
                 onReply.accept(Reply.lost());
             }
-            case LATE -> {
+            default -> {
                 late.add(call);
                 onReply.accept(Reply.lost());
             }
