--- a/review/3/Case3.java
+++ b/review/3/Case3.java
@@ -10,13 +10,13 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * 150 arrays, six of which (4%) were submitted with a mistake and are cancelled; then a service that nothing keeps from
+ * 100 arrays, four of which (4%) were submitted with a mistake and are cancelled; then a service that nothing keeps from
  * running. It has to start within 90 s.
  */
 final class Case3 extends Scenario implements Workers.Listener {
-    private static final int MACHINES = 3;
-    private static final int SOUND_JOBS = 144;
-    private static final int MISTAKEN_JOBS = 6;
+    private static final int MACHINES = 2;
+    private static final int SOUND_JOBS = 96;
+    private static final int MISTAKEN_JOBS = 4;
     private static final int USERS = 12;
     private static final double WAIT_LIMIT_S = 90;
     private static final String SERVICE = "j-000900";
@@ -104,14 +104,14 @@
 
     private void submitArray(String id, boolean mistaken) throws Exception {
         Users.Job job =
-                new Users.Job(id, false, 1, 2, 8.2, "img-1", 1.0, (index, ranS) -> ranS > 0.3, mistaken);
+                new Users.Job(id, false, 1, 1, 2.05, "img-1", 0.25, (index, ranS) -> ranS > 0.1, mistaken);
         ObjectNode body = Users.submission(job, "sensor-backfill", "growbox-firmware", "standard", 20);
         require(users.submit(job, body), id + " was not accepted");
     }
 
     private int judge() throws Exception {
         Users.Job service =
-                new Users.Job(SERVICE, true, 1, SERVICE_CPUS, SERVICE_RAM_GB, "img-1", 1.0, (index, ranS) -> false);
+                new Users.Job(SERVICE, true, 1, SERVICE_CPUS, SERVICE_RAM_GB, "img-1", 0.25, (index, ranS) -> false);
         ObjectNode body = Users.submission(service, "vent-controller", "agronomy-desk", "critical", 0);
         require(users.submit(service, body), SERVICE + " was not accepted");
         double acceptedAt = Lab.now();
