Report why machines with free capacity get no tasks, and since when

An operator could not see why a machine with room was left empty: a quarantine, an unreachable agent and a late heartbeat looked alike, and failed tasks were not logged at all.

SchedulingConstraints now names the reason (ExclusionReason). ExclusionMonitor logs 'machine excluded' after four heartbeat intervals and 'machine exclusion ended', and sets the gauges excluded.* and delayed.*. TaskReconciler logs 'task failed' with the job's failures and its retry delay, and counts tasks.failed. No decision changes.

--- a/src/main/java/io/quartzgw/agent/TaskReconciler.java
+++ b/src/main/java/io/quartzgw/agent/TaskReconciler.java
@@ -172,7 +172,7 @@
         } else {
             agent.addUnfinished(attempt);
             if (allocation.isPresent()) {
-                recordFailure(agent.machine(), openJob.get(), task.cause());
+                recordFailure(allocation.get(), task.cause());
             }
             agent.addRemovable(attempt);
         }
@@ -196,18 +196,36 @@
         }
     }
 
-    private void recordFailure(Machine machine, Job job, Heartbeat.ExitCause cause) {
+    private void recordFailure(Allocation allocation, Heartbeat.ExitCause cause) {
+        Job job = allocation.job();
         if (cause == Heartbeat.ExitCause.ERROR) {
-            // Later failures count against the job only: one that fails everywhere must not discredit every machine.
-            if (job.failures() == 0) {
-                machine.exclusions().recordJobFailure(job.id());
-            }
-            job.recordFailure(machine.id(), eventLoop.nowMs(), errorDelayMs);
+            recordError(allocation.machine(), job);
+            logFailure(allocation);
         } else if (cause == Heartbeat.ExitCause.REFUSED || cause == Heartbeat.ExitCause.GANG_FAILED) {
             job.delayRetry(eventLoop.nowMs() + refusalDelayMs);
         }
     }
 
+    private void recordError(Machine machine, Job job) {
+        // Later failures count against the job only: one that fails everywhere must not discredit every machine.
+        if (job.failures() == 0) {
+            machine.exclusions().recordJobFailure(job.id());
+        }
+        job.recordFailure(machine.id(), eventLoop.nowMs(), errorDelayMs);
+    }
+
+    private void logFailure(Allocation allocation) {
+        Job job = allocation.job();
+        eventLoop.increment("tasks.failed", 1);
+        LOG.atInfo()
+                .addKeyValue("task", allocation.task())
+                .addKeyValue("attempt", allocation.attempt())
+                .addKeyValue("machine", allocation.machine().id())
+                .addKeyValue("failures", job.failures())
+                .addKeyValue("retry_in_ms", job.retryAt() - eventLoop.nowMs())
+                .log("task failed");
+    }
+
     /** Handles that completions of tasks of a job have been recorded: the agents may remove those attempts. */
     void completedTasksRecorded(Job job) {
         Set<AgentState> agents = agentsReportingExitByJob.get(job.id());
--- a/src/main/java/io/quartzgw/app/LeaderRuntime.java
+++ b/src/main/java/io/quartzgw/app/LeaderRuntime.java
@@ -161,6 +161,9 @@
                 recovery.releaseExpiredReservations();
             }
             cluster.markChanged();
+            scheduler.reportExclusions();
+        } else {
+            scheduler.clearExclusions();
         }
         agents.reportUnfencedAttempts();
         startLog.report();
--- a/src/main/java/io/quartzgw/scheduling/Scheduler.java
+++ b/src/main/java/io/quartzgw/scheduling/Scheduler.java
@@ -25,6 +25,7 @@
     private final BestFit bestFit;
     private final GangScheduler gangScheduler;
     private final MachineEvacuation evacuation;
+    private final ExclusionMonitor exclusionMonitor;
     private final BooleanSupplier cloudExhausted;
     private List<UnplacedTasks> unplaced = List.of();
     /** Whether jobs of normal priority may preempt jobs of low priority in this pass. */
@@ -52,6 +53,8 @@
         this.context = new SchedulingContext(eventLoop, cluster, constraints, policy.objectives(), bestFit, launcher);
         this.gangScheduler = new GangScheduler(context);
         this.evacuation = new MachineEvacuation(context);
+        this.exclusionMonitor = new ExclusionMonitor(
+                eventLoop, cluster, constraints, policy.agentTiming().heartbeatMs());
     }
 
     /** The tasks that lacked free capacity in the last pass. */
@@ -69,6 +72,16 @@
         return constraints.isWithinQuota(job);
     }
 
+    /** Reports the machines that get no tasks and the jobs that wait for a retry; called regularly. */
+    public void reportExclusions() {
+        exclusionMonitor.check();
+    }
+
+    /** Resets these reports, when this controller no longer leads. */
+    public void clearExclusions() {
+        exclusionMonitor.clear();
+    }
+
     /** Runs one scheduling pass, which allocates and starts all pending tasks that can run now. */
     public void schedule() {
         stopBrokenGangs();
--- a/src/main/java/io/quartzgw/scheduling/SchedulingConstraints.java
+++ b/src/main/java/io/quartzgw/scheduling/SchedulingConstraints.java
@@ -5,6 +5,7 @@
 import io.quartzgw.model.Resources;
 import io.quartzgw.model.TeamQuota;
 import java.util.Map;
+import java.util.Optional;
 
 /** The hard constraints of scheduling: which machines get tasks, which machines a job may use, and team quotas. */
 final class SchedulingConstraints {
@@ -26,13 +27,33 @@
 
     /** Whether tasks may be allocated to the machine now. */
     boolean isSchedulable(Machine machine) {
-        return machine.status() == Machine.Status.UP
-                && !machine.reservationExpired()
-                && machine.liveness().verified()
-                && !machine.liveness().unreachable()
-                && eventLoop.nowMs() - machine.liveness().lastResponseAt() < maxResponseAgeMs
-                && machine.reclaimAt() == Long.MAX_VALUE
-                && !machine.exclusions().isQuarantined();
+        return exclusionReason(machine).isEmpty();
+    }
+
+    /** Returns why no tasks may be allocated to the machine now, or empty if they may. */
+    Optional<ExclusionReason> exclusionReason(Machine machine) {
+        if (machine.status() == Machine.Status.BOOTING) {
+            return Optional.of(ExclusionReason.BOOTING);
+        }
+        if (machine.status() == Machine.Status.DRAINING) {
+            return Optional.of(ExclusionReason.DRAINING);
+        }
+        if (machine.reservationExpired()) {
+            return Optional.of(ExclusionReason.RESERVATION_EXPIRED);
+        }
+        if (!machine.liveness().verified()) {
+            return Optional.of(ExclusionReason.UNVERIFIED);
+        }
+        if (machine.liveness().unreachable()) {
+            return Optional.of(ExclusionReason.UNREACHABLE);
+        }
+        if (eventLoop.nowMs() - machine.liveness().lastResponseAt() >= maxResponseAgeMs) {
+            return Optional.of(ExclusionReason.UNRESPONSIVE);
+        }
+        if (machine.reclaimAt() != Long.MAX_VALUE) {
+            return Optional.of(ExclusionReason.RECLAIM_ANNOUNCED);
+        }
+        return machine.exclusions().isQuarantined() ? Optional.of(ExclusionReason.QUARANTINED) : Optional.empty();
     }
 
     /** Whether the job may use the machine, regardless of its free capacity. */
--- a/src/test/java/io/quartzgw/app/LogEventsTest.java
+++ b/src/test/java/io/quartzgw/app/LogEventsTest.java
@@ -21,6 +21,8 @@
  */
 class LogEventsTest {
     private static final long PAUSE_MS = 20_000;
+    /** Four heartbeat intervals: shorter exclusions of machines are not logged. */
+    private static final long LOGGED_AFTER_MS = 10_000;
 
     private final ByteArrayOutputStream log = new ByteArrayOutputStream();
 
@@ -126,6 +128,53 @@
                 "start log resumed");
     }
 
+    // An operator has to see why a machine with free capacity gets no tasks, and since when.
+    @Test
+    void logsAndCountsExcludedMachine() throws IOException {
+        ClusterSimulation simulation = ClusterFixtures.clusterWithServices();
+        String machine = simulation.agents().machinesWithFreeCpus(2).get(0);
+        PrintStream standardError = System.err;
+        System.setErr(new PrintStream(log, true, StandardCharsets.UTF_8));
+        try {
+            simulation.network().delayCommandsTo(machine);
+            simulation.users().submitUntilAccepted(JobRequests.array("j-000700", "blue", 1, 2, 60));
+            simulation.runChecked(LOGGED_AFTER_MS + 3_000);
+            assertEquals(1, simulation.counter("excluded.unreachable"));
+            assertTrue(simulation.counter("excluded.machines") >= 1, "booting machines are counted, too");
+            assertTrue(simulation.counter("excluded.oldest_ms") >= LOGGED_AFTER_MS);
+            simulation.network().deliverDelayedCommands(machine);
+            simulation.runChecked(PAUSE_MS);
+            assertEquals(0, simulation.counter("excluded.machines"));
+        } finally {
+            System.setErr(standardError);
+        }
+        assertLogged("machine excluded", "machine=" + machine, "reason=UNREACHABLE", "excluded_ms=1", "free_cpus=");
+        assertLogged("machine exclusion ended", "machine=" + machine, "excluded_ms=");
+        assertInReadme("machine excluded", "machine exclusion ended");
+    }
+
+    @Test
+    void logsAndCountsFailedTasks() throws IOException {
+        ClusterSimulation simulation = ClusterFixtures.clusterWithServices();
+        PrintStream standardError = System.err;
+        System.setErr(new PrintStream(log, true, StandardCharsets.UTF_8));
+        try {
+            simulation
+                    .users()
+                    .submitUntilAccepted(
+                            JobRequests.array("j-000700", "blue", 1, 2, 0.2).put("bundle", "broken"));
+            while (simulation.counter("tasks.failed") < 3) {
+                simulation.runChecked(500);
+            }
+        } finally {
+            System.setErr(standardError);
+        }
+        assertEquals(1, simulation.counter("delayed.jobs"));
+        assertTrue(simulation.counter("delayed.longest_ms") > 0);
+        assertLogged("task failed", "task=j-000700/0", "attempt=", "machine=i-", "failures=1", "retry_in_ms=1000");
+        assertInReadme("task failed");
+    }
+
     private static void assertInReadme(String... events) throws IOException {
         String readme = Files.readString(Path.of("README.md"));
         for (String event : events) {
