End quarantines of machines by time, and when the failed jobs fail elsewhere too

Cause: a machine was quarantined when the first failures of two jobs in a row were reported on it, and only a task that completed there ended that. A quarantined machine gets no task, so the end could not come while the decision lasted; it was not taken back when the jobs turned out to fail elsewhere either. MachineExclusions alone held it, without a time.

Fix: MachineQuarantine is a circuit breaker. Quarantine (4 to 8 heartbeat intervals) and probation (4, one task at a time) end by time alone, so the end comes whatever happens, and within 60 s at the longest heartbeat interval in use. A failure counts against the machine only if its job has completed tasks or has failed nowhere else, so jobs that fail everywhere take no machine out of use for longer than their next attempt.

--- a/src/main/java/io/quartzgw/agent/TaskReconciler.java
+++ b/src/main/java/io/quartzgw/agent/TaskReconciler.java
@@ -181,7 +181,7 @@
 
     private void reconcileCompleted(AgentState agent, Attempt attempt, Job job, Optional<Allocation> allocation) {
         Machine machine = agent.machine();
-        machine.exclusions().recordJobSuccess();
+        machine.quarantine().recordSuccess();
         machine.cacheImage(job.spec().image(), job.spec().imageGb());
         if (!job.isCompleted(attempt.index())) {
             cluster.markCompleted(job, attempt.index());
@@ -199,21 +199,14 @@
     private void recordFailure(Allocation allocation, Heartbeat.ExitCause cause) {
         Job job = allocation.job();
         if (cause == Heartbeat.ExitCause.ERROR) {
-            recordError(allocation.machine(), job);
+            allocation.machine().quarantine().recordFailure(allocation, eventLoop.nowMs());
+            job.recordFailure(allocation.machine().id(), eventLoop.nowMs(), errorDelayMs);
             logFailure(allocation);
         } else if (cause == Heartbeat.ExitCause.REFUSED || cause == Heartbeat.ExitCause.GANG_FAILED) {
             job.delayRetry(eventLoop.nowMs() + refusalDelayMs);
         }
     }
 
-    private void recordError(Machine machine, Job job) {
-        // Later failures count against the job only: one that fails everywhere must not discredit every machine.
-        if (job.failures() == 0) {
-            machine.exclusions().recordJobFailure(job.id());
-        }
-        job.recordFailure(machine.id(), eventLoop.nowMs(), errorDelayMs);
-    }
-
     private void logFailure(Allocation allocation) {
         Job job = allocation.job();
         eventLoop.increment("tasks.failed", 1);
--- a/src/main/java/io/quartzgw/scheduling/Job.java
+++ b/src/main/java/io/quartzgw/scheduling/Job.java
@@ -269,6 +269,11 @@
         return failureHistory.excludes(machine);
     }
 
+    /** Whether the job has failed on any other machine than this one. */
+    boolean hasFailedOutside(String machine) {
+        return failureHistory.hasFailedOutside(machine);
+    }
+
     /** Allows all machines again, for a job that has failed on every schedulable machine. */
     public void clearExcludedMachines() {
         failureHistory.clearExcludedMachines();
--- a/src/main/java/io/quartzgw/scheduling/Scheduler.java
+++ b/src/main/java/io/quartzgw/scheduling/Scheduler.java
@@ -25,6 +25,7 @@
     private final BestFit bestFit;
     private final GangScheduler gangScheduler;
     private final MachineEvacuation evacuation;
+    private final QuarantineReview quarantineReview;
     private final ExclusionMonitor exclusionMonitor;
     private final BooleanSupplier cloudExhausted;
     private List<UnplacedTasks> unplaced = List.of();
@@ -53,6 +54,8 @@
         this.context = new SchedulingContext(eventLoop, cluster, constraints, policy.objectives(), bestFit, launcher);
         this.gangScheduler = new GangScheduler(context);
         this.evacuation = new MachineEvacuation(context);
+        this.quarantineReview =
+                new QuarantineReview(eventLoop, cluster, policy.agentTiming().heartbeatMs());
         this.exclusionMonitor = new ExclusionMonitor(
                 eventLoop, cluster, constraints, policy.agentTiming().heartbeatMs());
     }
@@ -84,6 +87,7 @@
 
     /** Runs one scheduling pass, which allocates and starts all pending tasks that can run now. */
     public void schedule() {
+        quarantineReview.updateAll();
         stopBrokenGangs();
         evacuateMachines();
         List<Job> queued = queue.orderedJobs(eventLoop.nowMs());
--- a/src/main/java/io/quartzgw/scheduling/SchedulingConstraints.java
+++ b/src/main/java/io/quartzgw/scheduling/SchedulingConstraints.java
@@ -53,7 +53,7 @@
         if (machine.reclaimAt() != Long.MAX_VALUE) {
             return Optional.of(ExclusionReason.RECLAIM_ANNOUNCED);
         }
-        return machine.exclusions().isQuarantined() ? Optional.of(ExclusionReason.QUARANTINED) : Optional.empty();
+        return machine.quarantine().isActive() ? Optional.of(ExclusionReason.QUARANTINED) : Optional.empty();
     }
 
     /** Whether the job may use the machine, regardless of its free capacity. */
@@ -62,7 +62,8 @@
         return spec.allows(machine.type().name(), machine.zone(), machine.spot())
                 && job.zoneAllowed(machine.zone())
                 && !job.excludes(machine.id())
-                && !machine.exclusions().refusedJobs().contains(job.id());
+                && !machine.exclusions().refusedJobs().contains(job.id())
+                && machine.quarantine().admitsTask(machine.allocations());
     }
 
     /** Whether the team's current usage, including tasks that may be running, is within its quota. */
--- a/src/test/java/io/quartzgw/simulation/AgentTask.java
+++ b/src/test/java/io/quartzgw/simulation/AgentTask.java
@@ -10,6 +10,7 @@
     long startsAt;
     long endsAt;
     boolean running;
+    private boolean onFaultyMachine;
     Optional<String> exitCause = Optional.empty();
 
     AgentTask(String name, long attempt, SimulatedAgent.TaskProfile job) {
@@ -17,4 +18,20 @@
         this.attempt = attempt;
         this.job = job;
     }
+
+    /** Makes the attempt end with an error at a time, whatever its job. */
+    void failAt(long time) {
+        onFaultyMachine = true;
+        endsAt = time;
+    }
+
+    /** Whether the attempt ends with an error. */
+    boolean fails() {
+        return onFaultyMachine || job.faulty();
+    }
+
+    /** Whether the attempt, once running, ends by itself until the given time; a service ends only by a fault. */
+    boolean endsBy(long time) {
+        return (onFaultyMachine || !job.service()) && time >= endsAt;
+    }
 }
--- a/src/test/java/io/quartzgw/simulation/ClusterSimulation.java
+++ b/src/test/java/io/quartzgw/simulation/ClusterSimulation.java
@@ -47,6 +47,7 @@
         private long agentStepMs = 50;
         private AgentTiming timing = new AgentTiming(2_500, 16_000, 36_000);
         private SimulatedStore store = new SimulatedStore();
+        private double guaranteedCpus;
 
         private Builder(long seed) {
             this.seed = seed;
@@ -82,6 +83,12 @@
             return this;
         }
 
+        /** Sets an objective for guaranteed quotas, for which this many CPUs stay rented; by default there is none. */
+        public Builder guaranteedCpus(double cpus) {
+            this.guaranteedCpus = cpus;
+            return this;
+        }
+
         /** Creates the simulation and starts its controllers. */
         public ClusterSimulation build() {
             return new ClusterSimulation(this);
@@ -106,7 +113,7 @@
         cloud = new SimulatedCloud(MACHINE_LIST_LAG_MS, MACHINE_BOOT_MS, builder.machines, Hosts::machineAddress);
         invariants = new ProtocolInvariants(builder.timing.cancelLimitMs(), SimulationSettings.CPU_LIMITS, events::now);
         network = new SimulatedNetwork(context, this::handle);
-        SimulationSettings settings = new SimulationSettings(builder.timing, store.limits());
+        SimulationSettings settings = new SimulationSettings(builder.timing, store.limits(), builder.guaranteedCpus);
         controllers = new SimulatedControllers(
                 context, settings, network, new LeaderActionChecks(invariants), builder.controllers);
         agents = new SimulatedAgents(
--- a/src/test/java/io/quartzgw/simulation/SimulatedAgent.java
+++ b/src/test/java/io/quartzgw/simulation/SimulatedAgent.java
@@ -19,6 +19,8 @@
 public final class SimulatedAgent {
     private static final double CPUS_SMALL = 8;
     private static final double CPUS_LARGE = 16;
+    /** How long a task runs on a faulty machine before it fails. */
+    private static final long FAULTY_RUN_MS = 200;
 
     /**
      * How the tasks of a job run.
@@ -63,6 +65,7 @@
     private long leaseRenewedAt;
     private boolean changed;
     private long reclaimAt = Long.MAX_VALUE;
+    private boolean faulty;
 
     /**
      * Creates the agent of a machine, in its first epoch.
@@ -117,6 +120,11 @@
         changed = true;
     }
 
+    /** Sets whether the machine is faulty: all tasks that are started while it is end with an error. */
+    void setFaulty(boolean on) {
+        faulty = on;
+    }
+
     /** Returns whether a task, the epoch or another reported value has changed since the last call. */
     public boolean takeChanged() {
         boolean result = changed;
@@ -157,11 +165,11 @@
             if (task.exitCause.isEmpty() && !task.running && now >= task.startsAt) {
                 startTask(task);
             }
-            if (task.exitCause.isEmpty() && task.running && !task.job.service() && now >= task.endsAt) {
-                if (!task.job.faulty()) {
+            if (task.exitCause.isEmpty() && task.running && task.endsBy(now)) {
+                if (!task.fails()) {
                     taskListener.completed(task.name);
                 }
-                endTask(task, task.job.faulty() ? "error" : "done");
+                endTask(task, task.fails() ? "error" : "done");
             }
         }
     }
@@ -292,6 +300,9 @@
             task.startsAt = now + (long) (job.imagePullS() * 1000);
             int index = Integer.parseInt(name.substring(name.indexOf('/') + 1));
             task.endsAt = task.startsAt + (long) ((job.runS() + index * job.runIncrementS()) * 1000);
+            if (faulty) {
+                task.failAt(task.startsAt + FAULTY_RUN_MS);
+            }
         }
         tasks.put(name + "#" + attempt, task);
         changed = true;
--- a/src/test/java/io/quartzgw/simulation/SimulatedAgents.java
+++ b/src/test/java/io/quartzgw/simulation/SimulatedAgents.java
@@ -127,6 +127,11 @@
         });
     }
 
+    /** Sets whether a machine is faulty: all tasks that are started on it while it is end with an error. */
+    public void setFaulty(String id, boolean on) {
+        findHost(id).ifPresent(host -> host.agent.setFaulty(on));
+    }
+
     /** Announces that the cloud reclaims a machine, and reclaims it after the notice period. */
     public void reclaim(String id, long noticeMs) {
         findHost(id).ifPresent(host -> {
--- a/src/test/java/io/quartzgw/simulation/SimulationSettings.java
+++ b/src/test/java/io/quartzgw/simulation/SimulationSettings.java
@@ -10,8 +10,13 @@
 import java.util.List;
 import java.util.Map;
 
-/** The settings of the controllers of a simulated cluster. */
-record SimulationSettings(AgentTiming timing, StoreLimits storeLimits) {
+/**
+ * The settings of the controllers of a simulated cluster.
+ *
+ * @param guaranteedCpus the CPUs that stay rented for an objective on guaranteed quotas; 0 if there is no such
+ *     objective
+ */
+record SimulationSettings(AgentTiming timing, StoreLimits storeLimits, double guaranteedCpus) {
     /** CPU quotas by team; teams without an entry have no quota. */
     static final Map<String, Double> CPU_LIMITS = Map.of("red", 40.0, "green", 24.0);
 
@@ -41,8 +46,14 @@
                 size,
                 List.of("a", "b"),
                 100,
-                Map.of("red", teamQuota("red", 0), "blue", teamQuota("blue", 0), "green", teamQuota("green", 8)),
-                List.of(),
+                Map.of(
+                        "red",
+                        teamQuota("red", 0),
+                        "blue",
+                        teamQuota("blue", 0),
+                        "green",
+                        teamQuota("green", guaranteedCpus > 0 ? guaranteedCpus : 8)),
+                guaranteedCpus > 0 ? List.of(new Settings.Objective("guarantee", "", 5, 0, 0.9)) : List.of(),
                 timing,
                 timing.cancelLimitMs() / 1000.0,
                 storeLimits,
