End a job's exclusion from a machine where it failed by time

Callers saw: nothing yet; found by listing the decisions of the same kind as the quarantine. A job whose task failed once on each of one or two machines is never started again while the cloud has no other machine, though they have room.

Cause: FailureHistory keeps a job from every machine where it has failed. The exclusions ended only when the job had failed three times and on every machine in use, also on those that it may not use. A job that is not started fails no further time, so that end need not come.

Fix: an exclusion ends 12 heartbeat intervals after the failure. RetryTiming has both times of a retry; the initial delay moves there unchanged. SchedulerTest passes it in place of the initial delay, its checks are the same.

--- a/src/main/java/io/quartzgw/agent/TaskReconciler.java
+++ b/src/main/java/io/quartzgw/agent/TaskReconciler.java
@@ -7,6 +7,7 @@
 import io.quartzgw.scheduling.ClusterState;
 import io.quartzgw.scheduling.Job;
 import io.quartzgw.scheduling.Machine;
+import io.quartzgw.scheduling.RetryTiming;
 import io.quartzgw.scheduling.StopReason;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -21,8 +22,6 @@
 /** Reconciles the allocations of a machine with the task list of its agent; the task list takes precedence. */
 final class TaskReconciler {
     private static final Logger LOG = LoggerFactory.getLogger(TaskReconciler.class);
-    /** Delay before a task is started again after an error, in heartbeat intervals. */
-    private static final double ERROR_DELAY_HEARTBEATS = 0.4;
     /** Delay before a job is started again after an agent refused one of its tasks, in heartbeat intervals. */
     private static final double REFUSAL_DELAY_HEARTBEATS = 0.2;
 
@@ -31,7 +30,7 @@
     private final AgentRegistry registry;
     private final AllocationRelease allocationRelease;
     private final BiConsumer<Job, Integer> onTaskCompleted;
-    private final long errorDelayMs;
+    private final RetryTiming retryTiming;
     private final long refusalDelayMs;
     /** Agents that still report an exited attempt of a job, by job ID. */
     private final Map<String, Set<AgentState>> agentsReportingExitByJob = new HashMap<>();
@@ -48,7 +47,7 @@
         this.registry = registry;
         this.allocationRelease = allocationRelease;
         this.onTaskCompleted = onTaskCompleted;
-        this.errorDelayMs = (long) (ERROR_DELAY_HEARTBEATS * timing.heartbeatMs());
+        this.retryTiming = RetryTiming.of(timing.heartbeatMs());
         this.refusalDelayMs = (long) (REFUSAL_DELAY_HEARTBEATS * timing.heartbeatMs());
     }
 
@@ -200,7 +199,7 @@
         Job job = allocation.job();
         if (cause == Heartbeat.ExitCause.ERROR) {
             allocation.machine().quarantine().recordFailure(allocation, eventLoop.nowMs());
-            job.recordFailure(allocation.machine().id(), eventLoop.nowMs(), errorDelayMs);
+            job.recordFailure(allocation.machine().id(), eventLoop.nowMs(), retryTiming);
             logFailure(allocation);
         } else if (cause == Heartbeat.ExitCause.REFUSED || cause == Heartbeat.ExitCause.GANG_FAILED) {
             job.delayRetry(eventLoop.nowMs() + refusalDelayMs);
--- a/src/main/java/io/quartzgw/scheduling/Consolidation.java
+++ b/src/main/java/io/quartzgw/scheduling/Consolidation.java
@@ -52,7 +52,7 @@
                 .sorted(Comparator.comparingDouble(Consolidation::utilization).thenComparing(Machine::id))
                 .toList();
         for (Machine machine : candidates) {
-            if (allFitElsewhere(machine, machines)) {
+            if (allFitElsewhere(machine, machines, now)) {
                 machine.drain();
                 machine.allocationsSnapshot()
                         .forEach(allocation -> launcher.stop(
@@ -78,7 +78,7 @@
 
     // Targets are in the same zone, so that no zone constraint is affected. Their utilization is at least as high, so
     // that replicas are not moved back and forth.
-    private static boolean allFitElsewhere(Machine from, List<Machine> machines) {
+    private static boolean allFitElsewhere(Machine from, List<Machine> machines, long now) {
         Map<Machine, Resources> freeCapacities = new HashMap<>();
         List<Machine> targets = new ArrayList<>();
         for (Machine machine : machines) {
@@ -95,7 +95,7 @@
                     .filter(machine -> allocation.demand().fitsIn(freeCapacities.get(machine))
                             && machine.hasImage(allocation.job().spec().image())
                             && allocation.job().spec().allows(machine.type().name(), machine.zone(), machine.spot())
-                            && !allocation.job().excludes(machine.id()))
+                            && !allocation.job().excludes(machine.id(), now))
                     .findFirst();
             if (target.isEmpty()) {
                 return false;
--- a/src/main/java/io/quartzgw/scheduling/FailureHistory.java
+++ b/src/main/java/io/quartzgw/scheduling/FailureHistory.java
@@ -1,23 +1,23 @@
 package io.quartzgw.scheduling;
 
-import java.util.HashSet;
-import java.util.Set;
+import java.util.HashMap;
+import java.util.Map;
 
 /** The failed attempts of a job: the backoff before its next attempt, and the machines where it has failed. */
 final class FailureHistory {
     private static final int MAX_BACKOFF_DOUBLINGS = 6;
 
-    private final Set<String> excludedMachines = new HashSet<>();
-    private final Set<String> failedMachines = new HashSet<>();
+    /** Until when the job is not scheduled on the machines where it has failed, by machine ID. */
+    private final Map<String, Long> excludedUntil = new HashMap<>();
+
     private int failures;
     private long retryAt;
 
     /** Records a failed attempt. The backoff doubles with each one, up to a limit. */
-    void recordFailure(String machineId, long now, long initialBackoffMs) {
-        excludedMachines.add(machineId);
-        failedMachines.add(machineId);
+    void recordFailure(String machineId, long now, RetryTiming timing) {
+        excludedUntil.put(machineId, now + timing.exclusionMs());
         failures++;
-        retryAt = now + (initialBackoffMs << Math.min(failures - 1, MAX_BACKOFF_DOUBLINGS));
+        retryAt = now + (timing.initialDelayMs() << Math.min(failures - 1, MAX_BACKOFF_DOUBLINGS));
     }
 
     void delayRetry(long until) {
@@ -32,16 +32,16 @@
         return retryAt;
     }
 
-    boolean excludes(String machineId) {
-        return excludedMachines.contains(machineId);
+    boolean excludes(String machineId, long now) {
+        return now < excludedUntil.getOrDefault(machineId, Long.MIN_VALUE);
     }
 
     /** Whether the job has failed on any other machine than this one. */
     boolean hasFailedOutside(String machineId) {
-        return failedMachines.size() > (failedMachines.contains(machineId) ? 1 : 0);
+        return excludedUntil.size() > (excludedUntil.containsKey(machineId) ? 1 : 0);
     }
 
     void clearExcludedMachines() {
-        excludedMachines.clear();
+        excludedUntil.replaceAll((machineId, until) -> Long.MIN_VALUE);
     }
 }
--- a/src/main/java/io/quartzgw/scheduling/Job.java
+++ b/src/main/java/io/quartzgw/scheduling/Job.java
@@ -244,9 +244,9 @@
         unaccounted.clear();
     }
 
-    /** Records a failed attempt: the job backs off exponentially and is not scheduled on the machine again. */
-    public void recordFailure(String machine, long now, long initialBackoffMs) {
-        failureHistory.recordFailure(machine, now, initialBackoffMs);
+    /** Records a failed attempt: the job backs off exponentially and is not scheduled on the machine for a while. */
+    public void recordFailure(String machine, long now, RetryTiming timing) {
+        failureHistory.recordFailure(machine, now, timing);
     }
 
     /** Delays the next attempt until the given time or later. */
@@ -264,9 +264,9 @@
         return failureHistory.retryAt();
     }
 
-    /** Whether the job is not scheduled on the machine because it failed there. */
-    public boolean excludes(String machine) {
-        return failureHistory.excludes(machine);
+    /** Whether the job is not scheduled on the machine now because it failed there. */
+    public boolean excludes(String machine, long now) {
+        return failureHistory.excludes(machine, now);
     }
 
     /** Whether the job has failed on any other machine than this one. */
--- /dev/null
+++ b/src/main/java/io/quartzgw/scheduling/RetryTiming.java
@@ -0,0 +1,18 @@
+package io.quartzgw.scheduling;
+
+/**
+ * When a job is tried again after a failure.
+ *
+ * @param initialDelayMs the delay after the first failure; it doubles with each further one, up to a limit
+ * @param exclusionMs for how long the job is not scheduled on the machine where it has failed
+ */
+public record RetryTiming(long initialDelayMs, long exclusionMs) {
+    private static final double INITIAL_DELAY_HEARTBEATS = 0.4;
+    /** Well below the 90 s that a job may wait beside a machine with free capacity. */
+    private static final int EXCLUSION_HEARTBEATS = 12;
+
+    /** Returns the timing for the agents' heartbeat interval. */
+    public static RetryTiming of(long heartbeatMs) {
+        return new RetryTiming((long) (INITIAL_DELAY_HEARTBEATS * heartbeatMs), EXCLUSION_HEARTBEATS * heartbeatMs);
+    }
+}
--- a/src/main/java/io/quartzgw/scheduling/Scheduler.java
+++ b/src/main/java/io/quartzgw/scheduling/Scheduler.java
@@ -161,7 +161,7 @@
     /** Returns the number of tasks that were not allocated only because free capacity was lacking. */
     private int scheduleTasks(Job job, List<Machine> schedulable, List<Machine> withCapacity) {
         if (job.failures() >= MAX_FAILURES_FOR_SCALE_OUT
-                && schedulable.stream().allMatch(machine -> job.excludes(machine.id()))) {
+                && schedulable.stream().allMatch(machine -> job.excludes(machine.id(), eventLoop.nowMs()))) {
             job.clearExcludedMachines();
         }
         CandidateMachines candidates = new CandidateMachines(
--- a/src/main/java/io/quartzgw/scheduling/SchedulingConstraints.java
+++ b/src/main/java/io/quartzgw/scheduling/SchedulingConstraints.java
@@ -61,7 +61,7 @@
         JobSpec spec = job.spec();
         return spec.allows(machine.type().name(), machine.zone(), machine.spot())
                 && job.zoneAllowed(machine.zone())
-                && !job.excludes(machine.id())
+                && !job.excludes(machine.id(), eventLoop.nowMs())
                 && !machine.exclusions().refusedJobs().contains(job.id())
                 && machine.quarantine().admitsTask(machine.allocations());
     }
--- a/src/test/java/io/quartzgw/app/FailedTasksTest.java
+++ b/src/test/java/io/quartzgw/app/FailedTasksTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.quartzgw.liveness.AgentTiming;
 import io.quartzgw.simulation.ClusterSimulation;
 import java.util.ArrayList;
 import java.util.List;
@@ -20,6 +21,7 @@
     /** A job may wait this long beside a machine with free capacity, once the faults have ended. */
     private static final long WAITING_LIMIT_MS = 90_000;
 
+    private static final AgentTiming SHORT_TIMING = new AgentTiming(2_500, 16_000, 36_000);
     private static final long BOOTED_AT_MS = 40_000;
     private static final double LARGE_MACHINE_CPUS = 16;
     /** More than half of a small machine, so that each of them runs one replica. */
@@ -38,8 +40,9 @@
     private int mistakenJobs;
 
     /** Returns a cluster whose machines stay rented for a guarantee, without jobs. */
-    private static ClusterSimulation guaranteedMachines(int machines) {
+    private static ClusterSimulation guaranteedMachines(int machines, AgentTiming timing) {
         ClusterSimulation simulation = ClusterSimulation.builder(7)
+                .timing(timing)
                 .machines(machines)
                 .guaranteedCpus(machines * LARGE_MACHINE_CPUS)
                 .build();
@@ -49,9 +52,9 @@
     }
 
     /** Returns a cluster whose machines stay rented since each of them runs a replica of a service. */
-    private static ClusterSimulation machinesWithReplicas(int machines) {
+    private static ClusterSimulation machinesWithReplicas(int machines, AgentTiming timing) {
         ClusterSimulation simulation =
-                ClusterSimulation.builder(7).machines(machines).build();
+                ClusterSimulation.builder(7).timing(timing).machines(machines).build();
         ObjectNode service = JobRequests.service("j-000001", "blue", machines, REPLICA_CPUS);
         service.putArray("host_types").add("small");
         simulation.users().submitUntilAccepted(service);
@@ -61,7 +64,11 @@
     }
 
     private static ClusterSimulation cluster(int machines, boolean guarantee) {
-        return guarantee ? guaranteedMachines(machines) : machinesWithReplicas(machines);
+        return cluster(machines, guarantee, SHORT_TIMING);
+    }
+
+    private static ClusterSimulation cluster(int machines, boolean guarantee, AgentTiming timing) {
+        return guarantee ? guaranteedMachines(machines, timing) : machinesWithReplicas(machines, timing);
     }
 
     /** Submits mistaken jobs, each once the one before it has failed, and returns their IDs. */
@@ -141,7 +148,7 @@
     // The opposite: a machine on which every task fails is found after two jobs, and gets few tasks from then on.
     @Test
     void faultyMachineIsQuarantinedAfterTwoJobsFailedAndThenTriedWithSingleTasks() {
-        ClusterSimulation simulation = machinesWithReplicas(4);
+        ClusterSimulation simulation = cluster(4, false);
         simulation.agents().setFaulty(simulation.agents().machineIds().get(1), true);
         List<String> jobs = new ArrayList<>();
         long start = simulation.now();
@@ -163,4 +170,39 @@
         assertAllCompleted(simulation, jobs);
         assertEquals(List.of(), simulation.invariants().violations());
     }
+
+    // Guards against a job that is kept from a machine for good: it failed there once, and there is no other machine.
+    @ParameterizedTest
+    @CsvSource({"1, true", "1, false", "2, true", "2, false"})
+    void jobIsTriedAgainOnMachinesWhereItFailed(int machines, boolean guarantee) {
+        ClusterSimulation simulation = cluster(machines, guarantee);
+        setFaulty(simulation, true);
+        String job = submitArray(simulation, 300);
+        runUntilFailed(simulation, machines);
+        setFaulty(simulation, false);
+        assertRecovers(simulation, job);
+    }
+
+    private static void setFaulty(ClusterSimulation simulation, boolean on) {
+        simulation.agents().machineIds().forEach(machine -> simulation.agents().setFaulty(machine, on));
+    }
+
+    private static void runUntilFailed(ClusterSimulation simulation, int tasks) {
+        long deadline = simulation.now() + 60_000;
+        while (simulation.counter("tasks.failed") < tasks && simulation.now() < deadline) {
+            simulation.runChecked(50);
+        }
+        assertTrue(simulation.counter("tasks.failed") >= tasks, "tasks have failed");
+    }
+
+    /** Asserts that from now on the job waits beside no machine with free capacity, and completes. */
+    private static void assertRecovers(ClusterSimulation simulation, String job) {
+        simulation.invariants().endFaults(simulation.now());
+        for (long end = simulation.now() + WAITING_LIMIT_MS + 10_000; simulation.now() < end; ) {
+            simulation.runChecked(1_000);
+            simulation.checkWaitingJobs();
+        }
+        assertHealthy(simulation);
+        assertAllCompleted(simulation, List.of(job));
+    }
 }
--- a/src/test/java/io/quartzgw/scheduling/MachineQuarantineTest.java
+++ b/src/test/java/io/quartzgw/scheduling/MachineQuarantineTest.java
@@ -43,7 +43,7 @@
 
     private void fail(Job job, Machine on) {
         on.quarantine().recordFailure(new Allocation(job, 0, ++attempts, on, now), now);
-        job.recordFailure(on.id(), now, 1);
+        job.recordFailure(on.id(), now, RetryTiming.of(2_500));
     }
 
     private void update() {
--- a/src/test/java/io/quartzgw/scheduling/SchedulerTest.java
+++ b/src/test/java/io/quartzgw/scheduling/SchedulerTest.java
@@ -27,6 +27,9 @@
 class SchedulerTest {
     private static final Map<String, TeamQuota> TEAMS =
             Map.of("limited", new TeamQuota("limited", 0, 24, 0, 0), "free", new TeamQuota("free", 0, 0, 0, 0));
+    /** Without a noticeable delay, so that a failed job may be retried at once on other machines. */
+    private static final RetryTiming RETRY_TIMING = new RetryTiming(1, 30_000);
+
     private static final MachineType TYPE =
             new MachineType("t", new Resources(8, 0, 32), 40, 1, 1, 0.3, 10, List.of("a", "b"));
 
@@ -329,12 +332,12 @@
     void retriesJobWithThreeFailuresWithoutScaleOut() {
         Machine machine = onDemandMachine(0);
         Job job = submit(array(1), 1, 4);
-        job.recordFailure(machine.id(), 0, 1);
+        job.recordFailure(machine.id(), 0, RETRY_TIMING);
         eventLoop.processBatch(List.of(), new ClockReading(1_000, 1_000));
         scheduler.schedule();
         assertEquals(1, scheduler.unplaced().size(), "may run on another machine");
-        job.recordFailure(machine.id(), 0, 1);
-        job.recordFailure(machine.id(), 0, 1);
+        job.recordFailure(machine.id(), 0, RETRY_TIMING);
+        job.recordFailure(machine.id(), 0, RETRY_TIMING);
         scheduler.schedule();
         assertEquals(List.of(), scheduler.unplaced(), "causes no scale-out");
         assertEquals(machine, job.allocation(0).machine(), "is retried on the machine where it failed");
