Keep the retry delay of a failing job below the waiting limit

Callers saw: nothing yet; found by listing the decisions of the same kind as the quarantine. An array whose tasks fail together on a faulty machine waits up to 25.6 heartbeat intervals beside sound machines with room: 102 s and 128 s at heartbeat intervals of 4 and 5 s, where no job may wait 90 s.

Cause: each failed task doubles the delay, and its limit was set without regard to the 90 s.

Fix: five doublings instead of six, 12.8 heartbeat intervals at most, 64 s at 5 s.

--- a/src/main/java/io/quartzgw/scheduling/FailureHistory.java
+++ b/src/main/java/io/quartzgw/scheduling/FailureHistory.java
@@ -5,7 +5,8 @@
 
 /** The failed attempts of a job: the backoff before its next attempt, and the machines where it has failed. */
 final class FailureHistory {
-    private static final int MAX_BACKOFF_DOUBLINGS = 6;
+    /** Keeps the longest delay below the 90 s that a job may wait beside a machine with free capacity. */
+    private static final int MAX_BACKOFF_DOUBLINGS = 5;
 
     /** Until when the job is not scheduled on the machines where it has failed, by machine ID. */
     private final Map<String, Long> excludedUntil = new HashMap<>();
--- a/src/test/java/io/quartzgw/app/FailedTasksTest.java
+++ b/src/test/java/io/quartzgw/app/FailedTasksTest.java
@@ -22,6 +22,7 @@
     private static final long WAITING_LIMIT_MS = 90_000;
 
     private static final AgentTiming SHORT_TIMING = new AgentTiming(2_500, 16_000, 36_000);
+    private static final AgentTiming LONG_TIMING = new AgentTiming(5_000, 26_500, 56_500);
     private static final long BOOTED_AT_MS = 40_000;
     private static final double LARGE_MACHINE_CPUS = 16;
     /** More than half of a small machine, so that each of them runs one replica. */
@@ -183,6 +184,19 @@
         assertRecovers(simulation, job);
     }
 
+    // Guards against a retry delay that is longer than a job may wait: each failed task doubled it.
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void jobWithManyFailedTasksIsTriedAgainInTime(boolean guarantee) {
+        ClusterSimulation simulation = cluster(2, guarantee, LONG_TIMING);
+        setFaulty(simulation, true);
+        String job = JobRequests.id(300);
+        simulation.users().submitUntilAccepted(JobRequests.array(job, "blue", 10, TASK_CPUS / 10, 2));
+        runUntilFailed(simulation, 10);
+        setFaulty(simulation, false);
+        assertRecovers(simulation, job);
+    }
+
     private static void setFaulty(ClusterSimulation simulation, boolean on) {
         simulation.agents().machineIds().forEach(machine -> simulation.agents().setFaulty(machine, on));
     }
