Forget a job's failures by time and when a task completes, so that it may scale out again

Callers saw: nothing yet; found by listing the decisions of the same kind as the quarantine. An array of four tasks failed on a faulty machine, which then was gone. No machine was rented for it any more, and it had not begun after four minutes, with an empty fleet and a cloud that has machines.

Cause: a job with three failures causes no scale-out, and the count of failures never fell: neither by time nor when tasks completed. It counts tasks, so a single faulty machine brings it to three at once.

Fix: the failures are those in a row. SchedulerTest shows that three failures prevent scale-out as before, up to that time.

--- a/src/main/java/io/quartzgw/agent/TaskReconciler.java
+++ b/src/main/java/io/quartzgw/agent/TaskReconciler.java
@@ -213,7 +213,7 @@
                 .addKeyValue("task", allocation.task())
                 .addKeyValue("attempt", allocation.attempt())
                 .addKeyValue("machine", allocation.machine().id())
-                .addKeyValue("failures", job.failures())
+                .addKeyValue("failures", job.failures(eventLoop.nowMs()))
                 .addKeyValue("retry_in_ms", job.retryAt() - eventLoop.nowMs())
                 .log("task failed");
     }
--- a/src/main/java/io/quartzgw/scheduling/FailureHistory.java
+++ b/src/main/java/io/quartzgw/scheduling/FailureHistory.java
@@ -11,13 +11,17 @@
     /** Until when the job is not scheduled on the machines where it has failed, by machine ID. */
     private final Map<String, Long> excludedUntil = new HashMap<>();
 
+    /** The failures in a row, as of the last one. */
     private int failures;
+
+    private long forgottenAt;
     private long retryAt;
 
     /** Records a failed attempt. The backoff doubles with each one, up to a limit. */
     void recordFailure(String machineId, long now, RetryTiming timing) {
         excludedUntil.put(machineId, now + timing.exclusionMs());
-        failures++;
+        failures = failures(now) + 1;
+        forgottenAt = now + timing.forgottenAfterMs();
         retryAt = now + (timing.initialDelayMs() << Math.min(failures - 1, MAX_BACKOFF_DOUBLINGS));
     }
 
@@ -25,8 +29,14 @@
         retryAt = Math.max(retryAt, until);
     }
 
-    int failures() {
-        return failures;
+    /** Records that a task of the job has completed. */
+    void recordSuccess() {
+        failures = 0;
+    }
+
+    /** The failed attempts since a task has last completed, or 0 if the last failure is long ago. */
+    int failures(long now) {
+        return now < forgottenAt ? failures : 0;
     }
 
     long retryAt() {
--- a/src/main/java/io/quartzgw/scheduling/Job.java
+++ b/src/main/java/io/quartzgw/scheduling/Job.java
@@ -152,6 +152,7 @@
 
     void markCompleted(int index) {
         completedTasks.set(index);
+        failureHistory.recordSuccess();
         pending.clear(index);
         unaccounted.clear(index);
     }
@@ -254,9 +255,9 @@
         failureHistory.delayRetry(until);
     }
 
-    /** The number of failed attempts. */
-    public int failures() {
-        return failureHistory.failures();
+    /** The failed attempts since a task has last completed, or 0 if the last failure is long ago. */
+    public int failures(long now) {
+        return failureHistory.failures(now);
     }
 
     /** The earliest time at which a task of the job may be started again. */
--- a/src/test/java/io/quartzgw/app/FailedTasksTest.java
+++ b/src/test/java/io/quartzgw/app/FailedTasksTest.java
@@ -21,6 +21,9 @@
     /** A job may wait this long beside a machine with free capacity, once the faults have ended. */
     private static final long WAITING_LIMIT_MS = 90_000;
 
+    /** The largest jobs have to begin within this time. */
+    private static final long LARGEST_JOBS_BEGIN_MS = 240_000;
+
     private static final AgentTiming SHORT_TIMING = new AgentTiming(2_500, 16_000, 36_000);
     private static final AgentTiming LONG_TIMING = new AgentTiming(5_000, 26_500, 56_500);
     private static final long BOOTED_AT_MS = 40_000;
@@ -197,6 +200,24 @@
         assertRecovers(simulation, job);
     }
 
+    // Guards against a job for which no machine is rented any more: its first machine was faulty, and is gone.
+    @Test
+    void machinesAreRentedAgainForJobWithManyFailedTasks() {
+        ClusterSimulation simulation = ClusterSimulation.builder(7).machines(2).build();
+        simulation.runUntil(BOOTED_AT_MS);
+        String job = JobRequests.id(300);
+        simulation.users().submitUntilAccepted(JobRequests.array(job, "blue", 4, TASK_CPUS, 2));
+        while (simulation.agents().machineIds().isEmpty()) {
+            simulation.runChecked(10);
+        }
+        setFaulty(simulation, true);
+        runUntilFailed(simulation, 4);
+        simulation.agents().machineIds().forEach(machine -> simulation.cloud().fail(machine, simulation.now()));
+        simulation.runChecked(LARGEST_JOBS_BEGIN_MS);
+        assertAllCompleted(simulation, List.of(job));
+        assertHealthy(simulation);
+    }
+
     private static void setFaulty(ClusterSimulation simulation, boolean on) {
         simulation.agents().machineIds().forEach(machine -> simulation.agents().setFaulty(machine, on));
     }
--- a/src/test/java/io/quartzgw/scheduling/SchedulerTest.java
+++ b/src/test/java/io/quartzgw/scheduling/SchedulerTest.java
@@ -28,7 +28,7 @@
     private static final Map<String, TeamQuota> TEAMS =
             Map.of("limited", new TeamQuota("limited", 0, 24, 0, 0), "free", new TeamQuota("free", 0, 0, 0, 0));
     /** Without a noticeable delay, so that a failed job may be retried at once on other machines. */
-    private static final RetryTiming RETRY_TIMING = new RetryTiming(1, 30_000);
+    private static final RetryTiming RETRY_TIMING = new RetryTiming(1, 30_000, 60_000);
 
     private static final MachineType TYPE =
             new MachineType("t", new Resources(8, 0, 32), 40, 1, 1, 0.3, 10, List.of("a", "b"));
@@ -343,6 +343,33 @@
         assertEquals(machine, job.allocation(0).machine(), "is retried on the machine where it failed");
     }
 
+    // The job could never run again if all machines were gone.
+    @Test
+    void causesScaleOutAgainWhenFailuresAreForgotten() {
+        Job job = submit(array(1), 1, 4);
+        for (int i = 0; i < 3; i++) {
+            job.recordFailure("i-0", 0, RETRY_TIMING);
+        }
+        eventLoop.processBatch(List.of(), new ClockReading(59_000, 59_000));
+        scheduler.schedule();
+        assertEquals(List.of(), scheduler.unplaced());
+        eventLoop.processBatch(List.of(), new ClockReading(60_000, 60_000));
+        scheduler.schedule();
+        assertEquals(1, scheduler.unplaced().size());
+    }
+
+    @Test
+    void completedTaskEndsFailuresInARow() {
+        Job job = submit(array(1), 2, 4);
+        for (int i = 0; i < 3; i++) {
+            job.recordFailure("i-0", 0, RETRY_TIMING);
+        }
+        cluster.markCompleted(job, 0);
+        eventLoop.processBatch(List.of(), new ClockReading(1_000, 1_000));
+        scheduler.schedule();
+        assertEquals(1, scheduler.unplaced().size());
+    }
+
     @Test
     void allocatesAllGangMembersOrNone() {
         onDemandMachine(0);
