Quarantine belongs to a machine's exclusions; test of its log events

The quarantine moves into MachineExclusions, which has the other reason not to use a machine. No decision changes.

--- a/src/main/java/io/quartzgw/agent/TaskReconciler.java
+++ b/src/main/java/io/quartzgw/agent/TaskReconciler.java
@@ -180,7 +180,7 @@
 
     private void reconcileCompleted(AgentState agent, Attempt attempt, Job job, Optional<Allocation> allocation) {
         Machine machine = agent.machine();
-        machine.quarantine().recordSuccess();
+        machine.exclusions().quarantine().recordSuccess();
         machine.cacheImage(job.spec().image(), job.spec().imageGb());
         if (!job.isCompleted(attempt.index())) {
             cluster.markCompleted(job, attempt.index());
@@ -198,7 +198,7 @@
     private void recordFailure(Allocation allocation, Heartbeat.ExitCause cause) {
         Job job = allocation.job();
         if (cause == Heartbeat.ExitCause.ERROR) {
-            allocation.machine().quarantine().recordFailure(allocation, eventLoop.nowMs());
+            allocation.machine().exclusions().quarantine().recordFailure(allocation, eventLoop.nowMs());
             job.recordFailure(allocation.machine().id(), eventLoop.nowMs(), retryTiming);
             logFailure(allocation);
         } else if (cause == Heartbeat.ExitCause.REFUSED || cause == Heartbeat.ExitCause.GANG_FAILED) {
--- a/src/main/java/io/quartzgw/scheduling/Machine.java
+++ b/src/main/java/io/quartzgw/scheduling/Machine.java
@@ -41,8 +41,7 @@
     private Resources allocated = Resources.NONE;
     private Resources freeCapacity;
     private final ImageCache images;
-    private final MachineExclusions exclusions = new MachineExclusions();
-    private final MachineQuarantine quarantine;
+    private final MachineExclusions exclusions;
     private final MachineFencing fencing = new MachineFencing();
 
     /**
@@ -51,7 +50,7 @@
      */
     public Machine(String id, MachineType type, String zone, boolean spot, long rentedAt, long now) {
         this.id = id;
-        this.quarantine = new MachineQuarantine(id);
+        this.exclusions = new MachineExclusions(id);
         this.type = type;
         this.freeCapacity = type.size();
         this.images = new ImageCache(type.cacheGb());
@@ -120,16 +119,11 @@
         return fencing;
     }
 
-    /** The jobs that the machine is not used for. */
+    /** Why the machine is not used for some or all jobs. */
     public MachineExclusions exclusions() {
         return exclusions;
     }
 
-    /** The failures of tasks on the machine, and whether tasks are kept away from it for them. */
-    public MachineQuarantine quarantine() {
-        return quarantine;
-    }
-
     /** Whether tasks run or may run on the machine: it is unverified, or has an allocation that is not lost. */
     public boolean isInUse() {
         return isUnverified() || allocations.values().stream().anyMatch(allocation -> !allocation.isLost());
--- a/src/main/java/io/quartzgw/scheduling/QuarantineReview.java
+++ b/src/main/java/io/quartzgw/scheduling/QuarantineReview.java
@@ -23,8 +23,8 @@
     void updateAll() {
         long onProbation = 0;
         for (Machine machine : cluster.machines()) {
-            machine.quarantine().update(timing, new StateLog(machine), eventLoop.nowMs());
-            onProbation += machine.quarantine().state() == MachineQuarantine.State.PROBATION ? 1 : 0;
+            machine.exclusions().quarantine().update(timing, new StateLog(machine), eventLoop.nowMs());
+            onProbation += machine.exclusions().quarantine().state() == MachineQuarantine.State.PROBATION ? 1 : 0;
         }
         eventLoop.setGauge("quarantine.probation", onProbation);
     }
@@ -41,8 +41,9 @@
             eventLoop.increment("quarantine.begun", 1);
             LOG.atInfo()
                     .addKeyValue("machine", machine.id())
-                    .addKeyValue("jobs", machine.quarantine().failedJobs())
-                    .addKeyValue("duration_ms", machine.quarantine().durationMs(timing))
+                    .addKeyValue("jobs", machine.exclusions().quarantine().failedJobs())
+                    .addKeyValue(
+                            "duration_ms", machine.exclusions().quarantine().durationMs(timing))
                     .log("machine quarantined");
         }
 
--- a/src/main/java/io/quartzgw/scheduling/SchedulingConstraints.java
+++ b/src/main/java/io/quartzgw/scheduling/SchedulingConstraints.java
@@ -53,7 +53,9 @@
         if (machine.reclaimAt() != Long.MAX_VALUE) {
             return Optional.of(ExclusionReason.RECLAIM_ANNOUNCED);
         }
-        return machine.quarantine().isActive() ? Optional.of(ExclusionReason.QUARANTINED) : Optional.empty();
+        return machine.exclusions().quarantine().isActive()
+                ? Optional.of(ExclusionReason.QUARANTINED)
+                : Optional.empty();
     }
 
     /** Whether the job may use the machine, regardless of its free capacity. */
@@ -63,7 +65,7 @@
                 && job.zoneAllowed(machine.zone())
                 && !job.excludes(machine.id(), eventLoop.nowMs())
                 && !machine.exclusions().refusedJobs().contains(job.id())
-                && machine.quarantine().admitsTask(machine.allocations());
+                && machine.exclusions().quarantine().admitsTask(machine.allocations());
     }
 
     /** Whether the team's current usage, including tasks that may be running, is within its quota. */
--- a/src/test/java/io/quartzgw/app/LogEventsTest.java
+++ b/src/test/java/io/quartzgw/app/LogEventsTest.java
@@ -175,6 +175,33 @@
         assertInReadme("task failed");
     }
 
+    @Test
+    void logsAndCountsQuarantineOfFaultyMachine() throws IOException {
+        ClusterSimulation simulation = ClusterFixtures.clusterWithServices();
+        String machine = simulation.agents().machinesWithFreeCpus(4).get(0);
+        simulation.agents().setFaulty(machine, true);
+        PrintStream standardError = System.err;
+        System.setErr(new PrintStream(log, true, StandardCharsets.UTF_8));
+        try {
+            simulation.users().submitUntilAccepted(JobRequests.array("j-000700", "blue", 1, 2, 2));
+            simulation.users().submitUntilAccepted(JobRequests.array("j-000701", "blue", 1, 2, 2));
+            simulation.runChecked(3_000);
+            assertEquals(1, simulation.counter("excluded.quarantined"));
+            assertEquals(1, simulation.counter("quarantine.begun"));
+            simulation.agents().setFaulty(machine, false);
+            simulation.runChecked(LOGGED_AFTER_MS);
+            assertEquals(0, simulation.counter("excluded.quarantined"));
+            simulation.runChecked(PAUSE_MS);
+            assertEquals(0, simulation.counter("quarantine.probation"));
+        } finally {
+            System.setErr(standardError);
+        }
+        assertLogged("machine quarantined", "machine=" + machine, "jobs=[j-00070", "duration_ms=10000");
+        assertLogged("machine on probation", "machine=" + machine, "duration_ms=10000");
+        assertLogged("machine quarantine ended", "machine=" + machine, "reason=");
+        assertInReadme("machine quarantined", "machine on probation", "machine quarantine ended");
+    }
+
     private static void assertInReadme(String... events) throws IOException {
         String readme = Files.readString(Path.of("README.md"));
         for (String event : events) {
--- a/src/test/java/io/quartzgw/scheduling/MachineQuarantineTest.java
+++ b/src/test/java/io/quartzgw/scheduling/MachineQuarantineTest.java
@@ -42,12 +42,12 @@
     }
 
     private void fail(Job job, Machine on) {
-        on.quarantine().recordFailure(new Allocation(job, 0, ++attempts, on, now), now);
+        on.exclusions().quarantine().recordFailure(new Allocation(job, 0, ++attempts, on, now), now);
         job.recordFailure(on.id(), now, RetryTiming.of(2_500));
     }
 
     private void update() {
-        machine.quarantine().update(TIMING, new ChangeRecorder(), now);
+        machine.exclusions().quarantine().update(TIMING, new ChangeRecorder(), now);
     }
 
     private void advance(long ms) {
@@ -60,11 +60,11 @@
             fail(job, machine);
         }
         update();
-        assertTrue(machine.quarantine().isActive(), "quarantined");
+        assertTrue(machine.exclusions().quarantine().isActive(), "quarantined");
     }
 
     private boolean admitsTask() {
-        return machine.quarantine().admitsTask(machine.allocations());
+        return machine.exclusions().quarantine().admitsTask(machine.allocations());
     }
 
     @Test
@@ -84,7 +84,7 @@
         List<Long> durations = new ArrayList<>();
         for (int i = 3; i < 9; i++) {
             long begun = now;
-            while (machine.quarantine().isActive()) {
+            while (machine.exclusions().quarantine().isActive()) {
                 advance(500);
             }
             durations.add(now - begun);
@@ -99,7 +99,7 @@
         fail(job, machine);
         fail(job, machine);
         update();
-        assertFalse(machine.quarantine().isActive());
+        assertFalse(machine.exclusions().quarantine().isActive());
     }
 
     @Test
@@ -107,10 +107,10 @@
         Job job = jobWithCompletedTask(1);
         fail(job, machine);
         advance(1_000);
-        assertFalse(machine.quarantine().isActive());
+        assertFalse(machine.exclusions().quarantine().isActive());
         fail(job, machine);
         update();
-        assertTrue(machine.quarantine().isActive());
+        assertTrue(machine.exclusions().quarantine().isActive());
     }
 
     // A job that fails on a second machine was submitted with a mistake, unless it has completed tasks.
@@ -120,7 +120,7 @@
         quarantine(mistaken, job(2));
         fail(mistaken, machine(1));
         update();
-        assertFalse(machine.quarantine().isActive());
+        assertFalse(machine.exclusions().quarantine().isActive());
         assertEquals(List.of("quarantined", "JOBS_AT_FAULT"), changes);
     }
 
@@ -130,15 +130,15 @@
         quarantine(sound, job(2));
         fail(sound, machine(1));
         update();
-        assertTrue(machine.quarantine().isActive());
+        assertTrue(machine.exclusions().quarantine().isActive());
     }
 
     @Test
     void endsWhenATaskCompletes() {
         quarantine(job(1), job(2));
-        machine.quarantine().recordSuccess();
+        machine.exclusions().quarantine().recordSuccess();
         update();
-        assertFalse(machine.quarantine().isActive());
+        assertFalse(machine.exclusions().quarantine().isActive());
         assertEquals(List.of("quarantined", "TASK_COMPLETED"), changes);
     }
 
@@ -165,10 +165,10 @@
         advance(TIMING.firstMs());
         fail(mistaken, machine);
         update();
-        assertFalse(machine.quarantine().isActive());
+        assertFalse(machine.exclusions().quarantine().isActive());
         fail(job(3), machine);
         update();
-        assertTrue(machine.quarantine().isActive(), "a further job has failed");
+        assertTrue(machine.exclusions().quarantine().isActive(), "a further job has failed");
     }
 
     // The bound of 90 s holds for each heartbeat interval that is in use.
@@ -186,14 +186,15 @@
             Machine failing = machine(i);
             fail(job(2 * i), failing);
             fail(job(2 * i + 1), failing);
-            failing.quarantine().update(TIMING, new ChangeRecorder(), now);
-            assertTrue(failing.quarantine().isActive());
+            failing.exclusions().quarantine().update(TIMING, new ChangeRecorder(), now);
+            assertTrue(failing.exclusions().quarantine().isActive());
             fleet.add(failing);
         }
         for (long end = now + LONGEST_MS; now < end; now += 500) {
-            fleet.forEach(each -> each.quarantine().update(TIMING, new ChangeRecorder(), now));
+            fleet.forEach(each -> each.exclusions().quarantine().update(TIMING, new ChangeRecorder(), now));
         }
-        assertTrue(fleet.stream().allMatch(each -> each.quarantine().state() == MachineQuarantine.State.IN_USE));
+        assertTrue(fleet.stream()
+                .allMatch(each -> each.exclusions().quarantine().state() == MachineQuarantine.State.IN_USE));
     }
 
     private final class ChangeRecorder implements MachineQuarantine.Listener {
