Name unverified machines as such in the reasons for an exclusion

After a failover, a machine that may run tasks of a previous leader was reported as BOOTING until its first current heartbeat, since its status is the same as that of a machine that boots. Whether it has run tasks tells the two apart. The same machines are excluded as before.

--- a/src/main/java/io/quartzgw/scheduling/ExclusionReason.java
+++ b/src/main/java/io/quartzgw/scheduling/ExclusionReason.java
@@ -4,13 +4,13 @@
 
 /** Why no tasks are allocated to a machine, whatever free capacity it has. */
 public enum ExclusionReason {
-    /** No current heartbeat of its agent has been received yet. */
+    /** It has run no tasks, and no current heartbeat of its agent has been received yet. */
     BOOTING,
     /** It will be deleted. */
     DRAINING,
     /** It was unresponsive for its whole reservation. */
     RESERVATION_EXPIRED,
-    /** Its agent has not shown this leader's token yet, so the tasks that run there are not known. */
+    /** It may run tasks of a previous leader, and no current heartbeat of its agent has been received yet. */
     UNVERIFIED,
     /** Its agent has left a direct call unanswered, or its epoch has changed, and it has answered no call since. */
     UNREACHABLE,
--- a/src/main/java/io/quartzgw/scheduling/SchedulingConstraints.java
+++ b/src/main/java/io/quartzgw/scheduling/SchedulingConstraints.java
@@ -32,17 +32,14 @@
 
     /** Returns why no tasks may be allocated to the machine now, or empty if they may. */
     Optional<ExclusionReason> exclusionReason(Machine machine) {
-        if (machine.status() == Machine.Status.BOOTING) {
-            return Optional.of(ExclusionReason.BOOTING);
-        }
         if (machine.status() == Machine.Status.DRAINING) {
             return Optional.of(ExclusionReason.DRAINING);
         }
         if (machine.reservationExpired()) {
             return Optional.of(ExclusionReason.RESERVATION_EXPIRED);
         }
-        if (!machine.liveness().verified()) {
-            return Optional.of(ExclusionReason.UNVERIFIED);
+        if (machine.status() == Machine.Status.BOOTING || !machine.liveness().verified()) {
+            return Optional.of(machine.hasRunTasks() ? ExclusionReason.UNVERIFIED : ExclusionReason.BOOTING);
         }
         if (machine.liveness().unreachable()) {
             return Optional.of(ExclusionReason.UNREACHABLE);
