Start one task first of a job that has failed several times

A job that was submitted with a mistake failed with all of its tasks in each attempt, up to 79 every 32 s.

After three failures in a row one task is started first, and the others two heartbeat intervals after it, unless it has failed by then.

--- a/src/main/java/io/quartzgw/scheduling/FailureHistory.java
+++ b/src/main/java/io/quartzgw/scheduling/FailureHistory.java
@@ -7,6 +7,10 @@
 final class FailureHistory {
     /** Keeps the longest delay below the 90 s that a job may wait beside a machine with free capacity. */
     private static final int MAX_BACKOFF_DOUBLINGS = 5;
+    /** From this many failures in a row on, one task is started first, and the others if it has not failed soon. */
+    private static final int FAILURES_BEFORE_TRIAL = 3;
+
+    private static final long NOT_STARTED = Long.MAX_VALUE;
 
     /** Until when the job is not scheduled on the machines where it has failed, by machine ID. */
     private final Map<String, Long> excludedUntil = new HashMap<>();
@@ -16,15 +20,35 @@
 
     private long forgottenAt;
     private long retryAt;
+    /** When the first task after the last failure was started, or {@code NOT_STARTED}. */
+    private long trialStartedAt = NOT_STARTED;
+
+    private long trialMs;
 
     /** Records a failed attempt. The backoff doubles with each one, up to a limit. */
     void recordFailure(String machineId, long now, RetryTiming timing) {
         excludedUntil.put(machineId, now + timing.exclusionMs());
         failures = failures(now) + 1;
         forgottenAt = now + timing.forgottenAfterMs();
+        trialStartedAt = NOT_STARTED;
+        trialMs = timing.trialMs();
         retryAt = now + (timing.initialDelayMs() << Math.min(failures - 1, MAX_BACKOFF_DOUBLINGS));
     }
 
+    /** Records that a task of the job was allocated to a machine. */
+    void recordStart(long now) {
+        if (trialStartedAt == NOT_STARTED) {
+            trialStartedAt = now;
+        }
+    }
+
+    /** Whether one more task of the job may be started, as far as earlier failures are concerned. */
+    boolean allowsStart(long now) {
+        return failures(now) < FAILURES_BEFORE_TRIAL
+                || trialStartedAt == NOT_STARTED
+                || now - trialStartedAt >= trialMs;
+    }
+
     void delayRetry(long until) {
         retryAt = Math.max(retryAt, until);
     }
--- a/src/main/java/io/quartzgw/scheduling/Job.java
+++ b/src/main/java/io/quartzgw/scheduling/Job.java
@@ -129,6 +129,7 @@
         pending.clear(allocation.index());
         unaccounted.clear(allocation.index());
         allocations.put(allocation.index(), allocation);
+        failureHistory.recordStart(allocation.allocatedAt());
         tasksPerZone.merge(allocation.machine().zone(), 1, Integer::sum);
     }
 
@@ -260,6 +261,11 @@
         return failureHistory.failures(now);
     }
 
+    /** Whether one more task may be started: after several failures, one task is tried first. */
+    public boolean failuresAllowStart(long now) {
+        return failureHistory.allowsStart(now);
+    }
+
     /** The earliest time at which a task of the job may be started again. */
     public long retryAt() {
         return failureHistory.retryAt();
--- a/src/main/java/io/quartzgw/scheduling/Scheduler.java
+++ b/src/main/java/io/quartzgw/scheduling/Scheduler.java
@@ -167,7 +167,7 @@
         CandidateMachines candidates = new CandidateMachines(
                 context, job, schedulable, withCapacity, mayPreempt(job.spec().priority()));
         while (job.nextPending() >= 0) {
-            if (!constraints.taskWithinQuota(job)) {
+            if (!constraints.taskWithinQuota(job) || !job.failuresAllowStart(eventLoop.nowMs())) {
                 return 0;
             }
             if (!candidates.scheduleNextTask()) {
--- a/src/test/java/io/quartzgw/app/FailedTasksTest.java
+++ b/src/test/java/io/quartzgw/app/FailedTasksTest.java
@@ -39,6 +39,9 @@
     private static final long SHORTEST_QUARANTINE_MS = 10_000;
 
     private static final long LOAD_MS = 120_000;
+    /** 12.8 heartbeat intervals. */
+    private static final long LONGEST_RETRY_DELAY_MS = 32_000;
+
     private static final int FIRST_MISTAKEN_JOB = 200;
 
     private int mistakenJobs;
@@ -200,6 +203,24 @@
         assertRecovers(simulation, job);
     }
 
+    // A job that fails everywhere must not wear out the fleet: from its second attempt on it fails with one task.
+    @Test
+    void jobThatFailsEverywhereFailsWithOneTaskInEachFurtherAttempt() {
+        ClusterSimulation simulation = cluster(12, true);
+        String job = JobRequests.id(FIRST_MISTAKEN_JOB);
+        simulation
+                .users()
+                .submitUntilAccepted(
+                        JobRequests.array(job, "blue", 40, TASK_CPUS, 0.1).put("bundle", "broken"));
+        runUntilFailed(simulation, 40);
+        simulation.runChecked(SHORT_TIMING.heartbeatMs());
+        long failed = simulation.counter("tasks.failed");
+        simulation.runChecked(LOAD_MS);
+        long later = simulation.counter("tasks.failed") - failed;
+        assertTrue(later <= 1 + LOAD_MS / LONGEST_RETRY_DELAY_MS, later + " tasks failed in later attempts");
+        assertTrue(later > 0, "the job is tried again");
+    }
+
     // Guards against a job for which no machine is rented any more: its first machine was faulty, and is gone.
     @Test
     void machinesAreRentedAgainForJobWithManyFailedTasks() {
--- a/src/test/java/io/quartzgw/scheduling/SchedulerTest.java
+++ b/src/test/java/io/quartzgw/scheduling/SchedulerTest.java
@@ -28,7 +28,7 @@
     private static final Map<String, TeamQuota> TEAMS =
             Map.of("limited", new TeamQuota("limited", 0, 24, 0, 0), "free", new TeamQuota("free", 0, 0, 0, 0));
     /** Without a noticeable delay, so that a failed job may be retried at once on other machines. */
-    private static final RetryTiming RETRY_TIMING = new RetryTiming(1, 30_000, 60_000);
+    private static final RetryTiming RETRY_TIMING = new RetryTiming(1, 30_000, 5_000, 60_000);
 
     private static final MachineType TYPE =
             new MachineType("t", new Resources(8, 0, 32), 40, 1, 1, 0.3, 10, List.of("a", "b"));
@@ -358,6 +358,36 @@
         assertEquals(1, scheduler.unplaced().size());
     }
 
+    // A job that fails everywhere would otherwise fail with all of its tasks at each attempt.
+    @Test
+    void startsOneTaskFirstAfterThreeFailures() {
+        onDemandMachine(0);
+        Job job = submit(array(1), 4, 1);
+        for (int i = 0; i < 3; i++) {
+            job.recordFailure("i-9", 0, RETRY_TIMING);
+        }
+        eventLoop.processBatch(List.of(), new ClockReading(1_000, 1_000));
+        scheduler.schedule();
+        assertEquals(1, job.allocations().size());
+        eventLoop.processBatch(List.of(), new ClockReading(5_999, 5_999));
+        scheduler.schedule();
+        assertEquals(1, job.allocations().size());
+        eventLoop.processBatch(List.of(), new ClockReading(6_000, 6_000));
+        scheduler.schedule();
+        assertEquals(4, job.allocations().size(), "the first task has not failed for as long as a trial lasts");
+    }
+
+    @Test
+    void startsAllTasksAfterTwoFailures() {
+        onDemandMachine(0);
+        Job job = submit(array(1), 4, 1);
+        job.recordFailure("i-9", 0, RETRY_TIMING);
+        job.recordFailure("i-9", 0, RETRY_TIMING);
+        eventLoop.processBatch(List.of(), new ClockReading(1_000, 1_000));
+        scheduler.schedule();
+        assertEquals(4, job.allocations().size());
+    }
+
     @Test
     void completedTaskEndsFailuresInARow() {
         Job job = submit(array(1), 2, 4);
