Move the stored records of progress out of ProgressRecorder

No change of behaviour; ProgressRecorderTest, ProgressBitmapsTest, PackedRecordsTest and StoredFormatTest pass.

--- a/src/main/java/io/quartzgw/progress/ProgressRecorder.java
+++ b/src/main/java/io/quartzgw/progress/ProgressRecorder.java
@@ -1,27 +1,19 @@
 package io.quartzgw.progress;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.IntNode;
 import io.quartzgw.eventloop.CoalescedTask;
 import io.quartzgw.eventloop.EventLoop;
 import io.quartzgw.leadership.LeaderTerm;
-import io.quartzgw.leadership.Leadership;
 import io.quartzgw.scheduling.ClusterState;
 import io.quartzgw.scheduling.Job;
 import io.quartzgw.store.KeyValue;
-import io.quartzgw.store.PackedRecords;
 import io.quartzgw.store.RequestUrgency;
 import io.quartzgw.store.StoreClient;
-import io.quartzgw.store.Transaction;
 import io.quartzgw.submission.TerminalState;
 import java.util.BitSet;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -40,23 +32,17 @@
     /** The fraction of a job's tasks by which its start limit is raised ahead, to keep the number of writes low. */
     private static final double START_LIMIT_AHEAD_FRACTION = 0.5;
 
-    private static final int START_LIMIT_RECORD_BYTES = 6;
-    private static final String START_LIMIT_KEY = "started";
-
     private final EventLoop eventLoop;
     private final StoreClient store;
     private final LeaderTerm term;
     private final Listener listener;
-    private final ProgressBitmaps bitmaps;
-    private final PackedRecords records;
+    private final ProgressRecords records;
     private final JobCompletionWriter completionWriter;
     private final CoalescedTask writeTask;
     private final long batchMs;
     private final long retryDelayMs;
     private final Map<Job, Set<Integer>> unwrittenChunks = new LinkedHashMap<>();
     private final Map<Job, Integer> unwrittenStartLimits = new LinkedHashMap<>();
-    /** The chunks that have a record, by job ID. */
-    private final Map<String, Set<Integer>> chunksByJob = new HashMap<>();
 
     private boolean writeInFlight;
     private boolean retryDelayed;
@@ -100,56 +86,23 @@
         this.store = store;
         this.term = term;
         this.listener = listener;
-        this.bitmaps = new ProgressBitmaps(store.maxValueBytes());
-        this.records = new PackedRecords(store, ProgressBitmaps.PREFIX, this::guardedTransaction);
+        this.records = new ProgressRecords(store, term);
         this.batchMs = (long) (BATCH_HEARTBEATS * heartbeatMs);
         this.retryDelayMs = (long) (RETRY_HEARTBEATS * heartbeatMs);
         this.completionWriter = new JobCompletionWriter(eventLoop, store, term, retryDelayMs, listener);
         this.writeTask = new CoalescedTask(eventLoop, this::write);
     }
 
-    private Transaction guardedTransaction() {
-        return new Transaction().require(Leadership.TERM_KEY, term.termRevision());
-    }
-
     // ---- stored records
 
     /** Loads the progress that previous leaders have recorded into the cluster state. */
     public void load(List<KeyValue> entries, ClusterState cluster) {
-        records.load(entries, (key, record) -> loadRecord(key, record, cluster));
-    }
-
-    private void loadRecord(String key, JsonNode record, ClusterState cluster) {
-        Optional<Job> openJob = cluster.findJob(ProgressBitmaps.jobOf(key));
-        if (openJob.isEmpty()) {
-            records.removeLazily(key);
-            return;
-        }
-        Job job = openJob.get();
-        if (key.endsWith(START_LIMIT_KEY)) {
-            job.recordedStartLimit(record.asInt());
-        } else {
-            bitmaps.decode(key, record, job.recordedCompleted());
-            job.recordedCompleted().stream().forEach(index -> cluster.markCompleted(job, index));
-            chunksWithRecord(job.id()).add(ProgressBitmaps.chunkOfKey(key));
-        }
-    }
-
-    private Set<Integer> chunksWithRecord(String job) {
-        return chunksByJob.computeIfAbsent(job, id -> new HashSet<>());
+        records.load(entries, cluster);
     }
 
     /** Removes the progress records of a job that has ended, as part of the next write. */
     public void removeJob(String job) {
-        records.removeLazily(startLimitKey(job));
-        Set<Integer> chunks = chunksByJob.remove(job);
-        if (chunks != null) {
-            chunks.forEach(chunk -> records.removeLazily(ProgressBitmaps.key(job, chunk)));
-        }
-    }
-
-    private static String startLimitKey(String job) {
-        return job + "/" + START_LIMIT_KEY;
+        records.removeJob(job);
     }
 
     // ---- progress to be recorded
@@ -179,7 +132,7 @@
             completeJob(job);
             return;
         }
-        addUnwrittenChunk(job, bitmaps.chunkOf(index));
+        addUnwrittenChunk(job, records.chunkOf(index));
         scheduleWrite();
     }
 
@@ -230,11 +183,7 @@
 
     private BitSet putCompletedTasks(Job job, Set<Integer> chunks) {
         BitSet snapshot = (BitSet) job.completedTasks().clone();
-        int maxLength = bitmaps.maxRecordLength(job.spec().tasks());
-        for (int chunk : chunks) {
-            records.put(ProgressBitmaps.key(job.id(), chunk), bitmaps.encode(snapshot, chunk), maxLength);
-        }
-        chunksWithRecord(job.id()).addAll(chunks);
+        records.putCompletedTasks(job, snapshot, chunks);
         return snapshot;
     }
 
@@ -247,8 +196,7 @@
             }
         });
         unwrittenStartLimits.clear();
-        limits.forEach(
-                (job, limit) -> records.put(startLimitKey(job.id()), IntNode.valueOf(limit), START_LIMIT_RECORD_BYTES));
+        limits.forEach(records::putStartLimit);
         return limits;
     }
 
@@ -286,7 +234,7 @@
             if (!job.isTerminal() && !job.isComplete()) {
                 snapshot.andNot(job.recordedCompleted());
                 unwrittenChunks.computeIfAbsent(job, key -> new LinkedHashSet<>());
-                snapshot.stream().forEach(index -> addUnwrittenChunk(job, bitmaps.chunkOf(index)));
+                snapshot.stream().forEach(index -> addUnwrittenChunk(job, records.chunkOf(index)));
             }
         });
         if (!unwrittenChunks.isEmpty()) {
