Log the progress that a new leader has loaded

The log could not tell whether the stored progress was wrong, was read wrongly, or the heartbeat was reconciled wrongly. The event 'progress loaded' has the number of tasks that the new leader takes for completed; at debug 'progress of job loaded' has it for each job, with its records.

--- a/src/main/java/io/quartzgw/progress/ProgressRecords.java
+++ b/src/main/java/io/quartzgw/progress/ProgressRecords.java
@@ -19,12 +19,17 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** The stored records of the progress of open jobs: bitmaps of completed tasks in chunks, and a start limit per job. */
 final class ProgressRecords {
+    private static final Logger LOG = LoggerFactory.getLogger(ProgressRecords.class);
+
     private static final int START_LIMIT_RECORD_BYTES = 6;
     private static final String START_LIMIT_KEY = "started";
 
+    private final LeaderTerm term;
     private final PackedRecords records;
     private final ProgressBitmaps bitmaps;
     /** The chunks that have a record, by job ID. */
@@ -32,6 +37,7 @@
 
     /** @param term guards every write, so that it fails if another leader has been elected */
     ProgressRecords(StoreClient store, LeaderTerm term) {
+        this.term = term;
         this.bitmaps = new ProgressBitmaps(store.maxValueBytes());
         this.records = new PackedRecords(store, ProgressBitmaps.PREFIX, () -> new Transaction()
                 .require(Leadership.TERM_KEY, term.termRevision()));
@@ -40,6 +46,23 @@
     /** Loads the progress that previous leaders have recorded into the cluster state. */
     void load(List<KeyValue> entries, ClusterState cluster) {
         records.load(entries, (key, record) -> loadRecord(key, record, cluster));
+        cluster.jobs().forEach(this::logLoadedProgress);
+        LOG.atInfo()
+                .addKeyValue("term", term.number())
+                .addKeyValue("jobs", chunksByJob.size())
+                .addKeyValue(
+                        "completed_tasks",
+                        cluster.jobs().stream().mapToInt(Job::completedCount).sum())
+                .log("progress loaded");
+    }
+
+    private void logLoadedProgress(Job job) {
+        LOG.atDebug()
+                .addKeyValue("job", job.id())
+                .addKeyValue("completed_tasks", job.completedCount())
+                .addKeyValue("start_limit", job.recordedStartLimit())
+                .addKeyValue("records", chunksByJob.getOrDefault(job.id(), Set.of()))
+                .log("progress of job loaded");
     }
 
     private void loadRecord(String key, JsonNode record, ClusterState cluster) {
--- a/src/test/java/io/quartzgw/app/LogEventsTest.java
+++ b/src/test/java/io/quartzgw/app/LogEventsTest.java
@@ -202,6 +202,24 @@
         assertInReadme("machine quarantined", "machine on probation", "machine quarantine ended");
     }
 
+    // An operator has to see whether a new leader takes more tasks for completed than the previous one did.
+    @Test
+    void logsLoadedProgress() throws IOException {
+        ClusterSimulation simulation = ClusterFixtures.clusterWithServices();
+        simulation.users().submitUntilAccepted(JobRequests.array("j-000700", "blue", 100, 4, 8));
+        simulation.runChecked(PAUSE_MS + 5_000);
+        PrintStream standardError = System.err;
+        System.setErr(new PrintStream(log, true, StandardCharsets.UTF_8));
+        try {
+            simulation.crash(simulation.leader(), 1_000);
+            simulation.runChecked(PAUSE_MS);
+        } finally {
+            System.setErr(standardError);
+        }
+        assertLogged("progress loaded", "term=8192", "jobs=1", "completed_tasks=");
+        assertInReadme("progress loaded");
+    }
+
     private static void assertInReadme(String... events) throws IOException {
         String readme = Files.readString(Path.of("README.md"));
         for (String event : events) {
