Let stored bitmaps of completed tasks say which tasks they stand for

Cause: a record of completed tasks had the number of its chunk, and the size of a chunk followed from value_kb of the process that reads it.

Now a record says which task its first bit stands for, and ranges have 1,536 tasks whatever the settings. The first range keeps the form that both versions read alike. Later chunks of the version before can't be told apart from those of other settings: they state nothing, and their tasks are started again. A start limit that can't be read counts as 'any task may have been started'; it was read as 0, so that running tasks would have been started again.

The simulation has controllers with different limits of the state service for it.

--- a/src/main/java/io/quartzgw/progress/ProgressRecorder.java
+++ b/src/main/java/io/quartzgw/progress/ProgressRecorder.java
@@ -22,6 +22,9 @@
  * covers are sent. After a failover, the tasks from the limit on are therefore known not to run anywhere.
  */
 public final class ProgressRecorder {
+    /** Key prefix of progress records in the state service. */
+    public static final String PREFIX = "prog/";
+
     private static final double BATCH_HEARTBEATS = 0.2;
     private static final double RETRY_HEARTBEATS = 0.1;
     /**
@@ -41,7 +44,9 @@
     private final CoalescedTask writeTask;
     private final long batchMs;
     private final long retryDelayMs;
-    private final Map<Job, Set<Integer>> unwrittenChunks = new LinkedHashMap<>();
+    /** The ranges with completed tasks that are not written yet, given by their first tasks. */
+    private final Map<Job, Set<Integer>> unwrittenRanges = new LinkedHashMap<>();
+
     private final Map<Job, Integer> unwrittenStartLimits = new LinkedHashMap<>();
 
     private boolean writeInFlight;
@@ -86,7 +91,7 @@
         this.store = store;
         this.term = term;
         this.listener = listener;
-        this.records = new ProgressRecords(store, term);
+        this.records = new ProgressRecords(eventLoop, store, term);
         this.batchMs = (long) (BATCH_HEARTBEATS * heartbeatMs);
         this.retryDelayMs = (long) (RETRY_HEARTBEATS * heartbeatMs);
         this.completionWriter = new JobCompletionWriter(eventLoop, store, term, retryDelayMs, listener);
@@ -97,7 +102,10 @@
 
     /** Loads the progress that previous leaders have recorded into the cluster state. */
     public void load(List<KeyValue> entries, ClusterState cluster) {
-        records.load(entries, cluster);
+        unwrittenRanges.putAll(records.load(entries, cluster));
+        if (!unwrittenRanges.isEmpty()) {
+            scheduleWrite();
+        }
     }
 
     /** Removes the progress records of a job that has ended, as part of the next write. */
@@ -128,11 +136,11 @@
         if (job.isComplete()) {
             // Written without delay, since the user expects the job to end immediately. The completion replaces all of
             // the job's progress.
-            unwrittenChunks.remove(job);
+            unwrittenRanges.remove(job);
             completeJob(job);
             return;
         }
-        addUnwrittenChunk(job, records.chunkOf(index));
+        addUnwrittenRange(job, ProgressRecordCodec.rangeOf(index));
         scheduleWrite();
     }
 
@@ -141,8 +149,8 @@
         completionWriter.complete(job);
     }
 
-    private void addUnwrittenChunk(Job job, int chunk) {
-        unwrittenChunks.computeIfAbsent(job, key -> new LinkedHashSet<>()).add(chunk);
+    private void addUnwrittenRange(Job job, int firstTask) {
+        unwrittenRanges.computeIfAbsent(job, key -> new LinkedHashSet<>()).add(firstTask);
     }
 
     private void scheduleWrite() {
@@ -152,7 +160,7 @@
     // ---- writes
 
     private void write() {
-        if (!term.isCurrent() || writeInFlight || (unwrittenChunks.isEmpty() && unwrittenStartLimits.isEmpty())) {
+        if (!term.isCurrent() || writeInFlight || (unwrittenRanges.isEmpty() && unwrittenStartLimits.isEmpty())) {
             return;
         }
         if (!term.isConfirmed()) {
@@ -172,18 +180,18 @@
 
     private Map<Job, BitSet> takeCompletedTasks() {
         Map<Job, BitSet> completedTasks = new LinkedHashMap<>();
-        unwrittenChunks.forEach((job, chunks) -> {
+        unwrittenRanges.forEach((job, ranges) -> {
             if (!job.isTerminal()) {
-                completedTasks.put(job, putCompletedTasks(job, chunks));
+                completedTasks.put(job, putCompletedTasks(job, ranges));
             }
         });
-        unwrittenChunks.clear();
+        unwrittenRanges.clear();
         return completedTasks;
     }
 
-    private BitSet putCompletedTasks(Job job, Set<Integer> chunks) {
+    private BitSet putCompletedTasks(Job job, Set<Integer> ranges) {
         BitSet snapshot = (BitSet) job.completedTasks().clone();
-        records.putCompletedTasks(job, snapshot, chunks);
+        records.putCompletedTasks(job, snapshot, ranges);
         return snapshot;
     }
 
@@ -221,7 +229,7 @@
             job.recordedCompleted().or(snapshot);
             listener.completedTasksRecorded(job);
         });
-        if (!unwrittenChunks.isEmpty()) {
+        if (!unwrittenRanges.isEmpty()) {
             scheduleWrite();
         }
     }
@@ -233,11 +241,11 @@
         batch.completedTasks().forEach((job, snapshot) -> {
             if (!job.isTerminal() && !job.isComplete()) {
                 snapshot.andNot(job.recordedCompleted());
-                unwrittenChunks.computeIfAbsent(job, key -> new LinkedHashSet<>());
-                snapshot.stream().forEach(index -> addUnwrittenChunk(job, records.chunkOf(index)));
+                unwrittenRanges.computeIfAbsent(job, key -> new LinkedHashSet<>());
+                snapshot.stream().forEach(index -> addUnwrittenRange(job, ProgressRecordCodec.rangeOf(index)));
             }
         });
-        if (!unwrittenChunks.isEmpty()) {
+        if (!unwrittenRanges.isEmpty()) {
             writeTask.schedule(retryDelayMs);
         }
     }
--- a/src/main/java/io/quartzgw/recovery/StateLoader.java
+++ b/src/main/java/io/quartzgw/recovery/StateLoader.java
@@ -2,7 +2,7 @@
 
 import io.quartzgw.agent.LeaderContext;
 import io.quartzgw.fleet.MachineRecords;
-import io.quartzgw.progress.ProgressBitmaps;
+import io.quartzgw.progress.ProgressRecorder;
 import io.quartzgw.startlog.StartLog;
 import io.quartzgw.store.ListResult;
 import io.quartzgw.store.StoreClient;
@@ -15,7 +15,7 @@
 final class StateLoader {
     private static final List<String> PREFIXES = List.of(
             JobKeys.OPEN_PREFIX,
-            ProgressBitmaps.PREFIX,
+            ProgressRecorder.PREFIX,
             MachineRecords.PREFIX,
             MachineRecords.USED_MARK_PREFIX,
             StartLog.PREFIX);
--- a/src/test/java/io/quartzgw/app/LogEventsTest.java
+++ b/src/test/java/io/quartzgw/app/LogEventsTest.java
@@ -213,11 +213,16 @@
         try {
             simulation.crash(simulation.leader(), 1_000);
             simulation.runChecked(PAUSE_MS);
+            simulation.store().setValue("prog/0", Json.object().put("j-000001/1", "AQ=="));
+            simulation.crash(simulation.leader(), 1_000);
+            simulation.runChecked(PAUSE_MS);
+            assertEquals(1, simulation.counter("progress.unreadable_records"));
         } finally {
             System.setErr(standardError);
         }
         assertLogged("progress loaded", "term=8192", "jobs=1", "completed_tasks=");
-        assertInReadme("progress loaded");
+        assertLogged("progress record unreadable", "key=j-000001/1", "term=12288");
+        assertInReadme("progress loaded", "progress record unreadable");
     }
 
     private static void assertInReadme(String... events) throws IOException {
--- /dev/null
+++ b/src/test/java/io/quartzgw/app/SettingsChangeTest.java
@@ -0,0 +1,162 @@
+package io.quartzgw.app;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.quartzgw.http.Json;
+import io.quartzgw.simulation.ClusterSimulation;
+import io.quartzgw.store.StoreLimits;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Settings that change between the process that stores a record and the one that reads it. */
+@Timeout(120)
+class SettingsChangeTest {
+    private static final int CONTROLLERS = 3;
+    private static final int KIB = 1_024;
+    private static final long DOWN_MS = 2_000;
+    /** Long enough for an election and the recovery, and shorter than the agents' lease. */
+    private static final long BETWEEN_RESTARTS_MS = 12_000;
+
+    private static final String ARRAY = "j-000700";
+    private static final int TASKS = 3_200;
+    /** The number of tasks of a bitmap of the earlier version with values of 1 KiB. */
+    private static final int TASKS_PER_CHUNK = 1_536;
+
+    private static final double TASK_CPUS = 0.02;
+    /** Tasks that run on while all others are completed. */
+    private static final Set<Integer> LONG_TASKS = Set.of(1_600, 3_100);
+
+    private static final double LONG_TASK_S = 400;
+    private static final long OTHERS_COMPLETED_MS = 60_000;
+
+    /** How controllers get new settings. */
+    private enum Rollout {
+        FOLLOWERS_FIRST,
+        LEADER_FIRST,
+        /** The leader ends before its turn and comes back with its earlier settings. */
+        LEADER_CRASHES_BETWEEN,
+        ALL_STOPPED
+    }
+
+    private static List<Arguments> valueSizeChanges() {
+        List<List<Integer>> sizesInKib = List.of(List.of(2, 1), List.of(1, 2), List.of(2, 8, 1, 4, 2));
+        return sizesInKib.stream()
+                .flatMap(sizes -> Stream.of(Rollout.values()).map(rollout -> Arguments.of(sizes, rollout)))
+                .toList();
+    }
+
+    // Guards against a stored bitmap of completed tasks that stands for other tasks at a reader with another maximum
+    // value size: a running task was killed, and its job called done.
+    @ParameterizedTest
+    @MethodSource("valueSizeChanges")
+    void storedProgressKeepsItsMeaningWhenValueSizeChanges(List<Integer> sizesInKib, Rollout rollout) {
+        ClusterSimulation simulation = ClusterSimulation.builder(11).machines(4).build();
+        changeValueSize(simulation, sizesInKib.get(0), Rollout.ALL_STOPPED);
+        simulation.users().submitUntilAccepted(arrayWithLongTasks());
+        simulation.runChecked(OTHERS_COMPLETED_MS);
+        Set<String> longTasks =
+                Set.copyOf(LONG_TASKS.stream().map(index -> ARRAY + "/" + index).toList());
+        assertEquals(longTasks, simulation.invariants().runningTasks(), "all other tasks are completed");
+        for (int size : sizesInKib.subList(1, sizesInKib.size())) {
+            changeValueSize(simulation, size, rollout);
+            assertTrue(simulation.hasLeader());
+            assertEquals(longTasks, simulation.invariants().runningTasks(), "with values of " + size + " KiB");
+            assertEquals(List.of(), simulation.invariants().violations(), "with values of " + size + " KiB");
+        }
+        simulation.runChecked((long) (1_000 * LONG_TASK_S));
+        assertEquals(Optional.of("done"), simulation.invariants().terminalState(ARRAY));
+        assertEquals(List.of(), simulation.invariants().violations());
+        assertEquals(TASKS, simulation.invariants().startCount(), "no completed task is started again");
+        assertEquals(0, simulation.failedEvents());
+    }
+
+    // Guards against tasks that count as completed because of a bitmap that does not say which tasks it stands for.
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 8})
+    void progressOfEarlierVersionNeverCountsRunningTaskAsCompleted(int readerKib) {
+        ClusterSimulation simulation = ClusterSimulation.builder(11).machines(4).build();
+        simulation.users().submitUntilAccepted(arrayWithLongTasks());
+        simulation.runChecked(OTHERS_COMPLETED_MS);
+        Set<String> longTasks = simulation.invariants().runningTasks();
+        assertEquals(LONG_TASKS.size(), longTasks.size());
+        IntStream.range(0, CONTROLLERS).forEach(simulation::crash);
+        simulation.store().setValue("prog/0", progressOfEarlierVersion());
+        changeValueSize(simulation, readerKib, Rollout.ALL_STOPPED);
+        assertEquals(2, simulation.counter("progress.unreadable_records"), "the chunks after the first");
+        simulation.runChecked(OTHERS_COMPLETED_MS);
+        assertEquals(longTasks, simulation.invariants().runningTasks());
+        assertEquals(
+                TASKS + TASKS - TASKS_PER_CHUNK - LONG_TASKS.size(),
+                simulation.invariants().startCount(),
+                "completed tasks whose record can't be read are started again");
+        simulation.runChecked((long) (1_000 * LONG_TASK_S));
+        assertEquals(Optional.of("done"), simulation.invariants().terminalState(ARRAY));
+        assertEquals(List.of(), simulation.invariants().violations());
+        assertEquals(0, simulation.failedEvents());
+    }
+
+    /** The page of a controller of the version before records stated their tasks, with values of 1 KiB. */
+    private static ObjectNode progressOfEarlierVersion() {
+        BitSet completed = new BitSet();
+        completed.set(0, TASKS);
+        LONG_TASKS.forEach(completed::clear);
+        ObjectNode page = Json.object();
+        for (int chunk = 0; chunk * TASKS_PER_CHUNK < TASKS; chunk++) {
+            BitSet tasks = completed.get(chunk * TASKS_PER_CHUNK, (chunk + 1) * TASKS_PER_CHUNK);
+            page.put(ARRAY + "/" + chunk, tasks.toByteArray());
+        }
+        return page.put(ARRAY + "/started", TASKS);
+    }
+
+    private static ObjectNode arrayWithLongTasks() {
+        ObjectNode spec = JobRequests.array(ARRAY, "blue", TASKS, TASK_CPUS, 1).put("ram_gb", 0.01);
+        ObjectNode runTimes = spec.putObject("run_s_by_task");
+        LONG_TASKS.forEach(index -> runTimes.put(Integer.toString(index), LONG_TASK_S));
+        return spec;
+    }
+
+    // ---- rollouts
+
+    private static void changeValueSize(ClusterSimulation simulation, int kib, Rollout rollout) {
+        List<Integer> order = new ArrayList<>(List.of(0, 1, 2));
+        int leader = simulation.leaderOrFirst();
+        order.remove(Integer.valueOf(leader));
+        order.add(rollout == Rollout.LEADER_FIRST ? 0 : CONTROLLERS - 1, leader);
+        for (int controller : order) {
+            StoreLimits limits = simulation.settings(controller).storeLimits();
+            simulation.setStoreLimits(
+                    controller,
+                    new StoreLimits(
+                            limits.requestsPerS(), limits.writesPerS(), kib * KIB, limits.maxTransactionWrites()));
+            restart(simulation, controller);
+            if (rollout != Rollout.ALL_STOPPED) {
+                simulation.runChecked(BETWEEN_RESTARTS_MS);
+            }
+            if (rollout == Rollout.LEADER_CRASHES_BETWEEN && controller == order.get(0)) {
+                simulation.crash(simulation.leaderOrFirst(), DOWN_MS);
+                simulation.runChecked(BETWEEN_RESTARTS_MS);
+            }
+        }
+        simulation.runChecked(BETWEEN_RESTARTS_MS);
+    }
+
+    private static void restart(ClusterSimulation simulation, int controller) {
+        if (simulation.isUp(controller)) {
+            simulation.crash(controller, DOWN_MS);
+        } else {
+            simulation.start(controller);
+        }
+    }
+}
--- a/src/test/java/io/quartzgw/progress/ProgressRecorderTest.java
+++ b/src/test/java/io/quartzgw/progress/ProgressRecorderTest.java
@@ -86,7 +86,7 @@
             cluster.jobs().forEach(job -> successor.add(job.open()));
             ProgressRecorder successorProgress = newRecorder();
             store.listPrefix(
-                    ProgressBitmaps.PREFIX,
+                    ProgressRecorder.PREFIX,
                     result -> successorProgress.load(
                             ((ListResult.Listed) result).listing().entries(), successor));
             link.advance(1, false);
--- a/src/test/java/io/quartzgw/simulation/ClusterSimulation.java
+++ b/src/test/java/io/quartzgw/simulation/ClusterSimulation.java
@@ -210,6 +210,11 @@
         return controllers.settings(index);
     }
 
+    /** Changes the limits of the state service in the settings of a controller, from its next start on. */
+    public void setStoreLimits(int controller, StoreLimits limits) {
+        controllers.setStoreLimits(controller, limits);
+    }
+
     /** Starts the process of a controller. */
     public void start(int index) {
         controllers.start(index);
--- a/src/test/java/io/quartzgw/simulation/SimulatedAgent.java
+++ b/src/test/java/io/quartzgw/simulation/SimulatedAgent.java
@@ -31,9 +31,28 @@
      * @param imagePullS the time to pull the image, in seconds
      * @param service whether tasks run until they are stopped
      * @param faulty whether tasks end with an error
+     * @param runSByTask the run times of single tasks that differ from the others, in seconds by index
      */
     public record TaskProfile(
-            double cpus, double runS, double runIncrementS, double imagePullS, boolean service, boolean faulty) {}
+            double cpus,
+            double runS,
+            double runIncrementS,
+            double imagePullS,
+            boolean service,
+            boolean faulty,
+            Map<Integer, Double> runSByTask) {
+
+        /** The profile of a job whose tasks' run times follow from the first one's. */
+        public TaskProfile(
+                double cpus, double runS, double runIncrementS, double imagePullS, boolean service, boolean faulty) {
+            this(cpus, runS, runIncrementS, imagePullS, service, faulty, Map.of());
+        }
+
+        /** The run time of a task in milliseconds. */
+        long runMs(int index) {
+            return (long) (runSByTask.getOrDefault(index, runS + index * runIncrementS) * 1000);
+        }
+    }
 
     /** Receives the starts and ends of tasks on a machine. */
     public interface TaskListener {
@@ -299,7 +318,7 @@
         } else {
             task.startsAt = now + (long) (job.imagePullS() * 1000);
             int index = Integer.parseInt(name.substring(name.indexOf('/') + 1));
-            task.endsAt = task.startsAt + (long) ((job.runS() + index * job.runIncrementS()) * 1000);
+            task.endsAt = task.startsAt + job.runMs(index);
             if (faulty) {
                 task.failAt(task.startsAt + FAULTY_RUN_MS);
             }
--- a/src/test/java/io/quartzgw/simulation/SimulatedControllers.java
+++ b/src/test/java/io/quartzgw/simulation/SimulatedControllers.java
@@ -4,6 +4,7 @@
 import io.quartzgw.http.Call;
 import io.quartzgw.http.ListenerKind;
 import io.quartzgw.http.Reply;
+import io.quartzgw.store.StoreLimits;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -13,7 +14,9 @@
 /** All controllers of a simulated cluster, by index. */
 final class SimulatedControllers {
     private final SimulationContext context;
-    private final SimulationSettings settings;
+    /** The settings with which each controller starts next, by index. */
+    private final List<SimulationSettings> settings = new ArrayList<>();
+
     private final SentMessagesDigest messagesDigest = new SentMessagesDigest();
     private final List<SimulatedController> controllers = new ArrayList<>();
     private long processCount;
@@ -25,8 +28,8 @@
             LeaderActionChecks leaderActionChecks,
             int count) {
         this.context = context;
-        this.settings = settings;
         for (int i = 0; i < count; i++) {
+            this.settings.add(settings);
             controllers.add(
                     new SimulatedController(Hosts.controller(i), context, network, messagesDigest, leaderActionChecks));
         }
@@ -42,7 +45,12 @@
     }
 
     Settings settings(int index) {
-        return settings.forController(index, controllers.size());
+        return settings.get(index).forController(index, controllers.size());
+    }
+
+    /** Changes the limits of the state service in the settings of a controller, from its next start on. */
+    void setStoreLimits(int index, StoreLimits limits) {
+        settings.set(index, settings.get(index).withStoreLimits(limits));
     }
 
     void start(int index) {
--- a/src/test/java/io/quartzgw/simulation/SimulatedStore.java
+++ b/src/test/java/io/quartzgw/simulation/SimulatedStore.java
@@ -28,7 +28,7 @@
     private final Map<Long, Lease> leases = new HashMap<>();
     private final StoreWatches watches = new StoreWatches();
     private final StoreEntries entries = new StoreEntries(watches);
-    private final StoreLimits limits;
+    private StoreLimits limits;
     /** Limits the writes per second; empty when their rate is unlimited. */
     private final Optional<TokenBucket> writeBudget;
 
@@ -63,7 +63,8 @@
         this.writeBudget = Optional.of(new TokenBucket(limits.writesPerS(), 0));
     }
 
-    StoreLimits limits() {
+    /** The limits beyond which requests are rejected. */
+    public StoreLimits limits() {
         return limits;
     }
 
@@ -72,6 +73,11 @@
         return rejectedTransactions;
     }
 
+    /** Changes the limits on the size of values and transactions. What is stored remains readable. */
+    public void setSizeLimits(int maxValueBytes, int maxTransactionWrites) {
+        limits = new StoreLimits(limits.requestsPerS(), limits.writesPerS(), maxValueBytes, maxTransactionWrites);
+    }
+
     // ---- faults
 
     /**
--- a/src/test/java/io/quartzgw/simulation/SimulationSettings.java
+++ b/src/test/java/io/quartzgw/simulation/SimulationSettings.java
@@ -27,6 +27,11 @@
         return new TeamQuota(name, guaranteedCpus, CPU_LIMITS.getOrDefault(name, 0.0), 0, 0);
     }
 
+    /** The same settings with other limits of the state service. */
+    SimulationSettings withStoreLimits(StoreLimits limits) {
+        return new SimulationSettings(timing, limits, guaranteedCpus);
+    }
+
     /** The settings of one controller in a cluster of {@code size} controllers. */
     Settings forController(int index, int size) {
         Map<String, Endpoint> peers = new LinkedHashMap<>();
--- a/src/test/java/io/quartzgw/simulation/SubmittedJobs.java
+++ b/src/test/java/io/quartzgw/simulation/SubmittedJobs.java
@@ -33,6 +33,16 @@
                         spec.path("each_longer_s").asDouble(),
                         spec.path("pull_gb").asDouble() * SECONDS_PER_IMAGE_GB,
                         spec.path("shape").asText().equals("daemon"),
-                        spec.path("bundle").asText().equals("broken")));
+                        spec.path("bundle").asText().equals("broken"),
+                        runSByTask(spec)));
+    }
+
+    private static Map<Integer, Double> runSByTask(JsonNode spec) {
+        Map<Integer, Double> runS = new HashMap<>();
+        spec.path("run_s_by_task")
+                .properties()
+                .forEach(task -> runS.put(
+                        Integer.parseInt(task.getKey()), task.getValue().asDouble()));
+        return runS;
     }
 }
