Split pages of records that exceed the maximum value size when they are written

What callers saw: after state.value_kb was lowered, no progress was written any more, and services accepted afterwards were not started beside free machines.

Cause: pages hold up to 0.85 of a value of the process that wrote them, and what a record may grow to was known to that process only.

Now a page that exceeds the limit is split when it is next written. Pages that receive records are written before those that give them up, so a record is stored on at least one page at any time; of two copies the one whose page was written last counts.

--- a/src/main/java/io/quartzgw/store/PackedRecords.java
+++ b/src/main/java/io/quartzgw/store/PackedRecords.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayDeque;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
@@ -20,6 +21,9 @@
  * <p>The state service may apply a transaction minutes late. Every write of a page requires the page's current
  * revision, so at most one of several writes based on the same revision is applied, and a delayed duplicate has no
  * effect.
+ *
+ * <p>The maximum size of a value may change between the process that stores a page and the one that reads it, and a
+ * record may grow. A page that exceeds the limit remains readable; when it is next written, records move to new pages.
  */
 public final class PackedRecords {
     /** The fraction of a value's maximum size that new records may fill; the rest is reserved for punctuation. */
@@ -54,7 +58,10 @@
 
     /** Loads the stored pages and passes each record to the consumer, which may remove it. */
     public void load(List<KeyValue> entries, BiConsumer<String, JsonNode> consumer) {
-        for (KeyValue entry : entries) {
+        List<KeyValue> byRevision = entries.stream()
+                .sorted(Comparator.comparingLong(KeyValue::revision))
+                .toList();
+        for (KeyValue entry : byRevision) {
             RecordPage page = RecordPage.decode(pageNumber(entry), entry);
             pages.put(page.number(), page);
             List.copyOf(page.keys()).forEach(key -> assignToPage(key, page));
@@ -67,7 +74,9 @@
         return Integer.parseInt(entry.key().substring(prefix.length()));
     }
 
-    // A record that was removed lazily and then put on another page may be stored on both pages.
+    // A record that has moved, or was removed lazily and then put on another page, may be stored on both pages. The
+    // page
+    // that was written later has the present record.
     private void assignToPage(String key, RecordPage page) {
         RecordPage previous = pageByKey.put(key, page);
         if (previous != null) {
@@ -114,7 +123,7 @@
     /**
      * Adds or replaces a record. It is stored with the next {@link #write}.
      *
-     * @param reservedBytes the size up to which the record may grow later
+     * @param reservedBytes the size up to which the record may grow later without moving to another page
      */
     public void put(String key, JsonNode record, int reservedBytes) {
         int size = RecordPage.recordSizeBytes(key, record, reservedBytes);
@@ -122,9 +131,6 @@
         if (page == null) {
             page = pageWithRoomFor(key, size).orElseGet(this::addPage);
             pageByKey.put(key, page);
-        } else if (page.totalBytesWith(key, size) > store.maxValueBytes()) {
-            // The state service would reject the oversized page, which would block the writes of all pages permanently.
-            throw new IllegalArgumentException(key + " has outgrown what was reserved for it");
         }
         page.put(key, record, size);
         page.setDirty(true);
@@ -183,7 +189,36 @@
      * there are always some, and a write that included them would never complete.
      */
     public void write(RequestUrgency urgency, Consumer<Boolean> callback) {
-        writeNextBatch(new PendingWrite(dirtyPages(), urgency, callback));
+        splitOversizedPages();
+        // A record moves to a page with a higher number. That page is written first, so that the record is always
+        // stored.
+        List<RecordPage> inWriteOrder = dirtyPages().stream()
+                .sorted(Comparator.comparingInt(RecordPage::number).reversed())
+                .toList();
+        writeNextBatch(new PendingWrite(inWriteOrder, urgency, callback));
+    }
+
+    // The state service rejects an oversized page, which would block the writes of all pages permanently.
+    private void splitOversizedPages() {
+        dirtyPages().stream()
+                .filter(page -> page.totalBytes() > store.maxValueBytes())
+                .forEach(this::split);
+    }
+
+    private void split(RecordPage page) {
+        Deque<String> keys = new ArrayDeque<>(page.keys());
+        RecordPage target = addPage();
+        while (page.totalBytes() > pageBytes && keys.size() > 1) {
+            String key = keys.removeLast();
+            if (target.totalBytesWith(key, page.recordBytes(key)) > pageBytes
+                    && !target.keys().isEmpty()) {
+                target = addPage();
+            }
+            target.put(key, page.record(key), page.recordBytes(key));
+            target.setDirty(true);
+            page.remove(key);
+            pageByKey.put(key, target);
+        }
     }
 
     private void writeNextBatch(PendingWrite write) {
--- a/src/main/java/io/quartzgw/store/RecordPage.java
+++ b/src/main/java/io/quartzgw/store/RecordPage.java
@@ -103,6 +103,16 @@
         return records.get(key);
     }
 
+    /** The size of the page, with what is reserved for its records. */
+    int totalBytes() {
+        return totalBytes;
+    }
+
+    /** The number of bytes of a record in this page, with what is reserved for it. */
+    int recordBytes(String key) {
+        return recordSizes.get(key);
+    }
+
     /** The size of the page if the record with this key had the given size. */
     int totalBytesWith(String key, int size) {
         return totalBytes - recordSizes.getOrDefault(key, 0) + size;
--- a/src/test/java/io/quartzgw/app/SettingsChangeTest.java
+++ b/src/test/java/io/quartzgw/app/SettingsChangeTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -41,6 +42,17 @@
     private static final double LONG_TASK_S = 400;
     private static final long OTHERS_COMPLETED_MS = 60_000;
 
+    /** The records of as many services of six replicas, their machines and as many arrays fill pages of 8 KiB. */
+    private static final int SERVICES = 40;
+
+    private static final int FIRST_ARRAY = 800;
+
+    /** The run time of the last task of such an array, and some time to record its end. */
+    private static final long LONGEST_ARRAY_TASK_MS = 200_000;
+
+    /** Longer than the 90 s that a job may wait beside a machine with free capacity. */
+    private static final long CHECKED_MS = 95_000;
+
     /** How controllers get new settings. */
     private enum Rollout {
         FOLLOWERS_FIRST,
@@ -127,6 +139,39 @@
         return spec;
     }
 
+    // Guards against pages that can't be written any more: starts that wait for them would never be sent.
+    @ParameterizedTest
+    @EnumSource(Rollout.class)
+    void jobsStartWhenMaximumValueSizeIsLowered(Rollout rollout) {
+        ClusterSimulation simulation =
+                ClusterSimulation.builder(11).machines(200).build();
+        for (int i = 0; i < SERVICES; i++) {
+            simulation.users().submitUntilAccepted(JobRequests.service(JobRequests.id(i), "blue", 6, 2));
+            simulation
+                    .users()
+                    .submitUntilAccepted(JobRequests.array(JobRequests.id(FIRST_ARRAY + i), "blue", 12, TASK_CPUS, 30)
+                            .put("each_longer_s", 15));
+        }
+        simulation.runChecked(OTHERS_COMPLETED_MS);
+        changeValueSize(simulation, 1, rollout);
+        simulation.store().setSizeLimits(KIB, simulation.store().limits().maxTransactionWrites());
+        simulation.invariants().endFaults(simulation.now());
+        for (int i = 0; i < SERVICES; i++) {
+            simulation.users().submitUntilAccepted(JobRequests.service(JobRequests.id(SERVICES + i), "blue", 6, 2));
+        }
+        for (long end = simulation.now() + CHECKED_MS; simulation.now() < end; ) {
+            simulation.runChecked(1_000);
+            simulation.checkWaitingJobs();
+        }
+        assertEquals(List.of(), simulation.invariants().missingReplicas());
+        simulation.runChecked(LONGEST_ARRAY_TASK_MS);
+        for (int i = 0; i < SERVICES; i++) {
+            assertEquals(Optional.of("done"), simulation.invariants().terminalState(JobRequests.id(FIRST_ARRAY + i)));
+        }
+        assertEquals(List.of(), simulation.invariants().violations());
+        assertEquals(0, simulation.failedEvents());
+    }
+
     // ---- rollouts
 
     private static void changeValueSize(ClusterSimulation simulation, int kib, Rollout rollout) {
--- a/src/test/java/io/quartzgw/simulation/LossyLink.java
+++ b/src/test/java/io/quartzgw/simulation/LossyLink.java
@@ -19,6 +19,7 @@
     private final SimulatedStore store;
     private final SplittableRandom random;
     private final List<Call> lostTransactions = new ArrayList<>();
+    private int transactionsUntilOutage = Integer.MAX_VALUE;
     private long now;
 
     /** @param random decides which messages are lost */
@@ -45,7 +46,16 @@
         }
     }
 
+    /** Rejects all transactions after the given number of further ones. */
+    public void limitTransactions(int count) {
+        transactionsUntilOutage = count;
+    }
+
     private void transmit(Effect.Send send, boolean lossy, List<LoopEvent> endedCalls) {
+        if (send.request().path().equals("/multi") && transactionsUntilOutage-- <= 0) {
+            endedCalls.add(new LoopEvent.CallEnded(send.call(), SimulatedStore.unavailable()));
+            return;
+        }
         int fault = lossy && send.request().path().equals("/multi") ? random.nextInt(4) : 0;
         if (fault == 1) {
             lostTransactions.add(send.request());
--- a/src/test/java/io/quartzgw/store/PackedRecordsTest.java
+++ b/src/test/java/io/quartzgw/store/PackedRecordsTest.java
@@ -14,6 +14,7 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 /** Compares packed records with a plain map while transactions are lost or applied late. */
 class PackedRecordsTest {
@@ -69,6 +70,82 @@
         assertTrue(storeServer.count(PREFIX) < 10, "records are packed into few pages");
     }
 
+    // Guards against pages that can't be written any more since the maximum value size was lowered, or since a record
+    // has
+    // grown beyond what the process that stored it had reserved.
+    @Test
+    @Timeout(60)
+    void keepsRecordsWhenMaximumValueSizeChanges() {
+        Map<String, JsonNode> expected = new TreeMap<>();
+        for (int process = 0; process < 40; process++) {
+            int maxValueBytes = 1_024 << random.nextInt(5);
+            storeServer.setSizeLimits(maxValueBytes, 16);
+            StoreClient newClient = new StoreClient(
+                    eventLoop, new Endpoint("10.2.0.1", 1), new StoreLimits(100_000, 100_000, maxValueBytes, 16));
+            PackedRecords newRecords = new PackedRecords(newClient, PREFIX, Transaction::new);
+            Map<String, JsonNode> loaded = new TreeMap<>();
+            newClient.listPrefix(
+                    PREFIX,
+                    result -> newRecords.load(
+                            assertInstanceOf(ListResult.Listed.class, result)
+                                    .listing()
+                                    .entries(),
+                            loaded::put));
+            link.advance(1, false);
+            assertEquals(expected, loaded, "loaded by process " + process);
+            for (int round = 0; round < 20; round++) {
+                String key = "i-" + random.nextInt(100);
+                JsonNode value = Json.array().add(round).add("x".repeat(random.nextInt(300)));
+                newRecords.put(key, value, 80);
+                expected.put(key, value);
+                boolean[] written = new boolean[1];
+                while (!written[0]) {
+                    newRecords.write(RequestUrgency.NORMAL, success -> written[0] = success);
+                    link.advance(1, true);
+                }
+                assertEquals(expected, storedRecords(), "process " + process + ", round " + round);
+            }
+        }
+        assertTrue(storeServer.count(PREFIX) < 100, "records are packed into pages");
+    }
+
+    // A leader may end between the transactions of a write that moves records to another page.
+    @Test
+    @Timeout(60)
+    void movedRecordsAreStoredOnAtLeastOnePageAtAnyTime() {
+        StoreClient largeValues =
+                new StoreClient(eventLoop, new Endpoint("10.2.0.1", 1), new StoreLimits(100_000, 100_000, 8192, 16));
+        PackedRecords before = new PackedRecords(largeValues, PREFIX, Transaction::new);
+        Map<String, JsonNode> expected = new TreeMap<>();
+        for (int i = 0; i < 300; i++) {
+            expected.put("i-" + i, Json.array().add(i));
+            before.put("i-" + i, expected.get("i-" + i), 0);
+        }
+        before.write(RequestUrgency.NORMAL, success -> assertTrue(success, "written"));
+        link.advance(1, false);
+        storeServer.setSizeLimits(1_024, 1);
+        StoreClient smallValues =
+                new StoreClient(eventLoop, new Endpoint("10.2.0.1", 1), new StoreLimits(100_000, 100_000, 1_024, 1));
+        for (int transactions = 0; transactions < 12; transactions++) {
+            PackedRecords after = new PackedRecords(smallValues, PREFIX, Transaction::new);
+            Map<String, JsonNode> loaded = new TreeMap<>();
+            smallValues.listPrefix(
+                    PREFIX,
+                    result -> after.load(
+                            assertInstanceOf(ListResult.Listed.class, result)
+                                    .listing()
+                                    .entries(),
+                            loaded::put));
+            link.advance(1, false);
+            assertEquals(expected, loaded, "after " + transactions + " transactions");
+            after.put("i-1", expected.get("i-1"), 0);
+            link.limitTransactions(transactions);
+            after.write(RequestUrgency.NORMAL, success -> {});
+            link.advance(1, false);
+            link.limitTransactions(Integer.MAX_VALUE);
+        }
+    }
+
     // Guards against a write that includes changes made while it is in progress. With a small budget there are always
     // some, and task starts that wait for the write would be blocked for as long as machines are rented.
     @Test
