Load machines whose type the table of machine types lacks

What callers would see: tasks run twice. After the cloud had withdrawn a type and the leader changed, the tasks of its machines were started again elsewhere.

Cause: a description names the type only. A machine whose type is missing from the reader's table was skipped with its mark, so nothing was reserved for it. A follower's table may also be a minute older than the rental.

Without a size, as stored by the version before, the largest one listed is assumed.

--- a/src/main/java/io/quartzgw/fleet/MachineRecords.java
+++ b/src/main/java/io/quartzgw/fleet/MachineRecords.java
@@ -7,6 +7,7 @@
 import io.quartzgw.leadership.Leadership;
 import io.quartzgw.model.MachineType;
 import io.quartzgw.model.MachineTypes;
+import io.quartzgw.model.Resources;
 import io.quartzgw.scheduling.ClusterState;
 import io.quartzgw.scheduling.Machine;
 import io.quartzgw.store.KeyValue;
@@ -78,7 +79,8 @@
     }
 
     /**
-     * Loads the records of previous leaders. A machine whose type is no longer known is skipped.
+     * Loads the records of previous leaders. A machine may have a type that the table lacks: the cloud has withdrawn
+     * the type, or this controller's table is older than the rental. Such a machine may run tasks like any other.
      *
      * @param descriptionPages the pages with descriptions
      * @param markPages the pages with marks, read after the pages with descriptions
@@ -92,12 +94,25 @@
         Map<String, Machine> machines = new LinkedHashMap<>();
         descriptions.load(descriptionPages, (id, record) -> {
             MachineRecordCodec.Description description = MachineRecordCodec.decodeDescription(record);
-            types.find(description.type()).ifPresent(type -> machines.put(id, machine(id, type, description, now)));
+            machines.put(id, machine(id, typeOf(description, types), description, now));
         });
         marks.load(markPages, (id, mark) -> loadMark(id, mark, machines));
         machines.values().forEach(found);
     }
 
+    private static MachineType typeOf(MachineRecordCodec.Description description, MachineTypes types) {
+        return types.find(description.type())
+                .filter(type -> description.size().map(type.size()::equals).orElse(true))
+                .orElseGet(() -> MachineType.unlisted(
+                        description.type(), description.size().orElseGet(() -> largestSize(types))));
+    }
+
+    // A description of an earlier version does not state the size. A size that is too large is safe: it counts against
+    // quotas, and an agent refuses a task that does not fit.
+    private static Resources largestSize(MachineTypes types) {
+        return types.all().stream().map(MachineType::size).reduce(Resources.NONE, Resources::max);
+    }
+
     private Machine machine(String id, MachineType type, MachineRecordCodec.Description description, long now) {
         // The computed rental time is never earlier than the actual one. Otherwise a machine that is too new for the
         // cloud's list might be removed.
--- a/src/main/java/io/quartzgw/model/MachineType.java
+++ b/src/main/java/io/quartzgw/model/MachineType.java
@@ -23,6 +23,14 @@
         double bootS,
         List<String> zones) {
 
+    /** The rate at which images are assumed to be fetched on machines of an unlisted type. */
+    private static final double UNLISTED_FETCH_GB_PER_S = 1;
+
+    /** A type of which only name and size are known, since the cloud's table lacks it; it can't be rented. */
+    public static MachineType unlisted(String name, Resources size) {
+        return new MachineType(name, size, 0, UNLISTED_FETCH_GB_PER_S, 0, 0, 0, List.of());
+    }
+
     /** Price per hour of a spot or an on-demand machine. */
     public double price(boolean spot) {
         return spot ? spotPrice : price;
--- a/src/main/java/io/quartzgw/model/Resources.java
+++ b/src/main/java/io/quartzgw/model/Resources.java
@@ -7,6 +7,12 @@
     /** Tolerance for rounding errors in sums of decimal amounts. */
     private static final double EPSILON = 1e-6;
 
+    /** The larger amount of each resource. */
+    public Resources max(Resources other) {
+        return new Resources(
+                Math.max(cpus, other.cpus), Math.max(gpus, other.gpus), Math.max(memoryGb, other.memoryGb));
+    }
+
     /** Returns the sum. */
     public Resources plus(Resources other) {
         return new Resources(cpus + other.cpus, gpus + other.gpus, memoryGb + other.memoryGb);
--- a/src/test/java/io/quartzgw/app/SettingsChangeTest.java
+++ b/src/test/java/io/quartzgw/app/SettingsChangeTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.quartzgw.http.Json;
 import io.quartzgw.simulation.ClusterSimulation;
@@ -50,6 +51,9 @@
     /** The run time of the last task of such an array, and some time to record its end. */
     private static final long LONGEST_ARRAY_TASK_MS = 200_000;
 
+    /** Two intervals at which controllers read the table of machine types. */
+    private static final long TYPES_READ_BY_ALL_MS = 125_000;
+
     /** Longer than the 90 s that a job may wait beside a machine with free capacity. */
     private static final long CHECKED_MS = 95_000;
 
@@ -172,6 +176,43 @@
         assertEquals(0, simulation.failedEvents());
     }
 
+    // Guards against tasks that run twice, since the new leader's table of machine types lacks the type of their
+    // machine.
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void tasksOnMachinesOfWithdrawnTypeRunOnce(boolean sizeStored) {
+        ClusterSimulation simulation =
+                ClusterSimulation.builder(11).machines(40).build();
+        ObjectNode array = JobRequests.array(ARRAY, "blue", 40, 8, 400);
+        simulation.users().submitUntilAccepted(array);
+        simulation.runChecked(OTHERS_COMPLETED_MS);
+        assertEquals(40, simulation.invariants().startCount());
+        simulation.cloud().setOfferedTypes(List.of("small"));
+        simulation.runChecked(TYPES_READ_BY_ALL_MS);
+        if (!sizeStored) {
+            removeSizes(simulation);
+        }
+        simulation.crash(simulation.leader(), DOWN_MS);
+        simulation.runChecked(OTHERS_COMPLETED_MS);
+        assertEquals(List.of(), simulation.invariants().violations());
+        assertEquals(40, simulation.invariants().runningTasks().size());
+        assertEquals(40, simulation.invariants().startCount(), "no task is started again");
+        simulation.runChecked(400_000);
+        assertEquals(Optional.of("done"), simulation.invariants().terminalState(ARRAY));
+        assertEquals(0, simulation.failedEvents());
+    }
+
+    /** Replaces the machines' descriptions by those that a version without sizes would have stored. */
+    private static void removeSizes(ClusterSimulation simulation) {
+        ObjectNode page = simulation.store().value("mach/0").deepCopy();
+        page.forEach(description -> {
+            while (description.size() > 4) {
+                ((ArrayNode) description).remove(4);
+            }
+        });
+        simulation.store().setValue("mach/0", page);
+    }
+
     // ---- rollouts
 
     private static void changeValueSize(ClusterSimulation simulation, int kib, Rollout rollout) {
