--- a/src/test/java/io/quartzgw/progress/ProgressRecorderTest.java
+++ b/src/test/java/io/quartzgw/progress/ProgressRecorderTest.java
@@ -3,8 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.quartzgw.eventloop.EventLoop;
 import io.quartzgw.http.Endpoint;
+import io.quartzgw.http.Json;
 import io.quartzgw.leadership.LeaderTerm;
 import io.quartzgw.leadership.Leadership;
 import io.quartzgw.scheduling.ClusterState;
@@ -13,11 +15,13 @@
 import io.quartzgw.simulation.JobSpecBuilder;
 import io.quartzgw.simulation.LossyLink;
 import io.quartzgw.simulation.SimulatedStore;
+import io.quartzgw.store.KeyValue;
 import io.quartzgw.store.ListResult;
 import io.quartzgw.store.StoreClient;
 import io.quartzgw.store.StoreLimits;
 import io.quartzgw.submission.OpenJob;
 import io.quartzgw.submission.TerminalState;
+import java.util.List;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 
@@ -110,4 +114,20 @@
                 cluster.jobs().stream().allMatch(job -> job.recordedCompleted().cardinality() > 10),
                 "completed tasks are recorded");
     }
+
+    // Guards against tasks that run twice: without a readable start limit, any task of the job may have been started.
+    @Test
+    void unreadableStartLimitMeansThatAnyTaskMayHaveBeenStarted() {
+        Elections.elect(leadership, ms -> link.advance(ms, false));
+        ClusterState cluster = new ClusterState(eventLoop, 1);
+        for (int i = 0; i < 3; i++) {
+            cluster.add(openJob(i));
+        }
+        ObjectNode page = Json.object().put("j-0/started", 7).put("j-1/started", "7");
+        page.putArray("j-2/started").add(7).add(0);
+        newRecorder().load(List.of(new KeyValue("prog/0", page, 1)), cluster);
+        assertEquals(
+                List.of(7, TASKS, TASKS),
+                cluster.jobs().stream().map(Job::recordedStartLimit).toList());
+    }
 }
