Keep a gang of a team without a quota from ending the scheduling pass

What callers would see: no job of any team is started. A stored job names its team, whose quota is in the settings of the reader. If the leader's settings lack the team, as during a rolling restart that removes it, gangWithinQuota threw for a gang, in each pass.

Now such a gang waits, like all other jobs of such a team.

--- a/src/main/java/io/quartzgw/scheduling/SchedulingConstraints.java
+++ b/src/main/java/io/quartzgw/scheduling/SchedulingConstraints.java
@@ -83,7 +83,8 @@
     boolean gangWithinQuota(Job gang) {
         TeamQuota team = teams.get(gang.spec().team());
         Resources demand = gang.spec().demand().times(gang.pending().cardinality());
-        return team.withinLimit(cluster.maxPossibleUsage(team.name()).plus(demand));
+        return team != null
+                && team.withinLimit(cluster.maxPossibleUsage(team.name()).plus(demand));
     }
 
     /** The number of the job's pending tasks that the team's quota allows. */
--- a/src/test/java/io/quartzgw/scheduling/SchedulerTest.java
+++ b/src/test/java/io/quartzgw/scheduling/SchedulerTest.java
@@ -415,4 +415,19 @@
                 gang.allocations().stream().map(Allocation::attempt).distinct().count(),
                 "all members share one attempt number");
     }
+
+    // Guards against a scheduling pass that ends in an exception: a stored job may belong to a team that the settings
+    // of
+    // another controller had.
+    @Test
+    void jobsOfTeamsWithoutQuotaDelayNoOtherJobs() {
+        onDemandMachine(1);
+        Job gang = submit(gang(1).team("removed").priority(Priority.PRODUCTION), 2, 1);
+        Job service = submit(productionService(2).team("removed"), 1, 1);
+        Job array = submit(array(3), 2, 1);
+        scheduler.schedule();
+        assertEquals(0, gang.allocations().size());
+        assertEquals(0, service.allocations().size());
+        assertEquals(2, array.allocations().size());
+    }
 }
