--- a/src/test/java/io/quartzgw/app/SettingsChangeTest.java
+++ b/src/test/java/io/quartzgw/app/SettingsChangeTest.java
@@ -7,13 +7,16 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.quartzgw.http.Json;
 import io.quartzgw.simulation.ClusterSimulation;
+import io.quartzgw.simulation.SeedRanges;
 import io.quartzgw.store.StoreLimits;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.stream.IntStream;
+import java.util.stream.LongStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -57,6 +60,11 @@
     /** Longer than the 90 s that a job may wait beside a machine with free capacity. */
     private static final long CHECKED_MS = 95_000;
 
+    private static final int MIN_CHANGE_INTERVAL_MS = 5_000;
+    private static final int CHANGE_INTERVAL_SPREAD_MS = 15_000;
+    /** The controllers are up again when the other faults end. */
+    private static final long LAST_CHANGE_MS = ConcurrentFault.FAULTS_END_MS - DOWN_MS;
+
     /** How controllers get new settings. */
     private enum Rollout {
         FOLLOWERS_FIRST,
@@ -213,6 +221,33 @@
         simulation.store().setValue("mach/0", page);
     }
 
+    // ---- random changes
+
+    static LongStream seeds() {
+        return SeedRanges.range("settings", 1, 12);
+    }
+
+    // Controllers restart with other limits at any time, so that several settings are in use side by side.
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void invariantsHoldUnderConcurrentFaultsAndChangesOfSizeLimits(long seed) {
+        ClusterSimulation simulation = new ClusterSimulation(seed, CONTROLLERS);
+        SplittableRandom random = new SplittableRandom(seed);
+        for (long at = MIN_CHANGE_INTERVAL_MS; at < LAST_CHANGE_MS; ) {
+            int controller = random.nextInt(CONTROLLERS);
+            int kib = 1 << random.nextInt(4);
+            int transactionWrites = 4 << random.nextInt(3);
+            simulation.schedule(at, () -> {
+                setSizeLimits(simulation, controller, kib, transactionWrites);
+                simulation.crash(controller, DOWN_MS);
+            });
+            at += MIN_CHANGE_INTERVAL_MS + random.nextInt(CHANGE_INTERVAL_SPREAD_MS);
+        }
+        List<String> arrays = RandomFaultsTest.runConcurrentFaults(simulation, seed);
+        ClusterAssertions.assertHealthy(simulation);
+        ClusterAssertions.assertAllEnded(simulation, arrays);
+    }
+
     // ---- rollouts
 
     private static void changeValueSize(ClusterSimulation simulation, int kib, Rollout rollout) {
@@ -221,11 +256,11 @@
         order.remove(Integer.valueOf(leader));
         order.add(rollout == Rollout.LEADER_FIRST ? 0 : CONTROLLERS - 1, leader);
         for (int controller : order) {
-            StoreLimits limits = simulation.settings(controller).storeLimits();
-            simulation.setStoreLimits(
+            setSizeLimits(
+                    simulation,
                     controller,
-                    new StoreLimits(
-                            limits.requestsPerS(), limits.writesPerS(), kib * KIB, limits.maxTransactionWrites()));
+                    kib,
+                    simulation.settings(controller).storeLimits().maxTransactionWrites());
             restart(simulation, controller);
             if (rollout != Rollout.ALL_STOPPED) {
                 simulation.runChecked(BETWEEN_RESTARTS_MS);
@@ -238,6 +273,12 @@
         simulation.runChecked(BETWEEN_RESTARTS_MS);
     }
 
+    private static void setSizeLimits(ClusterSimulation simulation, int controller, int kib, int transactionWrites) {
+        StoreLimits limits = simulation.settings(controller).storeLimits();
+        simulation.setStoreLimits(
+                controller, new StoreLimits(limits.requestsPerS(), limits.writesPerS(), kib * KIB, transactionWrites));
+    }
+
     private static void restart(ClusterSimulation simulation, int controller) {
         if (simulation.isUp(controller)) {
             simulation.crash(controller, DOWN_MS);
