--- a/src/main/java/io/quartzgw/store/PackedRecords.java
+++ b/src/main/java/io/quartzgw/store/PackedRecords.java
@@ -74,8 +74,7 @@
         return Integer.parseInt(entry.key().substring(prefix.length()));
     }
 
-    // A record that has moved, or was removed lazily and then put on another page, may be stored on both pages. The
-    // page
+    // A record that has moved, or was removed lazily and then put on another page, may be stored on both pages. The one
     // that was written later has the present record.
     private void assignToPage(String key, RecordPage page) {
         RecordPage previous = pageByKey.put(key, page);
@@ -190,8 +189,7 @@
      */
     public void write(RequestUrgency urgency, Consumer<Boolean> callback) {
         splitOversizedPages();
-        // A record moves to a page with a higher number. That page is written first, so that the record is always
-        // stored.
+        // A record moves to a page with a higher number, which is written first, so that it is stored at any time.
         List<RecordPage> inWriteOrder = dirtyPages().stream()
                 .sorted(Comparator.comparingInt(RecordPage::number).reversed())
                 .toList();
--- a/src/test/java/io/quartzgw/store/PackedRecordsTest.java
+++ b/src/test/java/io/quartzgw/store/PackedRecordsTest.java
@@ -40,6 +40,20 @@
         return stored;
     }
 
+    /** Loads the stored pages as a new process does, and returns their records. */
+    private Map<String, JsonNode> loadInto(PackedRecords target, StoreClient reader) {
+        Map<String, JsonNode> loaded = new TreeMap<>();
+        reader.listPrefix(
+                PREFIX,
+                result -> target.load(
+                        assertInstanceOf(ListResult.Listed.class, result)
+                                .listing()
+                                .entries(),
+                        loaded::put));
+        link.advance(1, false);
+        return loaded;
+    }
+
     // Guards against a delayed transaction that overwrites newer records when the state service applies it minutes
     // later.
     @Test
@@ -70,9 +84,8 @@
         assertTrue(storeServer.count(PREFIX) < 10, "records are packed into few pages");
     }
 
-    // Guards against pages that can't be written any more since the maximum value size was lowered, or since a record
-    // has
-    // grown beyond what the process that stored it had reserved.
+    // Guards against pages that can't be written any more: the maximum value size was lowered, or a record has grown
+    // beyond what the process that stored it had reserved.
     @Test
     @Timeout(60)
     void keepsRecordsWhenMaximumValueSizeChanges() {
@@ -83,15 +96,7 @@
             StoreClient newClient = new StoreClient(
                     eventLoop, new Endpoint("10.2.0.1", 1), new StoreLimits(100_000, 100_000, maxValueBytes, 16));
             PackedRecords newRecords = new PackedRecords(newClient, PREFIX, Transaction::new);
-            Map<String, JsonNode> loaded = new TreeMap<>();
-            newClient.listPrefix(
-                    PREFIX,
-                    result -> newRecords.load(
-                            assertInstanceOf(ListResult.Listed.class, result)
-                                    .listing()
-                                    .entries(),
-                            loaded::put));
-            link.advance(1, false);
+            Map<String, JsonNode> loaded = loadInto(newRecords, newClient);
             assertEquals(expected, loaded, "loaded by process " + process);
             for (int round = 0; round < 20; round++) {
                 String key = "i-" + random.nextInt(100);
@@ -128,15 +133,7 @@
                 new StoreClient(eventLoop, new Endpoint("10.2.0.1", 1), new StoreLimits(100_000, 100_000, 1_024, 1));
         for (int transactions = 0; transactions < 12; transactions++) {
             PackedRecords after = new PackedRecords(smallValues, PREFIX, Transaction::new);
-            Map<String, JsonNode> loaded = new TreeMap<>();
-            smallValues.listPrefix(
-                    PREFIX,
-                    result -> after.load(
-                            assertInstanceOf(ListResult.Listed.class, result)
-                                    .listing()
-                                    .entries(),
-                            loaded::put));
-            link.advance(1, false);
+            Map<String, JsonNode> loaded = loadInto(after, smallValues);
             assertEquals(expected, loaded, "after " + transactions + " transactions");
             after.put("i-1", expected.get("i-1"), 0);
             link.limitTransactions(transactions);
