Test that direct calls that were answered run no task when they arrive again

The simulated network can now deliver copies of answered direct calls, a share of them or all at chosen moments.

--- a/src/test/java/io/quartzgw/app/DelayedCommandsTest.java
+++ b/src/test/java/io/quartzgw/app/DelayedCommandsTest.java
@@ -31,6 +31,8 @@
     private static final int MAX_LINK_DELAY_MS = 1_500;
     /** Share of heartbeats that are duplicated; the duplicate arrives later. */
     private static final double DUPLICATE_SHARE = 0.02;
+    /** Share of direct calls of which a copy arrives again later. */
+    private static final double REPEATED_CALL_SHARE = 0.3;
 
     private static final long FAULTS_END_MS = 120_000;
     private static final long END_MS = 230_000;
@@ -67,6 +69,19 @@
         run(simulation, seed, false);
     }
 
+    static LongStream seedsWithRepeatedCalls() {
+        return SeedRanges.range("lateRepeated", 1, 30);
+    }
+
+    /** Guards against ran_twice: a direct call that was answered arrives again after its attempt was removed. */
+    @ParameterizedTest
+    @MethodSource("seedsWithRepeatedCalls")
+    void invariantsHoldWhileDirectCallsArriveAgain(long seed) {
+        ClusterSimulation simulation = newSimulation(seed);
+        simulation.network().commandCopies().deliverShare(REPEATED_CALL_SHARE);
+        run(simulation, seed, false);
+    }
+
     static LongStream seedsWithCrashes() {
         return SeedRanges.range("lateCrashes", 1, 30);
     }
--- a/src/test/java/io/quartzgw/app/RandomFaultsTest.java
+++ b/src/test/java/io/quartzgw/app/RandomFaultsTest.java
@@ -22,6 +22,8 @@
     /** Arrays take longer when teams are at their quotas and one zone has most of the work. */
     private static final long EXTENDED_END_MS = 560_000;
 
+    private static final double REPEATED_CALL_SHARE = 0.3;
+
     @Test
     void endsAllArraysWithoutFaults() {
         ClusterSimulation simulation = new ClusterSimulation(1, 3);
@@ -131,6 +133,21 @@
         assertAllEnded(simulation, arrays);
     }
 
+    static LongStream concurrentSeedsWithRepeatedCalls() {
+        return SeedRanges.range("concurrentRepeated", 1, 15);
+    }
+
+    /** Guards against ran_twice: a direct call that was answered arrives again after its attempt was removed. */
+    @ParameterizedTest
+    @MethodSource("concurrentSeedsWithRepeatedCalls")
+    void invariantsHoldUnderConcurrentFaultsAndRepeatedDirectCalls(long seed) {
+        ClusterSimulation simulation = new ClusterSimulation(seed, 3);
+        simulation.network().commandCopies().deliverShare(REPEATED_CALL_SHARE);
+        List<String> arrays = runConcurrentFaults(simulation, seed);
+        assertHealthy(simulation);
+        assertAllEnded(simulation, arrays);
+    }
+
     static LongStream concurrentSeedsWithCrashes() {
         return SeedRanges.range("concurrentCrashes", 1, 15);
     }
--- a/src/test/java/io/quartzgw/simulation/SimulatedNetwork.java
+++ b/src/test/java/io/quartzgw/simulation/SimulatedNetwork.java
@@ -37,6 +37,7 @@
     private final long leaseMs;
     private final RequestHandler handler;
     private final CommandDelays commandDelays;
+    private final CommandCopies commandCopies;
     private final NetworkPartitions partitions = new NetworkPartitions();
     private final Set<String> inboundBlocked = new HashSet<>();
     private final Set<String> heartbeatsBlocked = new HashSet<>();
@@ -66,6 +67,7 @@
         this.leaseMs = context.timing().leaseMs();
         this.handler = handler;
         this.commandDelays = new CommandDelays(random);
+        this.commandCopies = new CommandCopies(events, random, leaseMs);
     }
 
     // ---- faults
@@ -125,6 +127,11 @@
         duplicateShare = share;
     }
 
+    /** The copies of direct calls that arrive again after they were handled. */
+    public CommandCopies commandCopies() {
+        return commandCopies;
+    }
+
     /** Blocks the heartbeats of a machine, which can open no connections. Direct calls still work both ways. */
     public void setHeartbeatsBlocked(String machine, boolean on) {
         if (on) {
@@ -196,11 +203,16 @@
         if (Hosts.isController(to)) {
             maybeDuplicate(() -> handler.handle(from, to, call, reply -> {}));
         }
-        Runnable arrival = () -> handler.handle(from, to, call, reply -> {
-            if (!isPartitioned(from, to) && !transit.responseLost) {
-                events.scheduleAfter(baseDelay() + transit.responseMs, () -> firstReply.accept(reply));
+        Runnable arrival = () -> {
+            handler.handle(from, to, call, reply -> {
+                if (!isPartitioned(from, to) && !transit.responseLost) {
+                    events.scheduleAfter(baseDelay() + transit.responseMs, () -> firstReply.accept(reply));
+                }
+            });
+            if (call.path().equals(COMMANDS_PATH)) {
+                commandCopies.commandArrived(() -> handler.handle(from, to, call, reply -> {}));
             }
-        });
+        };
         if (transit.transactionDelayed) {
             events.scheduleAfter(MIN_TRANSACTION_DELAY_MS + random.nextInt(TRANSACTION_DELAY_SPREAD_MS), arrival);
         } else if (delayedCalls.containsKey(to)) {
