Log whether an orphaned attempt was started by this leader, and count such starts

In the incident the log said 'orphaned attempt found', as after a change of leader, and nothing showed that the leader had started and released this very attempt itself seconds before. The event now has own_term and the token that the agent is sent; orders.started_again counts attempts of the own term that run again.

--- a/src/main/java/io/quartzgw/agent/TaskReconciler.java
+++ b/src/main/java/io/quartzgw/agent/TaskReconciler.java
@@ -135,13 +135,23 @@
                     .recordPhase(phase, eventLoop.nowMs());
             return;
         }
+        logOrphan(agent, attempt);
+        agent.addOrphan(attempt);
+        registry.addPending(agent);
+    }
+
+    private void logOrphan(AgentState agent, Attempt attempt) {
+        boolean ownTerm = !cluster.isOfPreviousLeader(attempt.number());
+        if (ownTerm) {
+            eventLoop.increment("orders.started_again", 1);
+        }
         LOG.atInfo()
                 .addKeyValue("task", attempt.task())
                 .addKeyValue("attempt", attempt.number())
                 .addKeyValue("machine", agent.machine().id())
+                .addKeyValue("own_term", ownTerm)
+                .addKeyValue("token", agent.token().current())
                 .log("orphaned attempt found");
-        agent.addOrphan(attempt);
-        registry.addPending(agent);
     }
 
     private static boolean needsAllocation(Job job, Attempt attempt) {
--- a/src/test/java/io/quartzgw/app/LogEventsTest.java
+++ b/src/test/java/io/quartzgw/app/LogEventsTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.quartzgw.http.Json;
 import io.quartzgw.simulation.ClusterSimulation;
 import java.io.ByteArrayOutputStream;
@@ -94,6 +95,30 @@
                 "cancelled attempt may be started");
     }
 
+    // An operator has to see that a task was started by this leader's own call once more, not by another leader.
+    @Test
+    void logsAndCountsTaskThatIsStartedAgain() throws IOException {
+        ClusterSimulation simulation = ClusterFixtures.clusterWithServices();
+        simulation.network().commandCopies().keepAll();
+        ObjectNode job = JobRequests.array("j-000701", "blue", 2, 1, 3).put("each_longer_s", 60);
+        simulation.users().submitUntilAccepted(job.put("pull_gb", 0.0));
+        simulation.runChecked(1_000);
+        String machine = simulation.invariants().machineOf("j-000701/0").orElseThrow();
+        simulation.runChecked(PAUSE_MS);
+        PrintStream standardError = System.err;
+        System.setErr(new PrintStream(log, true, StandardCharsets.UTF_8));
+        try {
+            simulation.agents().reboot(machine, false);
+            simulation.network().commandCopies().deliverKept();
+            simulation.runChecked(2_000);
+        } finally {
+            System.setErr(standardError);
+        }
+        assertLogged("orphaned attempt found", "task=j-000701/0", "machine=" + machine, "own_term=true", "token=");
+        assertTrue(simulation.counter("orders.started_again") > 0);
+        assertInReadme("orphaned attempt found");
+    }
+
     @Test
     void logsAndCountsInheritedStartsAndUnreadableStartLog() throws IOException {
         ClusterSimulation simulation = ClusterFixtures.clusterWithServices();
