Remove attempts only with a higher token than that of the direct call that started them

Cause: a direct call that had been executed and answered arrived once more, 6.4 s later. The agent still was in the session of the call and knew no higher token, and the attempt had been stopped and removed meanwhile, so it started it again. An answered call counted as settled: OutstandingStarts forgot its starts. The protocol says that a start which is repeated after the removal runs the attempt again.

The leader now remembers with which token executed calls carried a start, for as long as the agent holds the attempt. If it is not below the agent's present token, the token is raised with the response to a heartbeat, and that message removes the attempt. So an agent that does not know the attempt any more has seen a token by which it rejects every copy, however late, whoever leads then.

--- a/src/main/java/io/quartzgw/agent/AgentManager.java
+++ b/src/main/java/io/quartzgw/agent/AgentManager.java
@@ -80,7 +80,8 @@
         this.allocationRelease = new AllocationRelease(leader, registry);
         this.reconciler = new TaskReconciler(leader, registry, allocationRelease, timing, listener::taskCompleted);
         this.processor = new HeartbeatProcessor(leader, registry, reconciler, allocationRelease);
-        this.responder = new HeartbeatResponder(leader, registry, pendingCommands, isCancelled);
+        RemovalFence removalFence = new RemovalFence(leader, timing, reconciler::updateRefusedJobs);
+        this.responder = new HeartbeatResponder(leader, registry, pendingCommands, removalFence, isCancelled);
         this.dispatcher = new CommandDispatcher(
                 leader, registry, pendingCommands, startLogUpdater, timing, maxDirectCalls, this::onReply);
         this.unfencedAttempts = new UnfencedAttemptsMonitor(leader, registry, timing);
@@ -214,6 +215,15 @@
         inheritedStarts.stopTrackingObsolete();
         endedJobStarts.update();
         unfencedAttempts.check();
+        reportTokens();
+    }
+
+    private void reportTokens() {
+        long used = registry.agents().stream()
+                .mapToLong(agent -> agent.token().used())
+                .max()
+                .orElse(0);
+        leader.eventLoop().setGauge("fencing.tokens_used", used);
     }
 
     // ---- commands
--- a/src/main/java/io/quartzgw/agent/AgentState.java
+++ b/src/main/java/io/quartzgw/agent/AgentState.java
@@ -77,9 +77,15 @@
         orphans.clear();
     }
 
-    /** Drops the removable attempts that are no longer in the task list. */
-    void endTaskList() {
+    /** Drops the removable attempts and the executed starts that are no longer in the task list. */
+    void endTaskList(Set<Attempt> reported) {
         removable.retainAll(exited);
+        outstandingStarts.retainExecuted(start -> reported.contains(start) || isAllocated(start));
+    }
+
+    private boolean isAllocated(Attempt attempt) {
+        Allocation allocation = machine.allocation(attempt.task());
+        return allocation != null && allocation.attempt() == attempt.number();
     }
 
     /** Records that the agent reports an attempt that has ended. */
@@ -116,20 +122,30 @@
         return Collections.unmodifiableCollection(orphans);
     }
 
+    /** Returns whether the task of an exited attempt must be started again. */
+    boolean isUnfinished(Attempt attempt) {
+        return unfinished.contains(attempt);
+    }
+
     /**
      * Returns the jobs whose tasks the agent would refuse. An agent accepts no further attempt of a task while it still
-     * holds an earlier one, and that one must not be removed while its start is outstanding.
+     * holds an earlier one, and that one must not be removed while its start may be executed again.
      */
     Set<String> refusedJobs() {
-        if (outstandingStarts.isEmpty()) {
-            return Set.of();
-        }
         return unfinished.stream()
-                .filter(this::mayStillStart)
+                .filter(attempt -> mayStillStart(attempt) || isRemovalDeferred(attempt))
                 .map(Attempt::job)
                 .collect(Collectors.toUnmodifiableSet());
     }
 
+    /**
+     * Returns whether the removal of an attempt has to wait for a higher token: after a removal with the present one,
+     * an executed direct call that arrives once more would start the attempt again.
+     */
+    boolean isRemovalDeferred(Attempt attempt) {
+        return outstandingStarts.isRepeatable(attempt, token.current());
+    }
+
     /**
      * Returns whether the current agent may still execute a start of the attempt, once it no longer holds the attempt.
      */
@@ -183,17 +199,13 @@
         outstandingStarts.directCallSent(starts, fence);
     }
 
-    /**
-     * Records that the direct call has ended.
-     *
-     * @param settled whether it is certain that none of its commands is executed from now on
-     */
-    void directCallEnded(boolean settled) {
+    /** Records that the direct call has ended. */
+    void directCallEnded(CallOutcome outcome) {
         callInFlight = false;
-        if (settled) {
-            outstandingStarts.directCallAnswered();
-        } else {
-            outstandingStarts.directCallUnanswered();
+        switch (outcome) {
+            case EXECUTED -> outstandingStarts.directCallExecuted();
+            case REJECTED, NOT_SENT -> outstandingStarts.directCallNotExecuted();
+            case UNKNOWN -> outstandingStarts.directCallUnanswered();
         }
     }
 
--- a/src/main/java/io/quartzgw/agent/AgentToken.java
+++ b/src/main/java/io/quartzgw/agent/AgentToken.java
@@ -1,22 +1,34 @@
 package io.quartzgw.agent;
 
 import io.quartzgw.leadership.FencingTokens;
+import java.util.Optional;
 
 /**
- * The fencing token for one agent within this leader's term. It is raised after a direct call whose outcome is unknown.
- * Once the agent has shown the raised token, it rejects that call whenever the call arrives.
+ * The fencing token for one agent within this leader's term. Once the agent has received a raised token, it rejects all
+ * direct calls that were sent with a lower one, whenever and however often they arrive.
  */
 final class AgentToken {
-    private static final long NEVER_RAISED = -1;
-
+    private final long lowestOfTerm;
     private final long highestOfTerm;
     private long current;
     private long shown;
-    private long raisedAtMs = NEVER_RAISED;
+    private Optional<Raise> lastRaise = Optional.empty();
+
+    /** Why a token was raised. */
+    enum RaiseReason {
+        /** A direct call with starts had no response. */
+        UNANSWERED_CALL,
+        /** Attempts are to be removed that a direct call with the present token could start again. */
+        REMOVAL
+    }
+
+    /** The last time at which the token was raised, in event loop time, and why. */
+    record Raise(RaiseReason reason, long atMs) {}
 
     AgentToken(long term) {
+        this.lowestOfTerm = FencingTokens.lowestOf(term);
         this.highestOfTerm = term;
-        this.current = FencingTokens.lowestOf(term);
+        this.current = lowestOfTerm;
     }
 
     /** Returns the token that is sent in messages to the agent. */
@@ -33,25 +45,30 @@
 
     /** Returns whether the token was raised and the agent has not shown the current token yet. */
     boolean isRaisePending() {
-        return raisedAtMs != NEVER_RAISED && shown < current;
+        return lastRaise.isPresent() && shown < current;
+    }
+
+    /** Returns when and why the token was last raised; empty if it never was. */
+    Optional<Raise> lastRaise() {
+        return lastRaise;
     }
 
-    /** Returns when the token was last raised; meaningful only if it was raised. */
-    long raisedAtMs() {
-        return raisedAtMs;
+    /** Returns how often the token can have been raised in this term so far. */
+    long used() {
+        return current - lowestOfTerm;
     }
 
-    /** Returns whether the term has a higher token. Without one, a later unanswered call could not be fenced off. */
+    /** Returns whether the term has a higher token. Without one, a further direct call could not be fenced off. */
     boolean canBeRaised() {
         return current < highestOfTerm;
     }
 
-    void raise(long nowMs) {
+    void raise(RaiseReason reason, long nowMs) {
         if (!canBeRaised()) {
             throw new IllegalStateException("the term has no token above " + current);
         }
         current++;
-        raisedAtMs = nowMs;
+        lastRaise = Optional.of(new Raise(reason, nowMs));
     }
 
     /**
--- a/src/main/java/io/quartzgw/agent/CommandDispatcher.java
+++ b/src/main/java/io/quartzgw/agent/CommandDispatcher.java
@@ -27,10 +27,6 @@
     private static final double TIMEOUT_HEARTBEAT_FRACTION = 0.8;
     /** Calls that only request a heartbeat may use this fraction of the direct calls; the rest is left to commands. */
     private static final double MAX_CONTACT_CALL_FRACTION = 0.5;
-    /** The agent has executed the commands. */
-    private static final int STATUS_EXECUTED = 200;
-    /** The agent has executed no command: the token is too low, or the epoch is not the agent's. */
-    private static final int STATUS_REJECTED = 409;
 
     private final LeaderContext leader;
     private final EventLoop eventLoop;
@@ -144,19 +140,18 @@
     }
 
     private void onReply(AgentState agent, Reply reply, List<Attempt> starts) {
-        boolean answered = reply.status() == STATUS_EXECUTED || reply.status() == STATUS_REJECTED;
-        boolean settled = answered || !reply.sent();
-        agent.directCallEnded(settled);
+        CallOutcome outcome = CallOutcome.of(reply);
+        agent.directCallEnded(outcome);
         callsInFlight--;
         Machine machine = agent.machine();
         if (!term.isCurrent() || !leader.cluster().contains(machine)) {
             return;
         }
-        if (!settled && !starts.isEmpty()) {
+        if (outcome == CallOutcome.UNKNOWN && !starts.isEmpty()) {
             raiseToken(agent, starts);
         }
-        if (answered) {
-            boolean rejected = reply.status() == STATUS_REJECTED;
+        if (outcome.isAnswered()) {
+            boolean rejected = outcome == CallOutcome.REJECTED;
             HeartbeatCodec.decode(reply.body()).ifPresent(heartbeat -> onHeartbeatReply(agent, heartbeat, rejected));
         } else if (reply.status() == Reply.NO_RESPONSE) {
             eventLoop.increment(reply.sent() ? "orders.unanswered" : "orders.unsent", 1);
@@ -169,7 +164,7 @@
 
     /** Raises the token, so that the agent rejects the unanswered call once it has received the new token. */
     private void raiseToken(AgentState agent, List<Attempt> starts) {
-        agent.token().raise(eventLoop.nowMs());
+        agent.token().raise(AgentToken.RaiseReason.UNANSWERED_CALL, eventLoop.nowMs());
         eventLoop.increment("fencing.tokens_raised", 1);
         LOG.atInfo()
                 .addKeyValue("machine", agent.machine().id())
@@ -198,22 +193,11 @@
     private void logReply(Machine machine, Reply reply, long sentAtMs, List<Attempt> starts) {
         LOG.atDebug()
                 .addKeyValue("machine", machine.id())
-                .addKeyValue("outcome", outcome(reply))
+                .addKeyValue("outcome", CallOutcome.of(reply).logName())
                 .addKeyValue("status", reply.status())
                 .addKeyValue("duration_ms", eventLoop.nowMs() - sentAtMs)
                 .addKeyValue("term_current", term.isCurrent())
                 .addKeyValue("starts", starts)
                 .log("direct call ended");
     }
-
-    private static String outcome(Reply reply) {
-        if (!reply.sent()) {
-            return "unsent";
-        }
-        return switch (reply.status()) {
-            case STATUS_EXECUTED -> "executed";
-            case STATUS_REJECTED -> "rejected";
-            default -> "unknown";
-        };
-    }
 }
--- a/src/main/java/io/quartzgw/agent/HeartbeatProcessor.java
+++ b/src/main/java/io/quartzgw/agent/HeartbeatProcessor.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
 
 /** Classifies heartbeats by freshness and applies the current ones to the cluster state. */
 final class HeartbeatProcessor {
@@ -136,15 +137,21 @@
         boolean wasPending = token.isRaisePending();
         token.recordShown(heartbeat.fencingToken());
         if (wasPending && !token.isRaisePending()) {
-            LOG.atInfo()
-                    .addKeyValue("machine", heartbeat.machine())
-                    .addKeyValue("token", heartbeat.fencingToken())
-                    .addKeyValue("origin", origin)
-                    .addKeyValue("after_ms", eventLoop.nowMs() - token.raisedAtMs())
-                    .log("raised fencing token observed");
+            token.lastRaise().ifPresent(raise -> logRaisedTokenObserved(heartbeat, origin, raise));
         }
     }
 
+    private void logRaisedTokenObserved(Heartbeat heartbeat, Origin origin, AgentToken.Raise raise) {
+        boolean routine = raise.reason() == AgentToken.RaiseReason.REMOVAL;
+        LOG.atLevel(routine ? Level.DEBUG : Level.INFO)
+                .addKeyValue("machine", heartbeat.machine())
+                .addKeyValue("token", heartbeat.fencingToken())
+                .addKeyValue("origin", origin)
+                .addKeyValue("reason", raise.reason())
+                .addKeyValue("after_ms", eventLoop.nowMs() - raise.atMs())
+                .log("raised fencing token observed");
+    }
+
     private long reclaimAtMs(Heartbeat heartbeat) {
         return heartbeat.reclaimInSeconds().isPresent()
                 ? eventLoop.nowMs() + (long) (heartbeat.reclaimInSeconds().getAsDouble() * MS_PER_SECOND)
--- a/src/main/java/io/quartzgw/agent/HeartbeatResponder.java
+++ b/src/main/java/io/quartzgw/agent/HeartbeatResponder.java
@@ -18,6 +18,7 @@
     private final LeaderContext leader;
     private final AgentRegistry registry;
     private final PendingCommands pendingCommands;
+    private final RemovalFence removalFence;
     private final Predicate<String> isCancelled;
 
     /** @param isCancelled whether a job is known to be cancelled; usable before the open jobs have been read */
@@ -25,10 +26,12 @@
             LeaderContext leader,
             AgentRegistry registry,
             PendingCommands pendingCommands,
+            RemovalFence removalFence,
             Predicate<String> isCancelled) {
         this.leader = leader;
         this.registry = registry;
         this.pendingCommands = pendingCommands;
+        this.removalFence = removalFence;
         this.isCancelled = isCancelled;
     }
 
@@ -97,6 +100,7 @@
 
     private void addPendingCommands(Heartbeat heartbeat, Machine machine, List<AgentCommand> commands) {
         AgentState agent = registry.agentOf(machine);
+        removalFence.raiseTokenIfDue(agent);
         List<AgentCommand> pending = pendingCommands.forHeartbeatResponse(agent);
         for (Attempt start : AgentCommand.startedAttempts(pending)) {
             agent.outstandingStarts()
--- a/src/main/java/io/quartzgw/agent/PendingCommands.java
+++ b/src/main/java/io/quartzgw/agent/PendingCommands.java
@@ -50,6 +50,8 @@
             // A start that is executed after the removal would run the task again.
             if (agent.mayStillStart(attempt)) {
                 leader.eventLoop().increment("orders.removals_withheld", 1);
+            } else if (agent.isRemovalDeferred(attempt)) {
+                leader.eventLoop().increment("orders.removals_deferred", 1);
             } else {
                 removals.add(new AgentCommand.Remove(attempt));
             }
--- a/src/main/java/io/quartzgw/agent/TaskReconciler.java
+++ b/src/main/java/io/quartzgw/agent/TaskReconciler.java
@@ -71,7 +71,7 @@
             }
         }
         updateOrphanCapacity(machine);
-        agent.endTaskList();
+        agent.endTaskList(reported);
         releaseUnreported(machine, reported);
     }
 
