Keep tasks on the machine of a replaced agent that may execute their starts once more

The agent of a machine that reboots within a second and counts its sessions anew accepted copies of the direct calls that its predecessor had executed, for as long as the leader used the same token: it released the lost tasks at once, started them elsewhere, and sent the new agent the token of the old calls.

When the leader finds that an agent was replaced, it now raises the token if an executed call carried a start with the present one, and keeps the allocations of these starts: the same attempts are started on the machine again. Either the new agent has got a copy before, and then its reply lists the attempt, or it receives the higher token first and rejects the copy. A stopping attempt is released once the new agent has shown that token.

--- a/src/main/java/io/quartzgw/agent/AgentState.java
+++ b/src/main/java/io/quartzgw/agent/AgentState.java
@@ -154,6 +154,14 @@
         return outstandingStarts.isOutstandingFor(agent, attempt);
     }
 
+    /**
+     * Returns whether an executed direct call that arrives once more may start an attempt that the present agent does
+     * not hold, as after the agent was replaced. The agent rejects the call once it has shown a higher token.
+     */
+    boolean mayRepeatStart(Attempt attempt) {
+        return outstandingStarts.isRepeatable(attempt, token.shown());
+    }
+
     /** Returns whether the start of an allocation must still be sent. */
     boolean isStartPending(Allocation allocation) {
         return !allocation.observed()
@@ -165,8 +173,11 @@
     }
 
     /** Handles a replacement agent on the same machine, which has no tasks and has seen no token. */
-    void agentReplaced() {
+    void agentReplaced(long nowMs) {
         token.agentReplaced();
+        if (outstandingStarts.isAnyRepeatable(token.current()) && token.canBeRaised()) {
+            token.raise(AgentToken.RaiseReason.AGENT_REPLACED, nowMs);
+        }
         clearTasks();
     }
 
--- a/src/main/java/io/quartzgw/agent/AgentToken.java
+++ b/src/main/java/io/quartzgw/agent/AgentToken.java
@@ -19,7 +19,9 @@
         /** A direct call with starts had no response. */
         UNANSWERED_CALL,
         /** Attempts are to be removed that a direct call with the present token could start again. */
-        REMOVAL
+        REMOVAL,
+        /** A direct call that the previous agent of the machine has executed could reach the present one. */
+        AGENT_REPLACED
     }
 
     /** The last time at which the token was raised, in event loop time, and why. */
--- a/src/main/java/io/quartzgw/agent/AllocationRelease.java
+++ b/src/main/java/io/quartzgw/agent/AllocationRelease.java
@@ -91,13 +91,35 @@
     void attemptLost(Allocation allocation) {
         if (isSafeToRelease(allocation) && !isResponseAwaited(allocation)) {
             cluster.release(allocation);
-        } else if (!allocation.isLost()) {
+        } else {
+            keepLost(allocation);
+        }
+    }
+
+    private void keepLost(Allocation allocation) {
+        if (!allocation.isLost()) {
             logAllocationKept(allocation, End.LOST);
             allocation.markLost(eventLoop.nowMs());
         }
     }
 
-    /** Called when attempts no longer run on a machine, because its lease has expired or its agent was replaced. */
+    /**
+     * Called when the agent of a machine was replaced. Until the new agent has received a higher token, it may execute
+     * direct calls that the previous one has executed, if they arrive again. So the attempts in these calls keep their
+     * allocations, too, and are started on the machine again.
+     */
+    void allAttemptsLostWithAgent(AgentState agent) {
+        for (Allocation allocation : agent.machine().allocationsSnapshot()) {
+            boolean completed = allocation.job().isCompleted(allocation.index());
+            if (!completed && agent.mayRepeatStart(Attempts.of(allocation))) {
+                keepLost(allocation);
+            } else {
+                attemptLost(allocation);
+            }
+        }
+    }
+
+    /** Called when attempts no longer run on a machine, because its lease has expired. */
     void allAttemptsLost(Machine machine) {
         machine.allocationsSnapshot().forEach(this::attemptLost);
     }
@@ -113,7 +135,6 @@
      */
     void releaseUnstartable(AgentState agent) {
         Machine machine = agent.machine();
-        OutstandingStarts outstanding = agent.outstandingStarts();
         if (machine.fencing().hasUnfenced()) {
             machine.fencing().unfenced().stream()
                     .filter(allocation -> !mayDirectCallStart(allocation))
@@ -122,11 +143,15 @@
         machine.allocations().stream()
                 .filter(allocation -> allocation.stopping() && !allocation.observed())
                 .toList()
-                .forEach(allocation -> releaseOrRetainStopping(allocation, outstanding));
+                .forEach(allocation -> releaseOrRetainStopping(allocation, agent));
     }
 
-    private void releaseOrRetainStopping(Allocation allocation, OutstandingStarts outstanding) {
+    private void releaseOrRetainStopping(Allocation allocation, AgentState agent) {
         Attempt attempt = Attempts.of(allocation);
+        OutstandingStarts outstanding = agent.outstandingStarts();
+        if (agent.mayRepeatStart(attempt)) {
+            return;
+        }
         if (!outstanding.isOutstanding(attempt)) {
             cluster.release(allocation);
         } else if (outstanding.isOutstandingOnlyInUnansweredCalls(attempt)) {
--- a/src/main/java/io/quartzgw/agent/HeartbeatProcessor.java
+++ b/src/main/java/io/quartzgw/agent/HeartbeatProcessor.java
@@ -196,9 +196,9 @@
                 .addKeyValue("machine", machine.id())
                 .addKeyValue("epoch", heartbeat.epoch())
                 .log("agent replaced");
-        agent.agentReplaced();
+        agent.agentReplaced(eventLoop.nowMs());
         reconciler.updateOrphanCapacity(machine);
         machine.liveness().recordAgentReplacement(heartbeat.id());
-        allocationRelease.allAttemptsLost(machine);
+        allocationRelease.allAttemptsLostWithAgent(agent);
     }
 }
--- a/src/main/java/io/quartzgw/agent/OutstandingStarts.java
+++ b/src/main/java/io/quartzgw/agent/OutstandingStarts.java
@@ -138,6 +138,11 @@
         return highestToken != null && highestToken >= token;
     }
 
+    /** Returns whether {@link #isRepeatable} holds for any start. */
+    boolean isAnyRepeatable(long token) {
+        return executed.values().stream().anyMatch(highestToken -> highestToken >= token);
+    }
+
     /** Drops the starts in executed direct calls whose attempts are neither on the agent nor allocated to it. */
     void retainExecuted(Predicate<Attempt> isHeld) {
         executed.keySet().removeIf(isHeld.negate());
