One question for jobs that failed repeatedly; fewer repeats in tests of log events and random faults

FailureHistory and Scheduler had the same limit of three failures under two names. The decisions are the same: DecisionDigestTest is unchanged.

--- a/src/main/java/io/quartzgw/scheduling/FailureHistory.java
+++ b/src/main/java/io/quartzgw/scheduling/FailureHistory.java
@@ -7,8 +7,8 @@
 final class FailureHistory {
     /** Keeps the longest delay below the 90 s that a job may wait beside a machine with free capacity. */
     private static final int MAX_BACKOFF_DOUBLINGS = 5;
-    /** From this many failures in a row on, one task is started first, and the others if it has not failed soon. */
-    private static final int FAILURES_BEFORE_TRIAL = 3;
+    /** From this many failures in a row on, the job itself is likely to be at fault. */
+    private static final int REPEATED_FAILURES = 3;
 
     private static final long NOT_STARTED = Long.MAX_VALUE;
 
@@ -44,9 +44,7 @@
 
     /** Whether one more task of the job may be started, as far as earlier failures are concerned. */
     boolean allowsStart(long now) {
-        return failures(now) < FAILURES_BEFORE_TRIAL
-                || trialStartedAt == NOT_STARTED
-                || now - trialStartedAt >= trialMs;
+        return !hasFailedRepeatedly(now) || trialStartedAt == NOT_STARTED || now - trialStartedAt >= trialMs;
     }
 
     void delayRetry(long until) {
@@ -63,6 +61,11 @@
         return now < forgottenAt ? failures : 0;
     }
 
+    /** Whether the last attempts have failed, and so many that the job itself is likely to be at fault. */
+    boolean hasFailedRepeatedly(long now) {
+        return failures(now) >= REPEATED_FAILURES;
+    }
+
     long retryAt() {
         return retryAt;
     }
--- a/src/main/java/io/quartzgw/scheduling/Job.java
+++ b/src/main/java/io/quartzgw/scheduling/Job.java
@@ -261,6 +261,14 @@
         return failureHistory.failures(now);
     }
 
+    /**
+     * Whether so many attempts in a row have failed that the job itself is likely to be at fault. It then causes no
+     * scale-out and may run where it has failed, but starts one task first.
+     */
+    public boolean hasFailedRepeatedly(long now) {
+        return failureHistory.hasFailedRepeatedly(now);
+    }
+
     /** Whether one more task may be started: after several failures, one task is tried first. */
     public boolean failuresAllowStart(long now) {
         return failureHistory.allowsStart(now);
--- a/src/main/java/io/quartzgw/scheduling/Scheduler.java
+++ b/src/main/java/io/quartzgw/scheduling/Scheduler.java
@@ -14,9 +14,6 @@
  * scale-out.
  */
 public final class Scheduler {
-    /** From this many failures in a row on, a job causes no scale-out and may run where it has failed. */
-    private static final int MAX_FAILURES_FOR_SCALE_OUT = 3;
-
     private final EventLoop eventLoop;
     private final ClusterState cluster;
     private final SchedulingQueue queue;
@@ -124,7 +121,7 @@
             int count = job.spec().gang()
                     ? gangScheduler.schedule(job, withCapacity)
                     : scheduleTasks(job, schedulable, withCapacity);
-            if (count > 0 && job.failures(eventLoop.nowMs()) < MAX_FAILURES_FOR_SCALE_OUT) {
+            if (count > 0 && !job.hasFailedRepeatedly(eventLoop.nowMs())) {
                 lackingCapacity.add(new UnplacedTasks(job, count));
             }
         }
@@ -160,7 +157,7 @@
 
     /** Returns the number of tasks that were not allocated only because free capacity was lacking. */
     private int scheduleTasks(Job job, List<Machine> schedulable, List<Machine> withCapacity) {
-        if (job.failures(eventLoop.nowMs()) >= MAX_FAILURES_FOR_SCALE_OUT
+        if (job.hasFailedRepeatedly(eventLoop.nowMs())
                 && schedulable.stream().allMatch(machine -> job.excludes(machine.id(), eventLoop.nowMs()))) {
             job.clearExcludedMachines();
         }
--- a/src/test/java/io/quartzgw/app/LogEventsTest.java
+++ b/src/test/java/io/quartzgw/app/LogEventsTest.java
@@ -31,15 +31,11 @@
     void logsAndCountsPauseOfLeader() throws IOException {
         ClusterSimulation simulation = ClusterFixtures.clusterWithServices();
         int leader = simulation.leader();
-        PrintStream standardError = System.err;
-        System.setErr(new PrintStream(log, true, StandardCharsets.UTF_8));
-        try {
+        captureLog(() -> {
             simulation.makeStoreIntermittent(simulation.now() + 2 * PAUSE_MS);
             simulation.pauseController(leader, PAUSE_MS);
             simulation.runChecked(2 * PAUSE_MS);
-        } finally {
-            System.setErr(standardError);
-        }
+        });
         assertLogged("process was paused", "duration_ms=2", "leading=true", "confirmed=false", "confirmed_age_ms=2");
         assertLogged("leadership lost", "reason=", "confirmed_age_ms=");
         assertLogged("candidacy changed", "reason=vacant");
@@ -68,9 +64,7 @@
         List<String> machinesWithFreeCpus = simulation.agents().machinesWithFreeCpus(4);
         assertEquals(1, machinesWithFreeCpus.size(), "one machine has room for the tasks");
         String machine = machinesWithFreeCpus.get(0);
-        PrintStream standardError = System.err;
-        System.setErr(new PrintStream(log, true, StandardCharsets.UTF_8));
-        try {
+        captureLog(() -> {
             simulation.network().delayCommandsTo(machine);
             simulation.users().submitUntilAccepted(JobRequests.array("j-000701", "blue", 2, 2, 60));
             simulation.runChecked(500);
@@ -79,9 +73,7 @@
             simulation.runChecked(ClusterFixtures.AGENT_LEASE_MS);
             assertTrue(simulation.counter("fencing.unfenced") > 0);
             assertTrue(simulation.counter("fencing.oldest_unfenced_ms") > ClusterFixtures.AGENT_LEASE_MS / 2);
-        } finally {
-            System.setErr(standardError);
-        }
+        });
         assertLogged(
                 "direct call with starts unanswered",
                 "machine=" + machine,
@@ -105,15 +97,11 @@
         simulation.runChecked(1_000);
         String machine = simulation.invariants().machineOf("j-000701/0").orElseThrow();
         simulation.runChecked(PAUSE_MS);
-        PrintStream standardError = System.err;
-        System.setErr(new PrintStream(log, true, StandardCharsets.UTF_8));
-        try {
+        captureLog(() -> {
             simulation.agents().reboot(machine, false);
             simulation.network().commandCopies().deliverKept();
             simulation.runChecked(2_000);
-        } finally {
-            System.setErr(standardError);
-        }
+        });
         assertLogged("orphaned attempt found", "task=j-000701/0", "machine=" + machine, "own_term=true", "token=");
         assertTrue(simulation.counter("orders.started_again") > 0);
         assertInReadme("orphaned attempt found");
@@ -122,9 +110,7 @@
     @Test
     void logsAndCountsInheritedStartsAndUnreadableStartLog() throws IOException {
         ClusterSimulation simulation = ClusterFixtures.clusterWithServices();
-        PrintStream standardError = System.err;
-        System.setErr(new PrintStream(log, true, StandardCharsets.UTF_8));
-        try {
+        captureLog(() -> {
             simulation.agents().machineIds().forEach(simulation.network()::delayCommandsTo);
             simulation.store().setOutage(true);
             simulation.users().submitUntilAccepted(JobRequests.array("j-000701", "blue", 2, 2, 60));
@@ -140,9 +126,7 @@
             IntStream.range(0, 3).forEach(controller -> simulation.crash(controller, 1_000));
             simulation.runChecked(PAUSE_MS);
             assertEquals(1, simulation.counter("takeover.starts_unknown"));
-        } finally {
-            System.setErr(standardError);
-        }
+        });
         assertLogged("starts of previous leaders loaded", "machines=", "starts=2", "inherited=2", "unreadable_pages=0");
         assertLogged("starts of previous leaders loaded", "unreadable_pages=1");
         assertLogged("start log page unreadable", "key=sent/0", "revision=");
@@ -158,9 +142,7 @@
     void logsAndCountsExcludedMachine() throws IOException {
         ClusterSimulation simulation = ClusterFixtures.clusterWithServices();
         String machine = simulation.agents().machinesWithFreeCpus(2).get(0);
-        PrintStream standardError = System.err;
-        System.setErr(new PrintStream(log, true, StandardCharsets.UTF_8));
-        try {
+        captureLog(() -> {
             simulation.network().delayCommandsTo(machine);
             simulation.users().submitUntilAccepted(JobRequests.array("j-000700", "blue", 1, 2, 60));
             simulation.runChecked(LOGGED_AFTER_MS + 3_000);
@@ -170,9 +152,7 @@
             simulation.network().deliverDelayedCommands(machine);
             simulation.runChecked(PAUSE_MS);
             assertEquals(0, simulation.counter("excluded.machines"));
-        } finally {
-            System.setErr(standardError);
-        }
+        });
         assertLogged("machine excluded", "machine=" + machine, "reason=UNREACHABLE", "excluded_ms=1", "free_cpus=");
         assertLogged("machine exclusion ended", "machine=" + machine, "excluded_ms=");
         assertInReadme("machine excluded", "machine exclusion ended");
@@ -181,9 +161,7 @@
     @Test
     void logsAndCountsFailedTasks() throws IOException {
         ClusterSimulation simulation = ClusterFixtures.clusterWithServices();
-        PrintStream standardError = System.err;
-        System.setErr(new PrintStream(log, true, StandardCharsets.UTF_8));
-        try {
+        captureLog(() -> {
             simulation
                     .users()
                     .submitUntilAccepted(
@@ -191,9 +169,7 @@
             while (simulation.counter("tasks.failed") < 3) {
                 simulation.runChecked(500);
             }
-        } finally {
-            System.setErr(standardError);
-        }
+        });
         assertEquals(1, simulation.counter("delayed.jobs"));
         assertTrue(simulation.counter("delayed.longest_ms") > 0);
         assertLogged("task failed", "task=j-000700/0", "attempt=", "machine=i-", "failures=1", "retry_in_ms=1000");
@@ -205,9 +181,7 @@
         ClusterSimulation simulation = ClusterFixtures.clusterWithServices();
         String machine = simulation.agents().machinesWithFreeCpus(4).get(0);
         simulation.agents().setFaulty(machine, true);
-        PrintStream standardError = System.err;
-        System.setErr(new PrintStream(log, true, StandardCharsets.UTF_8));
-        try {
+        captureLog(() -> {
             simulation.users().submitUntilAccepted(JobRequests.array("j-000700", "blue", 1, 2, 2));
             simulation.users().submitUntilAccepted(JobRequests.array("j-000701", "blue", 1, 2, 2));
             simulation.runChecked(3_000);
@@ -218,9 +192,7 @@
             assertEquals(0, simulation.counter("excluded.quarantined"));
             simulation.runChecked(PAUSE_MS);
             assertEquals(0, simulation.counter("quarantine.probation"));
-        } finally {
-            System.setErr(standardError);
-        }
+        });
         assertLogged("machine quarantined", "machine=" + machine, "jobs=[j-00070", "duration_ms=10000");
         assertLogged("machine on probation", "machine=" + machine, "duration_ms=10000");
         assertLogged("machine quarantine ended", "machine=" + machine, "reason=");
@@ -233,23 +205,29 @@
         ClusterSimulation simulation = ClusterFixtures.clusterWithServices();
         simulation.users().submitUntilAccepted(JobRequests.array("j-000700", "blue", 100, 4, 8));
         simulation.runChecked(PAUSE_MS + 5_000);
-        PrintStream standardError = System.err;
-        System.setErr(new PrintStream(log, true, StandardCharsets.UTF_8));
-        try {
+        captureLog(() -> {
             simulation.crash(simulation.leader(), 1_000);
             simulation.runChecked(PAUSE_MS);
             simulation.store().setValue("prog/0", Json.object().put("j-000001/1", "AQ=="));
             simulation.crash(simulation.leader(), 1_000);
             simulation.runChecked(PAUSE_MS);
             assertEquals(1, simulation.counter("progress.unreadable_records"));
-        } finally {
-            System.setErr(standardError);
-        }
+        });
         assertLogged("progress loaded", "term=8192", "jobs=1", "completed_tasks=");
         assertLogged("progress record unreadable", "key=j-000001/1", "term=12288");
         assertInReadme("progress loaded", "progress record unreadable");
     }
 
+    private void captureLog(Runnable steps) {
+        PrintStream standardError = System.err;
+        System.setErr(new PrintStream(log, true, StandardCharsets.UTF_8));
+        try {
+            steps.run();
+        } finally {
+            System.setErr(standardError);
+        }
+    }
+
     private static void assertInReadme(String... events) throws IOException {
         String readme = Files.readString(Path.of("README.md"));
         for (String event : events) {
--- a/src/test/java/io/quartzgw/app/RandomFaultsTest.java
+++ b/src/test/java/io/quartzgw/app/RandomFaultsTest.java
@@ -100,9 +100,7 @@
     @MethodSource("concurrentSeeds")
     void invariantsHoldUnderConcurrentFaults(long seed) {
         ClusterSimulation simulation = new ClusterSimulation(seed, 3);
-        List<String> arrays = runConcurrentFaults(simulation, seed);
-        assertHealthy(simulation);
-        assertAllEnded(simulation, arrays);
+        assertHealthyAfterConcurrentFaults(simulation, seed);
     }
 
     static LongStream concurrentSeedsWithPauses() {
@@ -114,9 +112,7 @@
     void invariantsHoldUnderConcurrentFaultsAndLeaderPauses(long seed) {
         ClusterSimulation simulation = new ClusterSimulation(seed, 3);
         LeaderPauses.scheduleAll(simulation, seed, FAULTS_END_MS);
-        List<String> arrays = runConcurrentFaults(simulation, seed);
-        assertHealthy(simulation);
-        assertAllEnded(simulation, arrays);
+        assertHealthyAfterConcurrentFaults(simulation, seed);
     }
 
     static LongStream concurrentSeedsWithDelayedCalls() {
@@ -128,9 +124,7 @@
     void invariantsHoldUnderConcurrentFaultsAndDelayedDirectCalls(long seed) {
         ClusterSimulation simulation = new ClusterSimulation(seed, 3);
         DelayedCallBursts.scheduleAll(simulation, seed, FAULTS_END_MS);
-        List<String> arrays = runConcurrentFaults(simulation, seed);
-        assertHealthy(simulation);
-        assertAllEnded(simulation, arrays);
+        assertHealthyAfterConcurrentFaults(simulation, seed);
     }
 
     static LongStream concurrentSeedsWithRepeatedCalls() {
@@ -143,9 +137,7 @@
     void invariantsHoldUnderConcurrentFaultsAndRepeatedDirectCalls(long seed) {
         ClusterSimulation simulation = new ClusterSimulation(seed, 3);
         simulation.network().commandCopies().deliverShare(REPEATED_CALL_SHARE);
-        List<String> arrays = runConcurrentFaults(simulation, seed);
-        assertHealthy(simulation);
-        assertAllEnded(simulation, arrays);
+        assertHealthyAfterConcurrentFaults(simulation, seed);
     }
 
     static LongStream concurrentSeedsWithCrashes() {
@@ -158,9 +150,7 @@
     void invariantsHoldUnderConcurrentFaultsAndLeaderCrashesWithDelayedStarts(long seed) {
         ClusterSimulation simulation = new ClusterSimulation(seed, 3);
         LeaderCrashesWithDelayedCalls.scheduleAll(simulation, seed, FAULTS_END_MS);
-        List<String> arrays = runConcurrentFaults(simulation, seed);
-        assertHealthy(simulation);
-        assertAllEnded(simulation, arrays);
+        assertHealthyAfterConcurrentFaults(simulation, seed);
     }
 
     static LongStream concurrentSeedsWithTotalLoss() {
@@ -175,6 +165,10 @@
     void invariantsHoldUnderConcurrentFaultsAndCrashesOfAllControllersWithDelayedStarts(long seed) {
         ClusterSimulation simulation = new ClusterSimulation(seed, 3);
         ControllerCrashes.scheduleAll(simulation, seed, ClusterFixtures.CANCEL_LIMIT_MS, FAULTS_END_MS);
+        assertHealthyAfterConcurrentFaults(simulation, seed);
+    }
+
+    private static void assertHealthyAfterConcurrentFaults(ClusterSimulation simulation, long seed) {
         List<String> arrays = runConcurrentFaults(simulation, seed);
         assertHealthy(simulation);
         assertAllEnded(simulation, arrays);
--- a/src/test/java/io/quartzgw/app/RepeatedDirectCallsTest.java
+++ b/src/test/java/io/quartzgw/app/RepeatedDirectCallsTest.java
@@ -81,18 +81,19 @@
     @MethodSource("seeds")
     void cancelledTaskIsNotStartedAgain(long seed) {
         start(seed);
-        submit(JobRequests.service(JOB, "blue", 3, 1));
-        simulation.runChecked(START_MS);
-        cancel(JOB);
-        runWithRepeatedCalls(CANCEL_LIMIT_MS + AGENT_LEASE_MS);
-        assertRecovers();
+        assertNotStartedAfterCancellation(JobRequests.service(JOB, "blue", 3, 1));
     }
 
     @ParameterizedTest
     @MethodSource("seeds")
     void cancelledGangIsNotStartedAgain(long seed) {
         start(seed);
-        submit(JobRequests.array(JOB, "blue", 3, 1, 300).put("shape", "gang"));
+        assertNotStartedAfterCancellation(
+                JobRequests.array(JOB, "blue", 3, 1, 300).put("shape", "gang"));
+    }
+
+    private void assertNotStartedAfterCancellation(ObjectNode job) {
+        submit(job);
         simulation.runChecked(START_MS);
         cancel(JOB);
         runWithRepeatedCalls(CANCEL_LIMIT_MS + AGENT_LEASE_MS);
@@ -143,12 +144,17 @@
     @MethodSource("seeds")
     void cancelledTaskIsNotStartedAgainAfterRebootInNextEpoch(long seed) {
         start(seed);
+        assertNotStartedAfterReboot(true);
+    }
+
+    private void assertNotStartedAfterReboot(boolean epochKept) {
         submit(JobRequests.service(JOB, "blue", 3, 1));
         simulation.runChecked(START_MS);
         String machine = machineOfFirstTask();
         cancel(JOB);
         simulation.runChecked(CANCEL_LIMIT_MS);
-        simulation.agents().reboot(machine, true);
+        assertFalse(simulation.invariants().runningTasks().contains(JOB + "/0"));
+        simulation.agents().reboot(machine, epochKept);
         runWithRepeatedCalls(AGENT_LEASE_MS);
         assertRecovers();
     }
@@ -171,14 +177,6 @@
     @MethodSource("seeds")
     void cancelledTaskIsNotStartedAgainAfterRebootInFirstEpoch(long seed) {
         start(seed);
-        submit(JobRequests.service(JOB, "blue", 3, 1));
-        simulation.runChecked(START_MS);
-        String machine = machineOfFirstTask();
-        cancel(JOB);
-        simulation.runChecked(CANCEL_LIMIT_MS);
-        assertFalse(simulation.invariants().runningTasks().contains(JOB + "/0"));
-        simulation.agents().reboot(machine, false);
-        runWithRepeatedCalls(AGENT_LEASE_MS);
-        assertRecovers();
+        assertNotStartedAfterReboot(false);
     }
 }
