--- a/src/main/java/io/quartzgw/agent/AllocationRelease.java
+++ b/src/main/java/io/quartzgw/agent/AllocationRelease.java
@@ -13,8 +13,9 @@
  *
  * <p>One rule holds for all of them: while a direct call may still start the attempt on its machine, the task stays
  * bound to that machine. The fencing token and the epoch do not rule out such a late start, because the agent of a
- * rebooted machine has received no token and restarts its epoch count. The call can no longer be executed once it is
- * answered or the machine is deleted.
+ * rebooted machine has received no token and restarts its epoch count. The call counts as settled once it is answered
+ * or the machine is deleted. An answered call may arrive again, which {@link RemovalFence} makes harmless at the same
+ * agent and {@link #allAttemptsLostWithAgent} at the agent that replaces it.
  */
 final class AllocationRelease {
     private static final Logger LOG = LoggerFactory.getLogger(AllocationRelease.class);
@@ -129,9 +130,9 @@
      * that no heartbeat has listed and that no command can start. A stopping attempt that only an unanswered direct
      * call may still start is retained as unfenced.
      *
-     * <p>Called after every heartbeat of the agent that counts as current, that is, neither stale nor unverified. A
-     * direct call that was answered earlier has either started its attempts, and then the heartbeat lists them, or
-     * never will. The responses to earlier heartbeats have been executed or lost.
+     * <p>Called after every heartbeat of the agent that counts as current, that is, neither stale nor unverified. If a
+     * direct call that was answered earlier has started its attempts, the heartbeat lists them. The responses to
+     * earlier heartbeats have been executed or lost.
      */
     void releaseUnstartable(AgentState agent) {
         Machine machine = agent.machine();
