--- a/src/main/java/io/quartzgw/agent/AgentState.java
+++ b/src/main/java/io/quartzgw/agent/AgentState.java
@@ -216,7 +216,7 @@
         switch (outcome) {
             case EXECUTED -> outstandingStarts.directCallExecuted();
             case REJECTED, NOT_SENT -> outstandingStarts.directCallNotExecuted();
-            case UNKNOWN -> outstandingStarts.directCallUnanswered();
+            default -> outstandingStarts.directCallUnanswered();
         }
     }
 
